--- /dev/null
+++ b/greengagemux/effects.py
@@ -0,0 +1,105 @@
+"""Outputs of the reducer, carried out by the shell."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+from .ids import CallId, DaemonId, ExchangeId, LogOffset, StreamId
+from .messages import Headers, Message
+
+
+@dataclass(frozen=True, slots=True)
+class Respond:
+    """Write a whole answer to a caller."""
+
+    exchange: ExchangeId
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Write a message to a stream; dropped when the stream has ended."""
+
+    stream: StreamId
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class OpenStream:
+    """Open a stream to a peer."""
+
+    daemon: DaemonId
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class CloseStream:
+    """Close a stream."""
+
+    stream: StreamId
+
+
+@dataclass(frozen=True, slots=True)
+class CallUpstream:
+    """Call an upstream over HTTP; ``limit_bytes`` bounds its answer body."""
+
+    call: CallId
+    address: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    limit_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class AbortCall:
+    """Cancel a call by closing its connection."""
+
+    call: CallId
+
+
+@dataclass(frozen=True, slots=True)
+class AppendLog:
+    """Append a record to a log stream."""
+
+    stream: str
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLog:
+    """Read a log stream from an offset, waiting up to ``wait``."""
+
+    stream: str
+    start: LogOffset
+    wait: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Write an event to the time line."""
+
+    name: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """End the process; all work is finished."""
+
+
+Effect = (
+    Respond
+    | Send
+    | OpenStream
+    | CloseStream
+    | CallUpstream
+    | AbortCall
+    | AppendLog
+    | ReadLog
+    | Record
+    | Exit
+)
--- /dev/null
+++ b/greengagemux/events.py
@@ -0,0 +1,180 @@
+"""Inputs of the reducer."""
+
+from dataclasses import dataclass
+from datetime import datetime
+from enum import Enum
+
+from .ids import (
+    CallId,
+    DaemonId,
+    ExchangeId,
+    LogOffset,
+    ServiceName,
+    StreamId,
+    UpstreamId,
+)
+from .messages import Headers, Hello, Message, UpstreamState
+from .outcomes import Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Regular wake-up for deadlines, leases and timers."""
+
+    wall: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A whole HTTP request of a caller."""
+
+    exchange: ExchangeId
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection before the answer."""
+
+    exchange: ExchangeId
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOpened:
+    """A stream with a peer is ready; ``outbound`` if opened from here."""
+
+    stream: StreamId
+    hello: Hello
+    outbound: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StreamClosed:
+    """A stream that was open has ended."""
+
+    stream: StreamId
+    failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnreachable:
+    """A stream to this address could not be opened."""
+
+    daemon: DaemonId
+    address: str
+    failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message that arrived on a stream."""
+
+    stream: StreamId
+    message: Message
+
+
+class CallFault(Enum):
+    """How a call to an upstream failed."""
+
+    refused = 'refused'
+    reset = 'reset'
+    truncated = 'truncated'
+    malformed = 'malformed'
+    too_large = 'too-large'
+    aborted = 'aborted'
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswered:
+    """An upstream gave a whole answer."""
+
+    call: CallId
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamFailed:
+    """A call ended without a whole answer.
+
+    ``sent`` is false only if no byte of the request left this process.
+    """
+
+    call: CallId
+    fault: CallFault
+    sent: bool
+    failure: Failure
+
+
+@dataclass(frozen=True, slots=True)
+class Announced:
+    """An upstream announced itself to the daemon beside it."""
+
+    upstream: UpstreamId
+    service: ServiceName
+    address: str
+    slots: int
+    state: UpstreamState
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """One record of a log stream."""
+
+    offset: LogOffset
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LogRead:
+    """A read of a log stream; ``first`` is the oldest offset retained."""
+
+    stream: str
+    first: LogOffset
+    following: LogOffset
+    records: tuple[LogRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LogAppended:
+    """An append was acknowledged."""
+
+    stream: str
+    offset: LogOffset
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LogFailed:
+    """A read or append of the log failed; an append may have taken effect."""
+
+    stream: str
+    failure: Failure
+    payload: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The process was asked to stop."""
+
+
+Event = (
+    Tick
+    | CallerRequest
+    | CallerGone
+    | StreamOpened
+    | StreamClosed
+    | PeerUnreachable
+    | PeerMessage
+    | UpstreamAnswered
+    | UpstreamFailed
+    | Announced
+    | LogRead
+    | LogAppended
+    | LogFailed
+    | StopRequested
+)
--- /dev/null
+++ b/greengagemux/ids.py
@@ -0,0 +1,25 @@
+"""Identifier types shared by all modules."""
+
+from typing import NewType
+
+DaemonId = NewType('DaemonId', str)
+DataCentre = NewType('DataCentre', str)
+Region = NewType('Region', str)
+ServiceName = NewType('ServiceName', str)
+RouteName = NewType('RouteName', str)
+UpstreamId = NewType('UpstreamId', str)
+CallerName = NewType('CallerName', str)
+
+#: Milliseconds since the epoch at which a daemon process started.
+Incarnation = NewType('Incarnation', int)
+#: Unique within one incarnation of an entrance.
+RequestId = NewType('RequestId', int)
+#: One HTTP exchange with a caller, unique within a process.
+ExchangeId = NewType('ExchangeId', int)
+#: One HTTP call to an upstream, unique within a process.
+CallId = NewType('CallId', int)
+#: One connection between daemons, unique within a process.
+StreamId = NewType('StreamId', int)
+#: Offset of a record in a stream of the log.
+LogOffset = NewType('LogOffset', int)
+BundleVersion = NewType('BundleVersion', int)
--- /dev/null
+++ b/greengagemux/messages.py
@@ -0,0 +1,297 @@
+"""Typed messages between daemons.
+
+Each message is encoded as a msgpack array that starts with its type tag.
+"""
+
+from enum import Enum
+
+from msgspec import Struct
+
+from .ids import (
+    BundleVersion,
+    CallerName,
+    DaemonId,
+    DataCentre,
+    Incarnation,
+    LogOffset,
+    Region,
+    RequestId,
+    RouteName,
+    ServiceName,
+    UpstreamId,
+)
+from .outcomes import Outcome, Reason
+
+#: Version of the protocol between daemons.
+PROTOCOL_VERSION = 1
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class Priority(Enum):
+    """Class of a request, most urgent first."""
+
+    waiting = 'waiting'
+    routine = 'routine'
+    internal = 'internal'
+
+
+class UpstreamState(Enum):
+    """State of an upstream as announced to other daemons."""
+
+    cold = 'cold'
+    serving = 'serving'
+    suspect = 'suspect'
+    sick = 'sick'
+    probation = 'probation'
+    draining = 'draining'
+
+
+class Load(Struct, frozen=True, array_like=True):
+    """Load of one upstream, reported with each answer."""
+
+    in_flight: int
+    queued: int
+    slots: int
+    service_ms: float
+    state: UpstreamState
+
+
+class UpstreamRecord(Struct, frozen=True, array_like=True):
+    """What a daemon announces of one of its upstreams.
+
+    ``severity`` orders sick upstreams: a higher one is worse.
+    """
+
+    upstream: UpstreamId
+    service: ServiceName
+    slots: int
+    state: UpstreamState
+    severity: int = 0
+
+
+class MemberRecord(Struct, frozen=True, array_like=True):
+    """State of one daemon, owned by that daemon.
+
+    A higher incarnation always wins; within one, a higher sequence wins.
+    """
+
+    daemon: DaemonId
+    incarnation: Incarnation
+    sequence: int
+    data_centre: DataCentre
+    region: Region
+    peer_address: str
+    leaving: bool = False
+    upstreams: tuple[UpstreamRecord, ...] = ()
+
+
+class Hello(Struct, frozen=True, array_like=True, tag='hello'):
+    """First message in both directions of a stream."""
+
+    version: int
+    daemon: DaemonId
+    data_centre: DataCentre
+    region: Region
+    incarnation: Incarnation
+
+
+class Ping(Struct, frozen=True, array_like=True, tag='ping'):
+    """Liveness check of a stream."""
+
+    nonce: int
+
+
+class Pong(Struct, frozen=True, array_like=True, tag='pong'):
+    """Answer to a ``Ping``."""
+
+    nonce: int
+
+
+class Dispatch(Struct, frozen=True, array_like=True, tag='dispatch'):
+    """A request for one upstream beside the receiving daemon.
+
+    ``forced`` marks work placed on a sick upstream to keep the floor.
+    ``expected_ms`` is the median service time of the route over other
+    upstreams, or 0 when it is not known.
+    """
+
+    request: RequestId
+    upstream: UpstreamId
+    service: ServiceName
+    route: RouteName
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    remaining_ms: int
+    answer_limit_bytes: int
+    priority: Priority
+    caller: CallerName
+    idempotent: bool
+    key: str = ''
+    expected_ms: float = 0
+    forced: bool = False
+
+
+class Answer(Struct, frozen=True, array_like=True, tag='answer'):
+    """Whole answer of an upstream, with length and xxh3-64 digest."""
+
+    request: RequestId
+    status: int
+    headers: Headers
+    body: bytes
+    length: int
+    digest: int
+    service_ms: float
+    load: Load
+
+
+class Refusal(Struct, frozen=True, array_like=True, tag='refusal'):
+    """A request that ended without an answer of the upstream."""
+
+    request: RequestId
+    reason: Reason
+    outcome: Outcome
+    retry_after_ms: int = 0
+    detail: str = ''
+    load: Load | None = None
+
+
+class Cancel(Struct, frozen=True, array_like=True, tag='cancel'):
+    """The caller of a request no longer waits."""
+
+    request: RequestId
+
+
+class Inquire(Struct, frozen=True, array_like=True, tag='inquire'):
+    """Asks what became of a request whose stream was lost."""
+
+    request: RequestId
+
+
+class Running(Struct, frozen=True, array_like=True, tag='running'):
+    """The request was received and has not ended."""
+
+    request: RequestId
+
+
+class NotSeen(Struct, frozen=True, array_like=True, tag='not-seen'):
+    """The request never arrived; a late arrival will be refused."""
+
+    request: RequestId
+
+
+class MemberDeltas(Struct, frozen=True, array_like=True, tag='deltas'):
+    """Member records that are new to the sender."""
+
+    records: tuple[MemberRecord, ...]
+
+
+class DigestEntry(Struct, frozen=True, array_like=True):
+    """Newest state that a daemon knows of one member."""
+
+    daemon: DaemonId
+    incarnation: Incarnation
+    sequence: int
+
+
+class MemberDigest(Struct, frozen=True, array_like=True, tag='digest'):
+    """All members known to the sender, or those in one hash bucket."""
+
+    entries: tuple[DigestEntry, ...]
+    reply: bool = False
+
+
+class MemberPull(Struct, frozen=True, array_like=True, tag='pull'):
+    """Asks for the records of some members."""
+
+    daemons: tuple[DaemonId, ...]
+
+
+class BundleOffer(Struct, frozen=True, array_like=True, tag='offer'):
+    """Names the newest accepted bundle that the sender knows."""
+
+    offset: LogOffset
+    version: BundleVersion
+    digest: bytes
+
+
+class BundleFetch(Struct, frozen=True, array_like=True, tag='fetch'):
+    """Asks for the bundle record with this digest."""
+
+    digest: bytes
+
+
+class BundleRecord(Struct, frozen=True, array_like=True, tag='bundle'):
+    """An accepted bundle record of the log."""
+
+    offset: LogOffset
+    payload: bytes
+
+
+class Suspect(Struct, frozen=True, array_like=True):
+    """A request fingerprint that was in flight when an upstream crashed."""
+
+    fingerprint: int
+    crashes: int
+    expires_in_ms: int
+
+
+class Suspects(Struct, frozen=True, array_like=True, tag='suspects'):
+    """Suspected and convicted request fingerprints."""
+
+    entries: tuple[Suspect, ...]
+
+
+class Promise(Struct, frozen=True, array_like=True, tag='promise'):
+    """The sender will not take over these slots for ``valid_ms``."""
+
+    slots: tuple[int, ...]
+    epochs: tuple[int, ...]
+    valid_ms: int
+
+
+class KeyRecord(Struct, frozen=True, array_like=True):
+    """What the home knows of one idempotency key.
+
+    ``answer`` is missing while the write runs and after an unknown outcome.
+    """
+
+    caller: CallerName
+    key: str
+    digest: int
+    age_ms: int
+    outcome: Outcome | None = None
+    answer: Answer | None = None
+
+
+class KeyRecords(Struct, frozen=True, array_like=True, tag='keys'):
+    """Key records of a slot, handed over at a planned stop."""
+
+    slot: int
+    epoch: int
+    records: tuple[KeyRecord, ...]
+
+
+Message = (
+    Hello
+    | Ping
+    | Pong
+    | Dispatch
+    | Answer
+    | Refusal
+    | Cancel
+    | Inquire
+    | Running
+    | NotSeen
+    | MemberDeltas
+    | MemberDigest
+    | MemberPull
+    | BundleOffer
+    | BundleFetch
+    | BundleRecord
+    | Suspects
+    | Promise
+    | KeyRecords
+)
--- /dev/null
+++ b/greengagemux/outcomes.py
@@ -0,0 +1,78 @@
+"""Outcomes of requests and tagged failures."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Outcome(Enum):
+    """What a caller is told about its request."""
+
+    completed = 'completed'
+    not_run = 'not-run'
+    unknown = 'unknown'
+
+
+class Reason(Enum):
+    """Machine-readable reason of an outcome other than completed."""
+
+    bad_request = 'bad-request'
+    unauthorized = 'unauthorized'
+    no_route = 'no-route'
+    method_not_allowed = 'method-not-allowed'
+    body_too_large = 'body-too-large'
+    no_bundle = 'no-bundle'
+    caller_limit = 'caller-limit'
+    overloaded = 'overloaded'
+    deadline = 'deadline'
+    no_upstream = 'no-upstream'
+    sick = 'sick'
+    draining = 'draining'
+    crashes_upstreams = 'crashes-upstreams'
+    connection_lost = 'connection-lost'
+    upstream_failed = 'upstream-failed'
+    answer_too_large = 'answer-too-large'
+    key_conflict = 'key-conflict'
+    key_in_progress = 'key-in-progress'
+    key_unknown = 'key-unknown'
+    no_home = 'no-home'
+    stopping = 'stopping'
+    late = 'late'
+
+
+class Step(Enum):
+    """Step of the path at which a failure arose."""
+
+    listen = 'listen'
+    route = 'route'
+    choose = 'choose'
+    connect = 'connect'
+    frame = 'frame'
+    decode = 'decode'
+    dispatch = 'dispatch'
+    call = 'call'
+    answer = 'answer'
+    log = 'log'
+    bundle = 'bundle'
+    settings = 'settings'
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A failure with the step and the peer at which it arose."""
+
+    step: Step
+    peer: str
+    detail: str
+
+    def __str__(self) -> str:
+        """Return one line for logs and messages."""
+        return f'{self.step.value} at {self.peer}: {self.detail}'
+
+
+class FailureError(Exception):
+    """Carries a ``Failure`` through code that raises."""
+
+    def __init__(self, failure: Failure) -> None:
+        """Keep the failure for the handler."""
+        super().__init__(str(failure))
+        self.failure = failure
--- /dev/null
+++ b/greengagemux_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: upstreams, log store and link faults."""
