Add membership: records, heartbeats, digests and relays

Heartbeats carry a counter of their owner and an age, so that copies repeated among peers cannot keep a dead member alive. The table of copies is in rosters, the queues and the choice of peers in gossips.

--- /dev/null
+++ b/greengagemux/gossips.py
@@ -0,0 +1,149 @@
+"""Queues of changed records and heartbeats, and the peers they go to."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from .ids import DaemonId
+from .messages import MemberBeats, MemberDeltas, MemberMessage
+from .rosters import Entry, Roster
+
+#: Peers to which a changed record is pushed.
+PUSH_PEERS = 4
+#: Peers to which heartbeats and versions are told in one round.
+BEAT_PEERS = 3
+#: Relays of another region to which a relay pushes a changed record.
+CROSS_PEERS = 2
+#: Rounds in which the version of a changed record is mentioned.
+MENTIONS = 4
+#: Rounds for a record that was pulled: others know it already.
+PULLED_MENTIONS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Directed:
+    """A message for one daemon."""
+
+    daemon: DaemonId
+    message: MemberMessage
+
+
+class Gossip:
+    """What one daemon has to tell others, until the next round."""
+
+    def __init__(self, own: Entry, roster: Roster, rng: random.Random) -> None:
+        """Start with the own record to push."""
+        self._own = own
+        self._id = own.record.daemon
+        self._region = own.record.region
+        self._rng = rng
+        self._roster = roster
+        self._push: dict[DaemonId, None] = {self._id: None}
+        self._cross_push: dict[DaemonId, None] = {}
+        self._beats: dict[DaemonId, None] = {}
+        self._cross_beats: dict[DaemonId, None] = {}
+        self._mentions: dict[DaemonId, int] = {}
+
+    def spread_record(self, entry: Entry, pulled: bool) -> None:
+        """Queue a changed record.
+
+        A pulled record is known to others already: its version is enough.
+        """
+        daemon = entry.record.daemon
+        if pulled:
+            self._mentions[daemon] = PULLED_MENTIONS
+            if self._relays_for(entry) is not None:
+                self._cross_beats[daemon] = None
+            return
+        self._mentions[daemon] = MENTIONS
+        self._push[daemon] = None
+        if self._relays_for(entry) is not None:
+            self._cross_push[daemon] = None
+
+    def spread_beat(self, entry: Entry) -> None:
+        """Queue a newer heartbeat for the next round."""
+        self._beats[entry.record.daemon] = None
+        # The relays of a data centre take turns, so the link between regions
+        # carries each heartbeat once and the loss of one relay costs every
+        # other heartbeat.
+        rank = self._relays_for(entry)
+        if rank is not None and entry.beat % 2 == rank:
+            self._cross_beats[entry.record.daemon] = None
+
+    def _relays_for(self, entry: Entry) -> int | None:
+        """Return the own rank as relay if the member is in the same centre."""
+        if entry.record.data_centre != self._own.record.data_centre:
+            return None
+        return self._roster.groups.ranks.get(self._id)
+
+    def push_records(self, now: timedelta, out: list[Directed]) -> None:
+        """Send the queued records."""
+        if self._push:
+            message = deltas(self._entries(self._push), now)
+            self._push.clear()
+            for peer in self.peers(PUSH_PEERS):
+                out.append(Directed(peer, message))
+        if self._cross_push:
+            message = deltas(self._entries(self._cross_push), now)
+            self._cross_push.clear()
+            for relay in self.far_relays(CROSS_PEERS):
+                out.append(Directed(relay, message))
+
+    def mention(self, now: timedelta, out: list[Directed]) -> None:
+        """Tell the versions of records that changed a short time ago."""
+        if not self._mentions:
+            return
+        self._tell(self._mentions, self.peers(BEAT_PEERS), now, out)
+        self._mentions = {
+            daemon: rounds - 1
+            for daemon, rounds in self._mentions.items()
+            if rounds > 1
+        }
+
+    def push_beats(self, now: timedelta, out: list[Directed]) -> None:
+        """Send the queued heartbeats."""
+        if self._beats:
+            self._tell(self._beats, self.peers(BEAT_PEERS), now, out)
+            self._beats.clear()
+        if self._cross_beats:
+            self._tell(self._cross_beats, self.far_relays(1), now, out)
+            self._cross_beats.clear()
+
+    def _tell(
+        self,
+        daemons: Iterable[DaemonId],
+        peers: list[DaemonId],
+        now: timedelta,
+        out: list[Directed],
+    ) -> None:
+        entries = self._entries(daemons)
+        message = MemberBeats(tuple(entry.digest(now) for entry in entries))
+        out.extend(Directed(peer, message) for peer in peers)
+
+    def _entries(self, daemons: Iterable[DaemonId]) -> list[Entry]:
+        known = [self._roster.entries.get(daemon) for daemon in daemons]
+        return [entry for entry in known if entry and entry.lost is None]
+
+    def peers(self, count: int) -> list[DaemonId]:
+        """Return random live members of the own region."""
+        near = self._roster.groups.live[self._region]
+        found = self._rng.sample(near, min(count + 1, len(near)))
+        return [peer for peer in found if peer != self._id][:count]
+
+    def far_relays(self, count: int) -> list[DaemonId]:
+        """Return random relays of each other region."""
+        found: list[DaemonId] = []
+        for region, relays in self._roster.groups.relays.items():
+            if region != self._region:
+                found += self._rng.sample(relays, min(count, len(relays)))
+        return found
+
+
+def deltas(entries: list[Entry], now: timedelta) -> MemberDeltas:
+    """Return the message that carries some records."""
+    return MemberDeltas(
+        tuple(entry.record for entry in entries),
+        tuple(entry.beat for entry in entries),
+        tuple(entry.age_s(now) for entry in entries),
+    )
--- /dev/null
+++ b/greengagemux/members.py
@@ -0,0 +1,387 @@
+"""Membership: own record, gossip of records and heartbeats, relays.
+
+A change is pushed as a whole record to a few peers of the region, then its
+version is mentioned in a few rounds of heartbeats, so that a daemon that
+the push missed pulls it. Heartbeats carry a counter that only their owner
+raises and an age that grows on the way: a copy is refreshed only by a higher
+counter, so daemons that repeat old heartbeats cannot keep a member alive.
+"""
+
+import random
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+from functools import singledispatchmethod
+
+import msgspec
+
+from .clocks import ZERO
+from .gossips import Directed, Gossip, deltas
+from .ids import DaemonId, Incarnation
+from .messages import (
+    DigestEntry,
+    MemberBeats,
+    MemberDeltas,
+    MemberDigest,
+    MemberMessage,
+    MemberPull,
+    MemberRecord,
+    MemberSummary,
+    UpstreamRecord,
+)
+from .rosters import BUCKETS, EXPIRY, Entry, Roster
+
+#: Most records in one message.
+RECORD_BATCH = 50
+
+PUSH_EVERY = timedelta(milliseconds=50)
+MENTION_EVERY = timedelta(milliseconds=300)
+BEAT_EVERY = timedelta(seconds=1)
+REFRESH_EVERY = timedelta(seconds=15)
+EXCHANGE_EVERY = timedelta(seconds=5)
+RELAY_EXCHANGE_EVERY = timedelta(seconds=10)
+#: A member whose heartbeat is this old is asked about.
+OVERDUE = timedelta(seconds=32)
+#: A pull that was not answered is repeated after this time.
+PULL_AGAIN = timedelta(milliseconds=600)
+#: Least time between two exchanges because of new streams.
+CONNECT_EXCHANGE_EVERY = timedelta(seconds=1)
+
+
+class _Timers:
+    """Times at which the regular work of a daemon is due."""
+
+    def __init__(self) -> None:
+        self._due: dict[timedelta, timedelta] = {}
+
+    def due(self, every: timedelta, now: timedelta) -> bool:
+        """Return whether a period ended; the next one starts ``now``."""
+        if now < self._due.get(every, ZERO):
+            return False
+        self._due[every] = now + every
+        return True
+
+    def postpone(self, every: timedelta, until: timedelta) -> None:
+        """Set when a period ends."""
+        self._due[every] = until
+
+
+class Members:
+    """The members known to one daemon and the messages to send for them."""
+
+    def __init__(self, own: MemberRecord, rng: random.Random) -> None:
+        """Start with the own record only."""
+        self._id = own.daemon
+        self._region = own.region
+        self._rng = rng
+        self._roster = Roster()
+        self._own = self._roster.put(own, 0, ZERO)
+        self._gossip = Gossip(self._own, self._roster, rng)
+        self._asked: dict[DaemonId, timedelta] = {}
+        self._timers = _Timers()
+        self._last_exchange: timedelta | None = None
+        self._started = False
+
+    @property
+    def own(self) -> MemberRecord:
+        """The own record as announced."""
+        return self._own.record
+
+    @property
+    def generation(self) -> int:
+        """Counter that grows with each change of ``live``."""
+        return self._roster.generation
+
+    def live(self) -> Mapping[DaemonId, MemberRecord]:
+        """Return the records of all live members, this daemon included.
+
+        Members that are leaving are listed until they expire.
+        """
+        return self._roster.live
+
+    def record(self, daemon: DaemonId) -> MemberRecord | None:
+        """Return the record of a live or lost member, for its address."""
+        entry = self._roster.entries.get(daemon)
+        return entry.record if entry else None
+
+    def changes(self) -> tuple[DaemonId, ...]:
+        """Return the members changed, lost or found since the last call."""
+        return self._roster.changes()
+
+    def set_own(
+        self,
+        upstreams: tuple[UpstreamRecord, ...],
+        leaving: bool,
+        now: timedelta,
+    ) -> None:
+        """Announce the own upstreams; nothing is sent without a change."""
+        record = self._own.record
+        if record.upstreams == upstreams and record.leaving == leaving:
+            return
+        self._announce(
+            msgspec.structs.replace(
+                record,
+                sequence=record.sequence + 1,
+                upstreams=upstreams,
+                leaving=leaving,
+            ),
+            now,
+        )
+
+    def connected(self, sender: DaemonId, now: timedelta) -> list[Directed]:
+        """Return the messages that start a stream with a peer.
+
+        A daemon opens many streams at its start, so the members are
+        compared on at most one of them a second.
+        """
+        self._own.heard = now
+        out = [Directed(sender, MemberBeats((self._own.digest(now),)))]
+        last = self._last_exchange
+        if last is None or now - last >= CONNECT_EXCHANGE_EVERY:
+            out.append(self._summary(sender, now))
+        return out
+
+    def receive(
+        self, message: MemberMessage, sender: DaemonId, now: timedelta
+    ) -> list[Directed]:
+        """Apply a message of a peer and return the replies."""
+        return self._receive(message, sender, now)
+
+    def tick(self, now: timedelta) -> list[Directed]:
+        """Do the work that is due and return the messages to send.
+
+        Call it at least every 50 ms; calls with nothing due are cheap.
+        """
+        self._own.heard = now
+        if not self._started:
+            self._spread_timers(now)
+        out: list[Directed] = []
+        if self._timers.due(PUSH_EVERY, now):
+            self._gossip.push_records(now, out)
+        if self._timers.due(MENTION_EVERY, now):
+            self._gossip.mention(now, out)
+        if self._timers.due(REFRESH_EVERY, now):
+            self._own.beat += 1
+            self._gossip.spread_beat(self._own)
+        if self._timers.due(BEAT_EVERY, now):
+            self._roster.expire(self._id, now)
+            self._gossip.push_beats(now, out)
+        if self._timers.due(EXCHANGE_EVERY, now):
+            self._exchange(now, out)
+        if self._timers.due(RELAY_EXCHANGE_EVERY, now):
+            self._relay_exchange(now, out)
+        return out
+
+    @singledispatchmethod
+    def _receive(
+        self, message: object, sender: DaemonId, now: timedelta
+    ) -> list[Directed]:
+        raise TypeError(f'not a membership message: {type(message).__name__}')
+
+    @_receive.register
+    def _receive_deltas(
+        self, message: MemberDeltas, sender: DaemonId, now: timedelta
+    ) -> list[Directed]:
+        blank = (0,) * len(message.records)
+        for record, beat, age_s in zip(
+            message.records,
+            message.beats or blank,
+            message.ages_s or blank,
+            strict=False,
+        ):
+            self._take_record(record, beat, now - timedelta(seconds=age_s), now)
+        return []
+
+    @_receive.register
+    def _receive_beats(
+        self, message: MemberBeats, sender: DaemonId, now: timedelta
+    ) -> list[Directed]:
+        return self._pull(sender, self._take_beats(message.entries, now), now)
+
+    @_receive.register
+    def _receive_summary(
+        self, message: MemberSummary, sender: DaemonId, now: timedelta
+    ) -> list[Directed]:
+        if len(message.hashes) != BUCKETS:
+            return []
+        buckets = tuple(
+            bucket
+            for bucket, (theirs, mine) in enumerate(
+                zip(message.hashes, self._roster.hashes, strict=True)
+            )
+            if theirs != mine
+        )
+        if not buckets:
+            return []
+        entries = tuple(
+            entry.digest(now) for entry in self._roster.in_buckets(buckets)
+        )
+        return [Directed(sender, MemberDigest(entries, buckets))]
+
+    @_receive.register
+    def _receive_digest(
+        self, message: MemberDigest, sender: DaemonId, now: timedelta
+    ) -> list[Directed]:
+        newer = self._newer_than(message)
+        out = self._pull(sender, self._take_beats(message.entries, now), now)
+        if newer:
+            beats = tuple(entry.digest(now) for entry in newer)
+            out.append(Directed(sender, MemberBeats(beats)))
+        return out
+
+    @_receive.register
+    def _receive_pull(
+        self, message: MemberPull, sender: DaemonId, now: timedelta
+    ) -> list[Directed]:
+        known = [self._roster.entries.get(daemon) for daemon in message.daemons]
+        live = [entry for entry in known if entry and entry.lost is None]
+        return [
+            Directed(sender, deltas(live[start : start + RECORD_BATCH], now))
+            for start in range(0, len(live), RECORD_BATCH)
+        ]
+
+    def _newer_than(self, message: MemberDigest) -> list[Entry]:
+        """Return the members of which the sender has older or no copies."""
+        entries = self._roster.entries
+        listed = {entry.daemon: entry for entry in message.entries}
+        newer = [
+            entry
+            for entry in self._roster.in_buckets(message.buckets)
+            if entry.record.daemon not in listed
+        ]
+        for daemon, theirs in listed.items():
+            mine = entries.get(daemon)
+            if mine and mine.lost is None and _is_newer(mine, theirs):
+                newer.append(mine)
+        return newer
+
+    def _take_record(
+        self,
+        record: MemberRecord,
+        beat: int,
+        heard: timedelta,
+        now: timedelta,
+    ) -> None:
+        daemon = record.daemon
+        if daemon == self._id:
+            self._check_own(record.incarnation, record.sequence, now)
+            return
+        pulled = self._asked.pop(daemon, None) is not None
+        if now - heard >= EXPIRY:
+            return
+        known = self._roster.entries.get(daemon)
+        if known is None or known.version < _version(record):
+            entry = self._roster.put(record, beat, heard)
+            self._gossip.spread_record(entry, pulled)
+        elif known.record.incarnation == record.incarnation:
+            self._take_beat(known, beat, heard)
+
+    def _take_beats(
+        self, entries: Iterable[DigestEntry], now: timedelta
+    ) -> list[DaemonId]:
+        """Refresh members and return those whose record is out of date."""
+        return [told.daemon for told in entries if self._outdated(told, now)]
+
+    def _outdated(self, told: DigestEntry, now: timedelta) -> bool:
+        if told.daemon == self._id:
+            self._check_own(told.incarnation, told.sequence, now)
+            return False
+        heard = now - timedelta(seconds=told.age_s)
+        if now - heard >= EXPIRY:
+            return False
+        known = self._roster.entries.get(told.daemon)
+        if known is None or known.version < _version(told):
+            return True
+        if known.record.incarnation == told.incarnation:
+            self._take_beat(known, told.beat, heard)
+        return False
+
+    def _take_beat(self, known: Entry, beat: int, heard: timedelta) -> None:
+        if beat > known.beat:
+            self._roster.refresh(known, beat, heard)
+            self._gossip.spread_beat(known)
+
+    def _check_own(
+        self, incarnation: Incarnation, sequence: int, now: timedelta
+    ) -> None:
+        """Outbid a record of this daemon that this process did not write.
+
+        It stems from a predecessor whose wall clock was ahead.
+        """
+        if (incarnation, sequence) > self._own.version:
+            raised = Incarnation(incarnation + 1)
+            self._announce(
+                msgspec.structs.replace(
+                    self._own.record, incarnation=raised, sequence=0
+                ),
+                now,
+            )
+
+    def _announce(self, record: MemberRecord, now: timedelta) -> None:
+        self._own.heard = now
+        self._roster.put(record, self._own.beat, now)
+        self._gossip.spread_record(self._own, pulled=False)
+
+    def _exchange(self, now: timedelta, out: list[Directed]) -> None:
+        for peer in self._gossip.peers(1):
+            out.append(self._summary(peer, now))
+        overdue = tuple(
+            entry.digest(now)
+            for entry in self._roster.entries.values()
+            if entry.lost is None and now - entry.heard >= OVERDUE
+        )
+        if overdue:
+            for peer in self._gossip.peers(1):
+                out.append(Directed(peer, MemberDigest(overdue)))
+        self._forget_pulls(now)
+
+    def _relay_exchange(self, now: timedelta, out: list[Directed]) -> None:
+        groups = self._roster.groups
+        if self._id not in groups.ranks:
+            return
+        for relay in self._gossip.far_relays(1):
+            out.append(self._summary(relay, now))
+        for region, lost in groups.lost.items():
+            if region != self._region and region not in groups.live:
+                out.append(self._summary(self._rng.choice(lost), now))
+
+    def _summary(self, peer: DaemonId, now: timedelta) -> Directed:
+        self._last_exchange = now
+        return Directed(peer, MemberSummary(tuple(self._roster.hashes)))
+
+    def _pull(
+        self, sender: DaemonId, wanted: Iterable[DaemonId], now: timedelta
+    ) -> list[Directed]:
+        ask: list[DaemonId] = []
+        for daemon in wanted:
+            asked = self._asked.get(daemon)
+            if asked is None or now - asked >= PULL_AGAIN:
+                self._asked[daemon] = now
+                ask.append(daemon)
+        return [Directed(sender, MemberPull(tuple(ask)))] if ask else []
+
+    def _forget_pulls(self, now: timedelta) -> None:
+        self._asked = {
+            daemon: asked
+            for daemon, asked in self._asked.items()
+            if now - asked < PULL_AGAIN
+        }
+
+    def _spread_timers(self, now: timedelta) -> None:
+        """Start the long periods at random so that daemons do not align."""
+        self._started = True
+        for every in (REFRESH_EVERY, EXCHANGE_EVERY, RELAY_EXCHANGE_EVERY):
+            self._timers.postpone(every, now + every * self._rng.random())
+
+    def __len__(self) -> int:
+        """Return the number of live members."""
+        return len(self._roster.live)
+
+
+def _version(told: MemberRecord | DigestEntry) -> tuple[Incarnation, int]:
+    return told.incarnation, told.sequence
+
+
+def _is_newer(mine: Entry, theirs: DigestEntry) -> bool:
+    if mine.version != _version(theirs):
+        return mine.version > _version(theirs)
+    return mine.beat > theirs.beat
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -183,24 +183,50 @@
 
 
 class MemberDeltas(Struct, frozen=True, array_like=True, tag='deltas'):
-    """Member records that are new to the sender."""
+    """Member records that are new to the sender.
+
+    ``beats`` and ``ages_s`` belong to the record at the same position.
+    """
 
     records: tuple[MemberRecord, ...]
+    beats: tuple[int, ...] = ()
+    ages_s: tuple[int, ...] = ()
 
 
 class DigestEntry(Struct, frozen=True, array_like=True):
-    """Newest state that a daemon knows of one member."""
+    """Newest state that a daemon knows of one member.
+
+    ``beat`` counts the refreshes of this incarnation by the member itself;
+    ``age_s`` is the time since it sent that refresh, rounded up.
+    """
 
     daemon: DaemonId
     incarnation: Incarnation
     sequence: int
+    beat: int = 0
+    age_s: int = 0
+
+
+class MemberBeats(Struct, frozen=True, array_like=True, tag='beats'):
+    """Heartbeats, or versions that the receiver may want to pull."""
+
+    entries: tuple[DigestEntry, ...]
+
+
+class MemberSummary(Struct, frozen=True, array_like=True, tag='summary'):
+    """One hash for each bucket of the sender's members."""
+
+    hashes: tuple[int, ...]
 
 
 class MemberDigest(Struct, frozen=True, array_like=True, tag='digest'):
-    """All members known to the sender, or those in one hash bucket."""
+    """The sender's members in some hash buckets.
+
+    Without buckets it lists members whose heartbeat is overdue.
+    """
 
     entries: tuple[DigestEntry, ...]
-    reply: bool = False
+    buckets: tuple[int, ...] = ()
 
 
 class MemberPull(Struct, frozen=True, array_like=True, tag='pull'):
@@ -209,6 +235,11 @@
     daemons: tuple[DaemonId, ...]
 
 
+MemberMessage = (
+    MemberDeltas | MemberBeats | MemberSummary | MemberDigest | MemberPull
+)
+
+
 class BundleOffer(Struct, frozen=True, array_like=True, tag='offer'):
     """Names the newest accepted bundle that the sender knows."""
 
@@ -285,9 +316,7 @@
     | Inquire
     | Running
     | NotSeen
-    | MemberDeltas
-    | MemberDigest
-    | MemberPull
+    | MemberMessage
     | BundleOffer
     | BundleFetch
     | BundleRecord
