--- /dev/null
+++ b/greengagemux/detectors.py
@@ -0,0 +1,329 @@
+"""Sequential test for sickness of one upstream.
+
+Each finished request is a sample. For each alternative hypothesis (a share
+of failures, a factor of slowness) the detector keeps a sum of
+log-likelihood ratios that restarts at zero (Page's test). The largest sum
+is compared with Wald's limit, raised by the log of the number of
+hypotheses so that together they keep the configured rate of false alarms.
+"""
+
+import itertools
+import math
+from dataclasses import dataclass, field
+from enum import Enum
+from types import MappingProxyType
+
+from .ids import RouteName
+
+
+class SampleKind(Enum):
+    """How a request to an upstream ended, or that it has not ended."""
+
+    success = 'success'
+    error = 'error'
+    refused = 'refused'
+    reset = 'reset'
+    truncated = 'truncated'
+    wrong = 'wrong'
+    silent = 'silent'
+
+
+#: Share of requests of a healthy upstream that end in each way, at most.
+HEALTHY_SHARES = MappingProxyType(
+    {
+        SampleKind.error: 0.01,
+        SampleKind.refused: 0.001,
+        SampleKind.reset: 0.004,
+        SampleKind.truncated: 0.002,
+        SampleKind.wrong: 0.002,
+        SampleKind.silent: 0.004,
+    }
+)
+#: A kept connection may have gone silent on its own, so it proves little.
+KEPT_SILENT_SHARE = 0.2
+#: Failure shares of the alternative hypotheses.
+FAILURE_SHARES = (0.9, 0.5, 0.2, 0.06)
+#: Slowness of the alternative hypotheses, in half octaves: 2.8 and 8 times.
+SLOW_SHIFTS = (3, 6)
+#: Bins of the ratio of service time to expected time, in half octaves.
+BIN_LOW = -4
+BIN_COUNT = 15
+#: Bounds of the evidence of one service time; outliers prove little.
+SLOW_EVIDENCE_MIN = -2
+SLOW_EVIDENCE_MAX = 2.5
+#: Spread of the log service time assumed before enough samples are known.
+PRIOR_SIGMA = 0.6
+PRIOR_COUNT = 50
+#: Older samples of a route lose half their weight at this total.
+LEARN_LIMIT = 2000
+REFRESH_SAMPLES = 64
+#: Weight of one sample in the long-run share of failures.
+FAILURE_GAIN = 1 / 4000
+#: A learned share of failures is raised by this margin.
+FAILURE_MARGIN = 1.5
+#: Weight of one sample in the long-run service time of a route.
+BASELINE_GAIN = 0.02
+BASELINE_SAMPLES = 30
+#: Share of healthy requests allowed to pass the silence limit.
+SILENT_TAIL = 0.005
+SILENCE_MIN_MS = 150
+SILENCE_UNKNOWN_MS = 2000
+#: Weights of one sample in the recent and the longer view of expected_ms.
+RECENT_GAIN = 0.2
+LONGER_GAIN = 0.02
+#: A rise of expected_ms by this factor shows that all upstreams slow down.
+RISE_FACTOR = 1.3
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorRates:
+    """Error rates of the test for one service.
+
+    ``false_alarm`` bounds the chance that the sum of a healthy upstream,
+    once it has left zero, reaches the limit before it returns. ``miss``
+    bounds the chance that a sick upstream is readmitted.
+    """
+
+    false_alarm: float = 1e-6
+    miss: float = 1e-3
+
+    def limit(self) -> float:
+        """Return the log-likelihood ratio at which sickness is accepted."""
+        tests = len(FAILURE_SHARES) + len(SLOW_SHIFTS)
+        return math.log((1 - self.miss) / self.false_alarm * tests)
+
+    def recovery_limit(self) -> float:
+        """Return the (negative) ratio at which recovery is accepted."""
+        return math.log(self.miss / (1 - self.false_alarm))
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One piece of evidence.
+
+    ``service_ms`` runs from the call to the upstream until its end, or
+    until now for ``silent``. ``expected_ms`` is the median of the route
+    over other upstreams, 0 when unknown. ``fresh`` tells that the
+    connection was opened for this request.
+    """
+
+    kind: SampleKind
+    route: RouteName
+    service_ms: float
+    expected_ms: float = 0
+    fresh: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """State of the test: ``score`` of the leading hypothesis, its limit."""
+
+    score: float
+    limit: float
+    cause: str
+
+    @property
+    def share(self) -> float:
+        """Return the score as a share of the limit."""
+        return self.score / self.limit
+
+
+def _normal_share(log_ratio: float) -> float:
+    return (1 + math.erf(log_ratio / PRIOR_SIGMA / math.sqrt(2))) / 2
+
+
+def _prior() -> list[float]:
+    half_octave = math.log(2) / 2
+    below = [
+        _normal_share((place + BIN_LOW + 0.5) * half_octave)
+        for place in range(BIN_COUNT - 1)
+    ]
+    bounds = itertools.pairwise((0, *below, 1))
+    return [PRIOR_COUNT * max(high - low, 1e-4) for low, high in bounds]
+
+
+def _zeros(count: int) -> list[float]:
+    return [float(0) for _ in range(count)]
+
+
+@dataclass(slots=True)
+class _RouteTimes:
+    """Healthy service times of one route, relative to the expected time."""
+
+    counts: list[float] = field(default_factory=_prior)
+    evidence: list[list[float]] = field(default_factory=list)
+    tail_ratio: float = 0
+    unread: int = 0
+    own_log_ms: float = 0
+    own_samples: int = 0
+    recent_log_ms: float = 0
+    longer_log_ms: float = 0
+
+    def refresh(self) -> None:
+        total = sum(self.counts)
+        healthy = [each / total for each in self.counts]
+        self.evidence = [_evidence(healthy, shift) for shift in SLOW_SHIFTS]
+        tail = float(0)
+        place = BIN_COUNT - 1
+        while place and tail + healthy[place] < SILENT_TAIL:
+            tail += healthy[place]
+            place -= 1
+        self.tail_ratio = 2 ** ((place + BIN_LOW + 0.5) / 2)
+        if total > LEARN_LIMIT:
+            self.counts = [each / 2 for each in self.counts]
+        self.unread = 0
+
+    def learn(self, place: int) -> None:
+        self.counts[place] += 1
+        self.unread += 1
+        if self.unread >= REFRESH_SAMPLES:
+            self.refresh()
+
+    def learn_own(self, service_ms: float) -> None:
+        self.own_samples += 1
+        gain = max(BASELINE_GAIN, 1 / self.own_samples)
+        own = math.log(max(service_ms, 0.1))
+        self.own_log_ms += gain * (own - self.own_log_ms)
+
+    def follow(self, expected_ms: float) -> bool:
+        """Take in an expected time; return whether it is rising."""
+        log_ms = math.log(expected_ms)
+        if not self.longer_log_ms:
+            self.recent_log_ms = log_ms
+            self.longer_log_ms = log_ms
+        self.recent_log_ms += RECENT_GAIN * (log_ms - self.recent_log_ms)
+        self.longer_log_ms += LONGER_GAIN * (log_ms - self.longer_log_ms)
+        return self.recent_log_ms - self.longer_log_ms > math.log(RISE_FACTOR)
+
+    def expected(self, given_ms: float) -> float:
+        if given_ms > 0:
+            return given_ms
+        if self.own_samples < BASELINE_SAMPLES:
+            return 0
+        return math.exp(self.own_log_ms)
+
+
+def _evidence(healthy: list[float], shift: int) -> list[float]:
+    slow = [1e-4 for _ in range(shift)] + healthy[:-shift]
+    slow[-1] += sum(healthy[-shift:])
+    return [
+        min(max(math.log(sick / well), SLOW_EVIDENCE_MIN), SLOW_EVIDENCE_MAX)
+        for sick, well in zip(slow, healthy, strict=True)
+    ]
+
+
+def _place(ratio: float) -> int:
+    bin_no = round(2 * math.log2(max(ratio, 1e-3))) - BIN_LOW
+    return min(max(bin_no, 0), BIN_COUNT - 1)
+
+
+class Detector:
+    """Evidence about one upstream."""
+
+    def __init__(self, rates: ErrorRates) -> None:
+        """Start without evidence."""
+        self.rates = rates
+        self.limit = rates.limit()
+        self.failure_scores = _zeros(len(FAILURE_SHARES))
+        self.slow_scores = _zeros(len(SLOW_SHIFTS))
+        self.counts: dict[SampleKind, int] = {}
+        self._failure_share = float(0)
+        self._routes: dict[RouteName, _RouteTimes] = {}
+
+    def observe(
+        self,
+        sample: Sample,
+        *,
+        learn: bool = True,
+        hold: bool = False,
+        settling: bool = False,
+    ) -> Reading:
+        """Take in a sample and return the state of the test.
+
+        ``learn`` lets the sample shape the picture of healthy behaviour.
+        ``hold`` tells that the service as a whole is in trouble: slowness
+        and errors then prove nothing. ``settling`` tells that the upstream
+        has just started: slowness then proves nothing.
+        """
+        self.counts[sample.kind] = self.counts.get(sample.kind, 0) + 1
+        if not hold or sample.kind is not SampleKind.error:
+            self._observe_failure(sample, learn=learn)
+        if sample.kind in {SampleKind.success, SampleKind.silent}:
+            self._observe_time(sample, learn=learn, hold=hold or settling)
+        return self.reading()
+
+    def reading(self) -> Reading:
+        """Return the state of the test."""
+        failing = max(self.failure_scores)
+        slow = max(self.slow_scores)
+        if failing >= slow:
+            cause = 'failures' if failing else 'none'
+            return Reading(failing, self.limit, cause)
+        return Reading(slow, self.limit, 'slowness')
+
+    def reset(self) -> None:
+        """Forget the evidence but not what healthy behaviour looks like."""
+        self.failure_scores = _zeros(len(FAILURE_SHARES))
+        self.slow_scores = _zeros(len(SLOW_SHIFTS))
+        self.counts = {}
+
+    def silence_limit_ms(self, route: RouteName, expected_ms: float) -> float:
+        """Return the age at which a running request counts as silent."""
+        times = self._times(route)
+        expected = times.expected(expected_ms)
+        if not expected:
+            return SILENCE_UNKNOWN_MS
+        return max(SILENCE_MIN_MS, expected * times.tail_ratio)
+
+    def _observe_failure(self, sample: Sample, *, learn: bool) -> None:
+        failed = sample.kind is not SampleKind.success
+        if learn:
+            gap = int(failed) - self._failure_share
+            self._failure_share += FAILURE_GAIN * gap
+        healthy = self._healthy_share(sample)
+        for test, share in enumerate(FAILURE_SHARES):
+            ratio = (1 - share) / (1 - healthy)
+            if failed:
+                ratio = share / healthy
+            score = self.failure_scores[test] + math.log(ratio)
+            self.failure_scores[test] = max(score, 0)
+
+    def _healthy_share(self, sample: Sample) -> float:
+        if sample.kind is SampleKind.silent and not sample.fresh:
+            return KEPT_SILENT_SHARE
+        if sample.kind not in {SampleKind.success, SampleKind.error}:
+            return HEALTHY_SHARES[sample.kind]
+        learned = self._failure_share * FAILURE_MARGIN
+        return max(HEALTHY_SHARES[SampleKind.error], learned)
+
+    def _observe_time(
+        self,
+        sample: Sample,
+        *,
+        learn: bool,
+        hold: bool,
+    ) -> None:
+        times = self._times(sample.route)
+        expected = times.expected(sample.expected_ms)
+        if sample.kind is SampleKind.success and learn:
+            times.learn_own(sample.service_ms)
+        if not expected:
+            return
+        rising = times.follow(expected)
+        place = _place(sample.service_ms / expected)
+        for test, evidence in enumerate(times.evidence):
+            found = evidence[place]
+            if found > 0 and (hold or rising):
+                continue
+            score = self.slow_scores[test] + found
+            self.slow_scores[test] = max(score, 0)
+        if learn:
+            times.learn(place)
+
+    def _times(self, route: RouteName) -> _RouteTimes:
+        times = self._routes.get(route)
+        if times is None:
+            times = _RouteTimes()
+            times.refresh()
+            self._routes[route] = times
+        return times
