--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -261,6 +261,20 @@
             return Reading(failing, self.limit, cause)
         return Reading(slow, self.limit, 'slowness')
 
+    def use(self, rates: ErrorRates) -> None:
+        """Change the error rates; the sums so far are kept."""
+        self.rates = rates
+        self.limit = rates.limit()
+
+    def slow_evidence(self, sample: Sample) -> float:
+        """Return the largest evidence of slowness in one service time."""
+        times = self._times(sample.route)
+        expected = times.expected(sample.expected_ms)
+        if not expected:
+            return 0
+        place = _place(sample.service_ms / expected)
+        return max(evidence[place] for evidence in times.evidence)
+
     def reset(self) -> None:
         """Forget the evidence but not what healthy behaviour looks like."""
         self.failure_scores = _zeros(len(FAILURE_SHARES))
