--- /dev/null
+++ b/greengagemux/settings.py
@@ -0,0 +1,457 @@
+"""Settings of a daemon, read from an INI file and checked as a whole."""
+
+import configparser
+import re
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from ipaddress import IPv4Address, IPv6Address, ip_address
+from pathlib import Path
+from types import MappingProxyType
+from typing import Annotated, Any, Final, NoReturn
+from urllib.parse import urlsplit
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    ValidationError,
+)
+
+DEFAULT_STOP_LIMIT_MS: Final = 30_000
+DEFAULT_POLL_WAIT_MS: Final = 2000
+DEFAULT_LEVEL: Final = 'info'
+
+PORT_LIMIT: Final = 65_535
+FILE_LIMIT_BYTES: Final = 1024 * 1024
+#: Longest part of a rejected value that an error repeats.
+VALUE_SHOWN_CHARS: Final = 80
+
+LEVELS: Final = ('debug', 'info', 'warning', 'error')
+NAME_RULE: Final = (
+    '1 to 64 letters, digits, ".", "_" and "-", first a letter or digit'
+)
+HEX_RULE: Final = '64 hex digits'
+ADDRESS_RULE: Final = (
+    'an IP number and a port from 1 to 65535, as 127.0.0.1:80 or [::1]:80'
+)
+REACHABLE_RULE: Final = f'{ADDRESS_RULE}, that other hosts can connect to'
+URL_RULE: Final = 'http:// or https://, an IP number and a port, no path'
+
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_HEX = re.compile('[0-9a-fA-F]{64}')
+_NUMBER = re.compile('[0-9]{1,12}')
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One fault of a settings file; empty parts do not apply."""
+
+    source: str
+    section: str
+    key: str
+    value: str | None
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return one line that names the place, the value and the rule."""
+        place = self.source
+        if self.section:
+            place = f'{place}: [{self.section}]'
+        if self.key:
+            place = f'{place} {self.key}'
+        if self.value is None:
+            return f'{place}: {self.allowed}'
+        shown = self.value[:VALUE_SHOWN_CHARS]
+        return f'{place} = {shown!r}: allowed is {self.allowed}'
+
+
+class SettingsError(Exception):
+    """A settings file was rejected; ``problems`` lists every fault."""
+
+    def __init__(self, problems: Iterable[Problem]) -> None:
+        """Keep the problems for the handler."""
+        self.problems = tuple(problems)
+        super().__init__('\n'.join(str(problem) for problem in self.problems))
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """IP number and TCP port; port 0 lets the system choose one."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> 'Address':
+        """Return the address written as ``host:port`` or ``[host]:port``.
+
+        Raises ``ValueError`` when the host is no IP number or the port is
+        not from 1 to 65535.
+        """
+        host, colon, port = text.strip().rpartition(':')
+        bracketed = host.startswith('[') and host.endswith(']')
+        number = _ip(host[1:-1] if bracketed else host)
+        if not colon or bracketed != (number.version == 6):
+            raise ValueError(ADDRESS_RULE)
+        return cls(str(number), _whole(port, 1, PORT_LIMIT))
+
+    def __str__(self) -> str:
+        """Return the form that ``parse`` reads."""
+        if ':' in self.host:
+            return f'[{self.host}]:{self.port}'
+        return f'{self.host}:{self.port}'
+
+
+def _ip(text: str) -> IPv4Address | IPv6Address:
+    if '%' in text:
+        raise ValueError(ADDRESS_RULE)
+    return ip_address(text)
+
+
+def _whole(text: str, low: int, high: int) -> int:
+    if not _NUMBER.fullmatch(text) or not low <= int(text) <= high:
+        raise ValueError(f'a whole number from {low} to {high}')
+    return int(text)
+
+
+def _address(text: Any) -> Address:
+    return text if isinstance(text, Address) else Address.parse(text)
+
+
+def _reachable(text: Any) -> Address:
+    address = _address(text)
+    number = ip_address(address.host)
+    if number.is_unspecified or number.is_multicast:
+        raise ValueError(REACHABLE_RULE)
+    return address
+
+
+def _seeds(text: Any) -> tuple[Address, ...]:
+    if not isinstance(text, str):
+        return tuple(text)
+    if not text.strip():
+        return ()
+    seeds = tuple(_reachable(part) for part in text.split(','))
+    if len(set(seeds)) < len(seeds):
+        raise ValueError('a seed is listed twice')
+    return seeds
+
+
+def _hex(text: str) -> str:
+    if not _HEX.fullmatch(text):
+        raise ValueError(HEX_RULE)
+    return text.lower()
+
+
+def _url(text: str) -> str:
+    parts = urlsplit(text)
+    if parts.scheme not in {'http', 'https'}:
+        raise ValueError(URL_RULE)
+    address = Address.parse(parts.netloc)
+    if parts.path not in {'', '/'} or parts.query or parts.fragment:
+        raise ValueError(URL_RULE)
+    return f'{parts.scheme}://{address}'
+
+
+def _number(low: int, high: int) -> Callable[[Any], int]:
+    return lambda text: _whole(str(text), low, high)
+
+
+_Name = Annotated[
+    str,
+    StringConstraints(pattern=f'^{_NAME.pattern}$'),
+    Field(description=NAME_RULE),
+]
+_Address = Annotated[
+    Address, BeforeValidator(_address), Field(description=ADDRESS_RULE)
+]
+_Reachable = Annotated[
+    Address, BeforeValidator(_reachable), Field(description=REACHABLE_RULE)
+]
+_Seeds = Annotated[
+    tuple[Address, ...],
+    BeforeValidator(_seeds),
+    Field(description=f'distinct, separated by commas, each {REACHABLE_RULE}'),
+]
+_Digest = Annotated[
+    str, BeforeValidator(_hex), Field(description=f'a SHA-256 of {HEX_RULE}')
+]
+_StopLimit = Annotated[
+    int,
+    BeforeValidator(_number(0, 3_600_000)),
+    Field(description='a whole number of milliseconds from 0 to 3600000'),
+]
+_PollWait = Annotated[
+    int,
+    BeforeValidator(_number(0, 60_000)),
+    Field(description='a whole number of milliseconds from 0 to 60000'),
+]
+_Url = Annotated[str, BeforeValidator(_url), Field(description=URL_RULE)]
+_Level = Annotated[
+    str,
+    StringConstraints(pattern=f'^({"|".join(LEVELS)})$'),
+    Field(description=f'one of {", ".join(LEVELS)}'),
+]
+_File = Annotated[Path, Field(description='the path of a readable file')]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(frozen=True, extra='forbid')
+
+
+class DaemonSettings(_Section):
+    """Identity and addresses of the daemon."""
+
+    id: _Name
+    data_centre: _Name
+    region: _Name
+    http_address: _Address
+    peer_address: _Reachable
+    admin_address: _Address
+    seeds: _Seeds = ()
+    admin_token_sha256: _Digest | None = Field(
+        default=None, description=f'a SHA-256 of {HEX_RULE}'
+    )
+    stop_limit_ms: _StopLimit = DEFAULT_STOP_LIMIT_MS
+
+
+class LogSettings(_Section):
+    """The platform's log service; ``url`` has no trailing slash."""
+
+    url: _Url
+    poll_wait_ms: _PollWait = DEFAULT_POLL_WAIT_MS
+
+
+class LoggingSettings(_Section):
+    """Own log lines."""
+
+    level: _Level = DEFAULT_LEVEL
+
+
+class TlsSettings(_Section):
+    """PEM files; peers must have certificates of ``authority``."""
+
+    certificate: _File
+    private_key: _File
+    authority: _File
+
+
+class Settings(_Section):
+    """All settings of a daemon.
+
+    ``operators`` maps names to Ed25519 public keys of 64 hex digits. Without
+    ``log`` the daemon learns bundles only from its peers.
+    """
+
+    daemon: DaemonSettings
+    log: LogSettings | None = None
+    operators: Mapping[str, str] = Field(default_factory=dict)
+    logging: LoggingSettings = LoggingSettings()
+    tls: TlsSettings | None = None
+
+
+_Model = type[_Section]
+_MODELS: Final[Mapping[str, _Model]] = MappingProxyType(
+    {
+        'daemon': DaemonSettings,
+        'log': LogSettings,
+        'logging': LoggingSettings,
+        'tls': TlsSettings,
+    }
+)
+_SECTIONS: Final = (*_MODELS, 'operators')
+
+
+def read_settings(path: Path) -> Settings:
+    """Return the settings in a file.
+
+    Raises ``SettingsError`` with every problem of the file.
+    """
+    return _Reader(path).read()
+
+
+class _Reader:
+    """Collects the problems of one file."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._problems: list[Problem] = []
+
+    def read(self) -> Settings:
+        parser = self._parse(self._text().splitlines())
+        for section in parser.sections():
+            if section not in _SECTIONS:
+                known = ', '.join(f'[{name}]' for name in _SECTIONS)
+                self._add(section, '', f'unknown section; allowed are {known}')
+        sections = {
+            name: self._section(name, model, parser)
+            for name, model in _MODELS.items()
+            if name == 'daemon' or parser.has_section(name)
+        }
+        operators = self._operators(parser)
+        self._check_distinct(sections['daemon'])
+        if self._problems:
+            raise SettingsError(self._problems)
+        return Settings.model_validate({**sections, 'operators': operators})
+
+    def _text(self) -> str:
+        try:
+            with self._path.open('rb') as stream:
+                encoded = stream.read(FILE_LIMIT_BYTES + 1)
+        except OSError as error:
+            self._fail(f'cannot be read: {error.strerror}')
+        if len(encoded) > FILE_LIMIT_BYTES:
+            self._fail(f'larger than {FILE_LIMIT_BYTES} bytes')
+        try:
+            return encoded.decode()
+        except UnicodeDecodeError as error:
+            self._fail(f'not UTF-8 at byte {error.start}')
+
+    def _parse(self, lines: list[str]) -> configparser.RawConfigParser:
+        # configparser stops at the first fault. Its line is blanked and the
+        # rest is read again, so that every problem is listed.
+        while True:
+            parser = configparser.RawConfigParser(
+                delimiters=('=',), default_section='', strict=True
+            )
+            parser.optionxform = str  # type: ignore[assignment,method-assign]
+            try:
+                parser.read_string('\n'.join(lines))
+            except configparser.Error as error:
+                self._blank(error, lines)
+            else:
+                return parser
+
+    @singledispatchmethod
+    def _blank(self, error: configparser.Error, lines: list[str]) -> None:
+        self._fail(str(error))
+
+    @_blank.register
+    def _(
+        self, error: configparser.DuplicateOptionError, lines: list[str]
+    ) -> None:
+        self._add(error.section, error.option, 'key is given twice')
+        lines[(error.lineno or 1) - 1] = ''
+
+    @_blank.register
+    def _(
+        self, error: configparser.DuplicateSectionError, lines: list[str]
+    ) -> None:
+        # The keys go too, as they would join the section before it.
+        self._add(error.section, '', 'section is given twice')
+        start = error.lineno or 1
+        lines[start - 1] = ''
+        for number, line in enumerate(lines[start:], start):
+            if line.startswith('['):
+                return
+            lines[number] = ''
+
+    @_blank.register
+    def _(self, error: configparser.ParsingError, lines: list[str]) -> None:
+        for number, _line in error.errors:
+            shown = lines[number - 1][:VALUE_SHOWN_CHARS]
+            rule = 'allowed are "[section]" and "key = value"'
+            self._add('', '', f'line {number} {shown!r}: {rule}')
+            lines[number - 1] = ''
+
+    @_blank.register
+    def _(
+        self, error: configparser.MissingSectionHeaderError, lines: list[str]
+    ) -> None:
+        shown = error.line.strip()[:VALUE_SHOWN_CHARS]
+        rule = 'allowed is a [section] line before the first key'
+        self._fail(f'line {error.lineno} {shown!r}: {rule}')
+
+    def _section(
+        self,
+        section: str,
+        model: _Model,
+        parser: configparser.RawConfigParser,
+    ) -> _Section | None:
+        present = parser.has_section(section)
+        values: dict[str, Any] = dict(parser.items(section)) if present else {}
+        if section == 'tls':
+            values = self._files(values)
+        try:
+            return model.model_validate(values)
+        except ValidationError as error:
+            for detail in error.errors():
+                self._explain(section, model, str(detail['loc'][0]), values)
+        return None
+
+    def _explain(
+        self,
+        section: str,
+        model: _Model,
+        key: str,
+        values: Mapping[str, Any],
+    ) -> None:
+        known = model.model_fields.get(key)
+        found = values.get(key)
+        if known is None:
+            keys = ', '.join(model.model_fields)
+            self._add(section, key, f'one of the keys {keys}', found)
+        elif found is None:
+            self._add(section, key, f'missing; allowed is {known.description}')
+        else:
+            self._add(section, key, str(known.description), found)
+
+    def _files(self, values: Mapping[str, str]) -> dict[str, Any]:
+        """Resolve paths against the directory of the settings file."""
+        paths: dict[str, Any] = {}
+        for key, text in values.items():
+            paths[key] = self._path.parent / text
+            if key in TlsSettings.model_fields and not paths[key].is_file():
+                self._add('tls', key, 'the path of a readable file', text)
+        return paths
+
+    def _operators(
+        self, parser: configparser.RawConfigParser
+    ) -> dict[str, str]:
+        owners: dict[str, str] = {}
+        if not parser.has_section('operators'):
+            return owners
+        for name, text in parser.items('operators'):
+            rule = self._operator_rule(name, text, owners)
+            if rule:
+                self._add('operators', name, rule, text)
+            else:
+                owners[name] = text.lower()
+        return owners
+
+    def _operator_rule(
+        self, name: str, text: str, owners: Mapping[str, str]
+    ) -> str:
+        """Return the rule that an operator breaks, if any."""
+        if _NAME.fullmatch(name) is None:
+            return f'a name of {NAME_RULE}'
+        if _HEX.fullmatch(text) is None:
+            return f'an Ed25519 public key of {HEX_RULE}'
+        if text.lower() in owners.values():
+            return 'a key that no other operator has'
+        return ''
+
+    def _check_distinct(self, daemon: _Section | None) -> None:
+        if not isinstance(daemon, DaemonSettings):
+            return
+        seen: set[Address] = set()
+        for key in ('http_address', 'peer_address', 'admin_address'):
+            address: Address = getattr(daemon, key)
+            if address in seen:
+                rule = 'an address that no other listener has'
+                self._add('daemon', key, rule, str(address))
+            seen.add(address)
+
+    def _add(
+        self, section: str, key: str, allowed: str, found: Any = None
+    ) -> None:
+        text = None if found is None else str(found)
+        source = str(self._path)
+        self._problems.append(Problem(source, section, key, text, allowed))
+
+    def _fail(self, allowed: str) -> NoReturn:
+        self._add('', '', allowed)
+        raise SettingsError(self._problems)
