--- /dev/null
+++ b/greengagemux/timelines.py
@@ -0,0 +1,380 @@
+"""One time line of the log lines of all processes, as text or HTML.
+
+Order follows the ``hlc`` stamps, so an effect comes after its cause also when
+wall clocks disagree. A line without a stamp is placed by its wall time, but
+never before a line that precedes it in its own file.
+"""
+
+import heapq
+import json
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import ExitStack
+from dataclasses import dataclass, field, replace
+from datetime import UTC, datetime, timedelta
+from importlib import resources
+from pathlib import Path
+from typing import Any, BinaryIO, Final, TextIO
+
+import click
+
+from .clocks import MILLISECOND
+from .logs import TEXT_EVENT, Stamp
+
+#: Longest line that is read; a longer one counts as unreadable.
+LINE_LIMIT_BYTES: Final = 1024 * 1024
+#: Most events of a page, which holds them all in memory.
+PAGE_EVENT_LIMIT: Final = 200_000
+#: Most of one line that a page shows.
+PAGE_LINE_CHARS: Final = 4096
+
+_EPOCH: Final = datetime(1970, 1, 1, tzinfo=UTC)
+_COUNT_SCALE: Final = 65_536
+_TEMPLATE: Final = 'timeline.html'
+_MARK: Final = '@DATA@'
+_TIME_RULE: Final = 'ISO 8601, as 2026-01-01T06:00:00; UTC without an offset'
+
+
+@dataclass(frozen=True, slots=True)
+class TimelineEvent:
+    """One log line; ``line`` is its JSON object."""
+
+    stamp: Stamp
+    process: str
+    sequence: int
+    name: str
+    request: str
+    line: dict[str, Any]
+
+    @property
+    def when(self) -> datetime:
+        """Return the wall time of the stamp."""
+        return _EPOCH + timedelta(milliseconds=self.stamp.millis)
+
+    @property
+    def daemon(self) -> str:
+        """Return the process without its incarnation."""
+        return self.process.partition('/')[0]
+
+
+@dataclass(slots=True)
+class Report:
+    """What could not be read or placed, by file."""
+
+    unreadable: dict[str, int] = field(default_factory=dict)
+    out_of_order: dict[str, int] = field(default_factory=dict)
+    omitted: int = 0
+
+    def count_unreadable(self, source: str) -> None:
+        """Count a line that is truncated, not JSON or without a time."""
+        self.unreadable[source] = self.unreadable.get(source, 0) + 1
+
+    def count_out_of_order(self, source: str) -> None:
+        """Count a line whose stamp is below that of an earlier line."""
+        self.out_of_order[source] = self.out_of_order.get(source, 0) + 1
+
+    def lines(self) -> list[str]:
+        """Return one line of text for each remark."""
+        remarks = [
+            f'{source}: {count} lines are truncated, not JSON or without a time'
+            for source, count in self.unreadable.items()
+        ]
+        remarks += [
+            f'{source}: {count} stamps are below that of an earlier line'
+            for source, count in self.out_of_order.items()
+        ]
+        if self.omitted:
+            remarks.append(
+                f'{self.omitted} events after the limit are left out'
+            )
+        return remarks
+
+
+@dataclass(frozen=True, slots=True)
+class Criteria:
+    """Which events to keep; an empty criterion keeps all.
+
+    ``request`` is an id, or ``DAEMON:ID`` for the ids of one entrance.
+    """
+
+    start: datetime | None = None
+    end: datetime | None = None
+    events: frozenset[str] = frozenset()
+    processes: frozenset[str] = frozenset()
+    request: str = ''
+
+    def keep(self, event: TimelineEvent) -> bool:
+        """Return whether an event meets all criteria."""
+        if self.start and event.when < self.start:
+            return False
+        if self.end and event.when > self.end:
+            return False
+        if self.events and event.name not in self.events:
+            return False
+        if self.processes.isdisjoint((event.process, event.daemon)):
+            if self.processes:
+                return False
+        return not self.request or self._has_request(event)
+
+    def _has_request(self, event: TimelineEvent) -> bool:
+        entrance, colon, request = self.request.rpartition(':')
+        if event.request != request:
+            return False
+        owner = _fields(event.line).get('entrance', event.daemon)
+        return not colon or owner == entrance
+
+
+def merge(
+    paths: Iterable[Path], criteria: Criteria, report: Report
+) -> Iterator[TimelineEvent]:
+    """Yield the events of all files in order, one line of each in memory."""
+    with ExitStack() as stack:
+        sources = [
+            _read(stack.enter_context(path.open('rb')), str(path), report)
+            for path in paths
+        ]
+        kept = (filter(criteria.keep, source) for source in sources)
+        yield from heapq.merge(*kept, key=_position)
+
+
+def text_line(event: TimelineEvent) -> str:
+    """Return an event as one line of printable ASCII."""
+    when = event.when.isoformat(timespec='milliseconds')
+    fields = json.dumps(_fields(event.line), default=str)
+    words = (when, f'+{event.stamp.count}', event.process, event.name)
+    return f'{" ".join(_printable(word) for word in words)} {fields}'
+
+
+def write_page(
+    events: Iterable[TimelineEvent], report: Report, page: TextIO
+) -> None:
+    """Write a self-contained HTML page with one lane for each process."""
+    columns = _Columns()
+    for event in events:
+        if len(columns.times) < PAGE_EVENT_LIMIT:
+            columns.add(event)
+        else:
+            report.omitted += 1
+    template = resources.files(__package__).joinpath(_TEMPLATE).read_text()
+    before, _mark, after = template.partition(_MARK)
+    page.write(before)
+    page.write(_embedded(columns.tables(report)))
+    page.write(after)
+
+
+class _Columns:
+    """The events of a page, column by column; names are numbered."""
+
+    def __init__(self) -> None:
+        self.times: list[float] = []
+        self._first_ms = 0
+        self._lanes: dict[str, int] = {}
+        self._names: dict[str, int] = {}
+        self._lane: list[int] = []
+        self._name: list[int] = []
+        self._requests: list[str] = []
+        self._lines: list[str] = []
+
+    def add(self, event: TimelineEvent) -> None:
+        if not self.times:
+            self._first_ms = event.stamp.millis
+        passed = event.stamp.millis - self._first_ms
+        self.times.append(round(passed + event.stamp.count / _COUNT_SCALE, 5))
+        lane = self._lanes.setdefault(event.process, len(self._lanes))
+        name = self._names.setdefault(event.name, len(self._names))
+        self._lane.append(lane)
+        self._name.append(name)
+        self._requests.append(event.request)
+        self._lines.append(json.dumps(event.line)[:PAGE_LINE_CHARS])
+
+    def tables(self, report: Report) -> dict[str, Any]:
+        return {
+            'first_ms': self._first_ms,
+            'lanes': list(self._lanes),
+            'names': list(self._names),
+            'times': self.times,
+            'lane': self._lane,
+            'name': self._name,
+            'requests': self._requests,
+            'lines': self._lines,
+            'remarks': report.lines(),
+        }
+
+
+def _embedded(tables: dict[str, Any]) -> str:
+    """Return JSON that cannot end the script element that holds it."""
+    text = json.dumps(tables, separators=(',', ':'))
+    for sign in '<>&':
+        text = text.replace(sign, rf'\u{ord(sign):04x}')
+    return text
+
+
+def _read(
+    stream: BinaryIO, source: str, report: Report
+) -> Iterator[TimelineEvent]:
+    newest = Stamp(0, 0)
+    stem = Path(source).stem
+    for encoded in _lines(stream):
+        event = _event(encoded, stem)
+        if event is None:
+            report.count_unreadable(source)
+            continue
+        if event.stamp < newest:
+            report.count_out_of_order(source)
+            event = replace(event, stamp=newest)
+        newest = event.stamp
+        yield event
+
+
+def _lines(stream: BinaryIO) -> Iterator[bytes]:
+    """Yield lines; those above the limit are yielded cut, as one."""
+    while encoded := stream.readline(LINE_LIMIT_BYTES):
+        rest = encoded
+        while rest and not rest.endswith(b'\n'):
+            rest = stream.readline(LINE_LIMIT_BYTES)
+        if encoded.strip():
+            yield encoded
+
+
+def _event(encoded: bytes, source: str) -> TimelineEvent | None:
+    try:
+        line = json.loads(encoded)
+    except (ValueError, RecursionError):
+        return None
+    stamp = _stamp(line) if isinstance(line, dict) else None
+    if stamp is None:
+        return None
+    sequence = line.get('sequence')
+    return TimelineEvent(
+        stamp=stamp,
+        process=_process(line, source),
+        sequence=sequence if isinstance(sequence, int) else 0,
+        name=str(line.get('event', TEXT_EVENT)),
+        request=str(_fields(line).get('request', '')),
+        line=line,
+    )
+
+
+def _stamp(line: dict[str, Any]) -> Stamp | None:
+    try:
+        return Stamp.parse(str(line.get('hlc')))
+    except ValueError:
+        wall = _wall(line.get('wall'))
+    if wall is None:
+        return None
+    return Stamp(max(0, (wall - _EPOCH) // MILLISECOND), 0)
+
+
+def _wall(text: object) -> datetime | None:
+    try:
+        return parse_time(str(text))
+    except ValueError:
+        return None
+
+
+def parse_time(text: str) -> datetime:
+    """Return an ISO 8601 time; one without an offset is in UTC.
+
+    Raises ``ValueError`` for any other text.
+    """
+    wall = datetime.fromisoformat(text)
+    return wall if wall.tzinfo else wall.replace(tzinfo=UTC)
+
+
+def _process(line: dict[str, Any], source: str) -> str:
+    daemon = line.get('daemon')
+    if daemon is None:
+        return source
+    incarnation = line.get('incarnation')
+    return str(daemon) if incarnation is None else f'{daemon}/{incarnation}'
+
+
+def _fields(line: dict[str, Any]) -> dict[str, Any]:
+    fields = line.get('fields')
+    return fields if isinstance(fields, dict) else {}
+
+
+def _position(event: TimelineEvent) -> tuple[Stamp, str, int]:
+    return event.stamp, event.process, event.sequence
+
+
+def _printable(text: str) -> str:
+    return json.dumps(text)[1:-1]
+
+
+class _Time(click.ParamType[datetime]):
+    name = 'time'
+
+    def convert(
+        self,
+        value: Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> datetime:
+        try:
+            return parse_time(value)
+        except ValueError:
+            self.fail(f'{value!r}: allowed is {_TIME_RULE}', param, ctx)
+
+
+_FILTERS: Final = (
+    click.option('--from', 'start', type=_Time(), help='First time to show.'),
+    click.option('--to', 'end', type=_Time(), help='Last time to show.'),
+    click.option(
+        '--event', 'events', multiple=True, help='Only events of this name.'
+    ),
+    click.option(
+        '--process',
+        'processes',
+        multiple=True,
+        help='Only this daemon, or DAEMON/INCARNATION.',
+    ),
+    click.option(
+        '--request', default='', help='Only this request id, or DAEMON:ID.'
+    ),
+)
+
+
+def _filters(command: Callable[..., None]) -> Callable[..., None]:
+    for option in reversed(_FILTERS):
+        command = option(command)
+    return command
+
+
+@click.command()
+@click.argument(
+    'files',
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@_filters
+@click.option(
+    '--html',
+    'page',
+    type=click.File('w', encoding='utf-8', lazy=True),
+    help='Write a page to this file instead of text.',
+)
+def timeline(
+    files: tuple[Path, ...], page: TextIO | None, **filters: Any
+) -> None:
+    """Merge the log FILES of all processes into one time line.
+
+    Lines that cannot be read are counted on standard error. Several
+    --event or --process options show all that match any of them.
+    """
+    criteria = Criteria(
+        start=filters['start'],
+        end=filters['end'],
+        events=frozenset(filters['events']),
+        processes=frozenset(filters['processes']),
+        request=filters['request'],
+    )
+    report = Report()
+    merged = merge(files, criteria, report)
+    if page is None:
+        for event in merged:
+            click.echo(text_line(event))
+    else:
+        write_page(merged, report, page)
+    for remark in report.lines():
+        click.echo(remark, err=True)
