--- /dev/null
+++ b/greengagemux_standins/ledgers.py
@@ -0,0 +1,124 @@
+"""Executions counted by an upstream stand-in."""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+#: Oldest entries are dropped above this number; 215 requests a second reach
+#: it after about 15 minutes.
+ENTRY_LIMIT = 200_000
+
+
+class WorkKey(NamedTuple):
+    """What identifies one request of a caller.
+
+    ``request`` is the ``Greengage-Request`` header, ``tag`` the caller's
+    ``X-Request-Tag``, ``idempotency`` its ``Idempotency-Key``, and
+    ``fingerprint`` the xxh3-64 of method, target and body.
+    """
+
+    request: str
+    tag: str
+    idempotency: str
+    fingerprint: str
+    method: str
+    target: str
+
+
+class Run(msgspec.Struct):
+    """Executions of one request."""
+
+    request: str
+    tag: str
+    idempotency: str
+    fingerprint: str
+    method: str
+    target: str
+    started: int = 0
+    finished: int = 0
+    stopped: int = 0
+
+
+class LedgerPage(msgspec.Struct):
+    """Answer of ``GET /_ledger``.
+
+    ``dropped`` counts entries that are missing because of the limit.
+    ``after_drain_ms`` is the time between the start of draining and the last
+    request accepted after it.
+    """
+
+    upstream: str
+    started: int
+    finished: int
+    stopped: int
+    shed: int
+    after_drain: int
+    after_drain_ms: float
+    dropped: int
+    runs: list[Run]
+
+
+def fingerprint(method: bytes, target: bytes, body: bytes) -> str:
+    """Return the xxh3-64 of a request as hex digits."""
+    digest = xxhash.xxh3_64()
+    for part in (method, b' ', target, b' ', body):
+        digest.update(part)
+    return digest.hexdigest()
+
+
+class Ledger:
+    """Counts executions by request."""
+
+    def __init__(self, upstream: str, entry_limit: int = ENTRY_LIMIT) -> None:
+        """Keep at most ``entry_limit`` requests."""
+        self._upstream = upstream
+        self._entry_limit = entry_limit
+        self._runs: OrderedDict[WorkKey, Run] = OrderedDict()
+        self.started = 0
+        self.finished = 0
+        self.stopped = 0
+        self.shed = 0
+        self.after_drain = 0
+        self.after_drain_ms = float()
+        self.dropped = 0
+
+    def start(self, key: WorkKey) -> None:
+        """Count an execution that begins."""
+        self.started += 1
+        self._run(key).started += 1
+
+    def finish(self, key: WorkKey) -> None:
+        """Count an execution that reached its end."""
+        self.finished += 1
+        self._run(key).finished += 1
+
+    def stop(self, key: WorkKey) -> None:
+        """Count an execution that was cut short."""
+        self.stopped += 1
+        self._run(key).stopped += 1
+
+    def page(self) -> LedgerPage:
+        """Return all counts."""
+        return LedgerPage(
+            upstream=self._upstream,
+            started=self.started,
+            finished=self.finished,
+            stopped=self.stopped,
+            shed=self.shed,
+            after_drain=self.after_drain,
+            after_drain_ms=self.after_drain_ms,
+            dropped=self.dropped,
+            runs=list(self._runs.values()),
+        )
+
+    def _run(self, key: WorkKey) -> Run:
+        run = self._runs.get(key)
+        if run is None:
+            run = Run(*key)
+            self._runs[key] = run
+            if len(self._runs) > self._entry_limit:
+                self._runs.popitem(last=False)
+                self.dropped += 1
+        return run
