--- a/greengagemux_standins/slots.py
+++ b/greengagemux_standins/slots.py
@@ -1,6 +1,5 @@
 """Slots, queue and service times of an upstream stand-in."""
 
-import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -150,8 +149,8 @@
         of equal capacity, so that two paths can be compared pair by pair.
         """
         rng = random.Random(job.seed) if job.seed else self._rng
-        mu = math.log(self._capacity.median_ms)
-        drawn_ms = rng.lognormvariate(mu, self._capacity.sigma)
+        spread = rng.lognormvariate(0, self._capacity.sigma)
+        drawn_ms = self._capacity.median_ms * spread
         return drawn_ms * job.factor * self.slow * self._cold_factor()
 
     def _cold_factor(self) -> float:
--- /dev/null
+++ b/tests/fakes_standins.py
@@ -0,0 +1,78 @@
+"""In-memory network for tests of the stand-ins and the load tool."""
+
+from typing import Any
+
+import msgspec
+from twisted.internet.error import ConnectionAborted, ConnectionDone
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+
+class Transport(StringTransport):
+    """A transport that tells its protocol when it is closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.protocol: Any = None
+        self.aborted = False
+
+    def setTcpNoDelay(self, _enabled: bool) -> None:
+        pass
+
+    def loseConnection(self) -> None:
+        self._end(ConnectionDone())
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+        self._end(ConnectionAborted())
+
+    def _end(self, reason: Exception) -> None:
+        if not self.disconnected:
+            self.disconnected = True
+            self.protocol.connectionLost(Failure(reason))
+
+
+class Connection:
+    """A client connection to the newest or a given listener."""
+
+    def __init__(self, network: MemoryReactorClock, listener: int = -1) -> None:
+        factory = network.tcpServers[listener][1]
+        self.transport = Transport()
+        self.protocol = factory.buildProtocol(None)
+        self.transport.protocol = self.protocol
+        self.protocol.makeConnection(self.transport)
+
+    def send(
+        self,
+        target: str,
+        method: str = 'GET',
+        body: bytes = b'',
+        **headers: str,
+    ) -> None:
+        lines = [f'{method} {target} HTTP/1.1', 'Host: test']
+        lines += [
+            f'{name.replace("_", "-")}: {text}'
+            for name, text in headers.items()
+        ]
+        lines += [f'Content-Length: {len(body)}', '', '']
+        self.protocol.dataReceived('\r\n'.join(lines).encode() + body)
+
+    def drop(self) -> None:
+        self.transport.loseConnection()
+
+    @property
+    def raw(self) -> bytes:
+        return self.transport.value()
+
+    def answer(self) -> tuple[int, dict[str, str], bytes]:
+        """Return the whole answer received and forget it."""
+        head, _, body = self.raw.partition(b'\r\n\r\n')
+        status, *lines = head.decode().split('\r\n')
+        headers = dict(line.lower().split(': ', 1) for line in lines)
+        self.transport.clear()
+        return int(status.split()[1]), headers, body
+
+    def json(self, target: str, method: str = 'GET', **shape: Any) -> Any:
+        """Exchange JSON and return the decoded answer."""
+        self.send(target, method, msgspec.json.encode(shape))
+        return msgspec.json.decode(self.answer()[2])
