--- a/greengagemux/settings.py
+++ b/greengagemux/settings.py
@@ -33,6 +33,8 @@
 NAME_RULE: Final = (
     '1 to 64 letters, digits, ".", "_" and "-", first a letter or digit'
 )
+#: Names of daemons, data centres, regions, services and upstreams.
+NAME_PATTERN: Final = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$'
 HEX_RULE: Final = '64 hex digits'
 ADDRESS_RULE: Final = (
     'an IP number and a port from 1 to 65535, as 127.0.0.1:80 or [::1]:80'
@@ -40,7 +42,7 @@
 REACHABLE_RULE: Final = f'{ADDRESS_RULE}, that other hosts can connect to'
 URL_RULE: Final = 'http:// or https://, an IP number and a port, no path'
 
-_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_NAME = re.compile(NAME_PATTERN)
 _HEX = re.compile('[0-9a-fA-F]{64}')
 _NUMBER = re.compile('[0-9]{1,12}')
 
@@ -162,7 +164,7 @@
 
 _Name = Annotated[
     str,
-    StringConstraints(pattern=f'^{_NAME.pattern}$'),
+    StringConstraints(pattern=NAME_PATTERN),
     Field(description=NAME_RULE),
 ]
 _Address = Annotated[
