--- a/greengagemux/metrics.py
+++ b/greengagemux/metrics.py
@@ -1,8 +1,8 @@
 """Counters, gauges and latency quantiles of one process.
 
 Recording appends to a list; ``settle`` moves the samples into the histograms
-and is called between requests. A record in ``HdrHistogram`` takes about 1 us,
-an append 0.05 us.
+and is called between requests. A record in ``HdrHistogram`` takes about 0.8 us,
+``Timer.record`` 0.14 us.
 """
 
 import re
