--- /dev/null
+++ b/greengagemux/accounts.py
@@ -0,0 +1,79 @@
+"""Identification of callers and their limits at one entrance."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from .bundles import Bundle, Caller, Route
+from .events import CallerRequest
+from .messages import Priority
+from .outcomes import Reason
+from .routes import RouteTable, permitted, priority
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that its caller may make now."""
+
+    caller: Caller
+    route: Route
+    priority: Priority
+
+
+class Accounts:
+    """Routes and callers of the bundle in force, and requests in flight."""
+
+    def __init__(self) -> None:
+        """Start without a bundle; every request is refused until one is."""
+        self._bundle: Bundle | None = None
+        self._table: RouteTable | None = None
+        self._in_flight: Counter[str] = Counter()
+
+    def configure(self, bundle: Bundle) -> None:
+        """Apply a new bundle."""
+        self._bundle = bundle
+        self._table = RouteTable(bundle)
+
+    def admit(self, event: CallerRequest) -> Admitted | Reason:
+        """Return who asks for what, or the reason of a refusal."""
+        table = self._table
+        if table is None:
+            return Reason.no_bundle
+        caller = table.identify(event.headers)
+        if isinstance(caller, Reason):
+            return caller
+        route = table.match(event.method, event.target)
+        if isinstance(route, Reason):
+            return route
+        if not permitted(caller, route):
+            return Reason.unauthorized
+        if len(event.body) > route.body_limit_bytes:
+            return Reason.body_too_large
+        if self._over_limit(caller):
+            return Reason.caller_limit
+        return Admitted(caller, route, priority(caller, route))
+
+    def count(self, caller: Caller, step: int) -> None:
+        """Add requests in flight of a caller and its team."""
+        self._add(caller.name, step)
+        if caller.team:
+            self._add(_team_key(caller.team), step)
+
+    def _add(self, key: str, step: int) -> None:
+        total = self._in_flight[key] + step
+        if total:
+            self._in_flight[key] = total
+        else:
+            # Thousands of accounts are idle at any time.
+            self._in_flight.pop(key)
+
+    def _over_limit(self, caller: Caller) -> bool:
+        if self._in_flight[caller.name] >= caller.max_in_flight:
+            return True
+        if self._bundle is None or caller.team is None:
+            return False
+        team = self._bundle.teams[caller.team]
+        return self._in_flight[_team_key(team.name)] >= team.max_in_flight
+
+
+def _team_key(team: str) -> str:
+    return f'team {team}'
--- /dev/null
+++ b/greengagemux/admissions.py
@@ -0,0 +1,106 @@
+"""Admission of requests to an upstream: queue by priority and deadline."""
+
+from collections import deque
+from collections.abc import Iterator
+from datetime import timedelta
+from types import MappingProxyType
+from typing import Generic, Protocol, TypeVar
+
+from .messages import Priority
+
+#: One dispatch in this many goes to the oldest request of a lower class.
+STARVATION_TURN = 20
+
+_ORDER = (Priority.waiting, Priority.routine, Priority.internal)
+RANK = MappingProxyType(
+    {priority: rank for rank, priority in enumerate(_ORDER)}
+)
+
+
+class Queued(Protocol):
+    """What the queue needs to know of a request."""
+
+    priority: Priority
+    size_bytes: int
+    arrived: timedelta
+
+
+Item = TypeVar('Item', bound=Queued)
+
+
+class Queue(Generic[Item]):
+    """Requests that wait for a slot of one upstream."""
+
+    def __init__(self, limit: int, limit_bytes: int) -> None:
+        """Bound the queue by requests and by bytes."""
+        self.limit = limit
+        self.limit_bytes = limit_bytes
+        self._size_bytes = 0
+        self._turn = 0
+        self._lanes: tuple[deque[Item], ...] = tuple(deque() for _ in _ORDER)
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(map(len, self._lanes))
+
+    def __iter__(self) -> Iterator[Item]:
+        """Iterate over the requests, most urgent class first."""
+        for lane in self._lanes:
+            yield from lane
+
+    def ahead(self, priority: Priority) -> int:
+        """Return how many requests would run before a new one."""
+        lanes = self._lanes[: RANK[priority] + 1]
+        return sum(map(len, lanes))
+
+    def offer(self, item: Item) -> list[Item]:
+        """Add a request and return those that must be refused for it.
+
+        The refused requests are the newest of the least urgent class; the
+        list holds ``item`` itself when nothing less urgent waits.
+        """
+        self._lanes[RANK[item.priority]].append(item)
+        self._size_bytes += item.size_bytes
+        refused: list[Item] = []
+        while self._over():
+            refused.append(self._drop_newest())
+        return refused
+
+    def take(self, *, reserved: bool = False) -> Item | None:
+        """Remove and return the request to run next.
+
+        With ``reserved`` an internal request is returned only on the turn
+        that prevents starvation.
+        """
+        starved = (self._turn + 1) % STARVATION_TURN == 0
+        lanes = self._lanes[:-1] if reserved and not starved else self._lanes
+        filled = [lane for lane in lanes if lane]
+        if not filled:
+            return None
+        self._turn += 1
+        lane = filled[0]
+        if starved:
+            lane = min(filled[1:] or filled, key=_oldest)
+        item = lane.popleft()
+        self._size_bytes -= item.size_bytes
+        return item
+
+    def discard(self, item: Item) -> None:
+        """Remove a request that no longer waits for a slot."""
+        self._lanes[RANK[item.priority]].remove(item)
+        self._size_bytes -= item.size_bytes
+
+    def _over(self) -> bool:
+        if len(self) > self.limit:
+            return True
+        return self._size_bytes > self.limit_bytes
+
+    def _drop_newest(self) -> Item:
+        lane = next(lane for lane in reversed(self._lanes) if lane)
+        item = lane.pop()
+        self._size_bytes -= item.size_bytes
+        return item
+
+
+def _oldest(lane: deque[Item]) -> timedelta:
+    return lane[0].arrived
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -85,6 +85,10 @@
 _QueueBytes = Annotated[int, Field(ge=0, le=1024 * 1024 * 1024)]
 _Segment = r'(?!\.{1,2}(?:/|$))[A-Za-z0-9._~-]+'
 _Token = Annotated[str, StringConstraints(pattern='^([0-9a-f]{64})?$')]
+_HeaderName = Annotated[
+    str,
+    StringConstraints(to_lower=True, pattern='^[A-Za-z0-9-]{0,64}$'),
+]
 _PREFIX_PATTERN: Final = re.compile(f'/(?:{_Segment}/)*(?:{_Segment})?')
 
 
@@ -123,7 +127,11 @@
 @with_config(extra='forbid')
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Requests with one path prefix, served by one service."""
+    """Requests with one path prefix, served by one service.
+
+    ``echo_header`` names a header of the request that a right answer
+    repeats; an answer that does not is discarded as wrong.
+    """
 
     name: RouteName
     service: ServiceName
@@ -138,6 +146,7 @@
     deadline_ms: Annotated[int, Field(ge=1, le=600_000)] = DEADLINE_MS
     body_limit_bytes: _Bytes = BODY_LIMIT_BYTES
     answer_limit_bytes: _Bytes = ANSWER_LIMIT_BYTES
+    echo_header: _HeaderName = ''
 
 
 @with_config(extra='forbid')
--- /dev/null
+++ b/greengagemux/candidates.py
@@ -0,0 +1,125 @@
+"""Upstreams that an entrance may choose from, by service."""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+from .choices import Candidate, Nearness, UsableView
+from .ids import DaemonId, ServiceName, UpstreamId
+from .messages import MemberRecord, UpstreamRecord, UpstreamState
+from .paths import Path, Paths, PathState
+
+
+class Candidates:
+    """Candidates of all services, kept up with members and paths."""
+
+    def __init__(self, own: MemberRecord, paths: Paths) -> None:
+        """Start with no service known."""
+        self.views: dict[ServiceName, UsableView] = {}
+        self._own = own
+        self._paths = paths
+
+    def view(self, service: ServiceName) -> UsableView:
+        """Return the candidates of a service."""
+        view = self.views.get(service)
+        if view is None:
+            view = UsableView(floor_pct=0)
+            self.views[service] = view
+        return view
+
+    def members_changed(
+        self,
+        members: Mapping[DaemonId, MemberRecord],
+        changed: Iterable[DaemonId],
+        now: timedelta,
+    ) -> set[UpstreamId]:
+        """Update the candidates of daemons whose records changed.
+
+        Returns the upstreams that are no longer listed.
+        """
+        dropped: set[UpstreamId] = set()
+        for daemon in changed:
+            record = members.get(daemon)
+            listed: set[UpstreamId] = set()
+            if record is not None:
+                self._list_upstreams(record, listed, now)
+            dropped |= self._drop_others(daemon, listed)
+        return dropped
+
+    def path_changed(self, path: Path) -> None:
+        """Take over the path evidence of one peer."""
+        for view in self.views.values():
+            affected = any(
+                candidate.daemon == path.daemon
+                and candidate.reachable != path.reachable
+                for candidate in view.candidates.values()
+            )
+            if affected:
+                view.reach(path.daemon, reachable=path.reachable)
+
+    def opening(self, service: ServiceName) -> bool:
+        """Return whether a path to an upstream of the service is opening."""
+        for candidate in self.view(service).candidates.values():
+            path = self._paths.by_daemon.get(candidate.daemon)
+            if path is not None and path.state is PathState.opening:
+                return True
+        return False
+
+    def _list_upstreams(
+        self, record: MemberRecord, listed: set[UpstreamId], now: timedelta
+    ) -> None:
+        reachable = True
+        if record.daemon != self._own.daemon and record.upstreams:
+            path = self._paths.want(record.daemon, record.peer_address, now)
+            reachable = path.reachable
+        for each in record.upstreams:
+            listed.add(each.upstream)
+            self._put(record, each, reachable=reachable)
+
+    def _put(
+        self, record: MemberRecord, each: UpstreamRecord, *, reachable: bool
+    ) -> None:
+        # Work for a daemon that is leaving would be cut off, so its
+        # upstreams count as draining.
+        state = UpstreamState.draining if record.leaving else each.state
+        view = self.view(each.service)
+        known = view.candidates.get(each.upstream)
+        if known is not None and known.daemon == record.daemon:
+            view.update(each.upstream, state, each.severity)
+            return
+        view.put(
+            Candidate(
+                upstream=each.upstream,
+                daemon=record.daemon,
+                service=each.service,
+                slots=each.slots,
+                state=state,
+                severity=each.severity,
+                nearness=self._nearness(record),
+                reachable=reachable,
+            )
+        )
+
+    def _drop_others(
+        self, daemon: DaemonId, listed: set[UpstreamId]
+    ) -> set[UpstreamId]:
+        dropped: set[UpstreamId] = set()
+        for view in self.views.values():
+            stale = [
+                candidate.upstream
+                for candidate in view.candidates.values()
+                if candidate.daemon == daemon
+                and candidate.upstream not in listed
+            ]
+            for upstream in stale:
+                view.drop(upstream)
+            dropped.update(stale)
+        return dropped
+
+    def _nearness(self, record: MemberRecord) -> Nearness:
+        if record.daemon == self._own.daemon:
+            return Nearness.same_host
+        if record.data_centre == self._own.data_centre:
+            return Nearness.same_data_centre
+        if record.region == self._own.region:
+            return Nearness.same_region
+        return Nearness.other_region
--- a/greengagemux/clocks.py
+++ b/greengagemux/clocks.py
@@ -61,6 +61,6 @@
     return timedelta(milliseconds=amount)
 
 
-def to_ms(duration: timedelta) -> float:
+def in_ms(duration: timedelta) -> float:
     """Return a duration as a number of milliseconds."""
     return duration / MILLISECOND
--- /dev/null
+++ b/greengagemux/connections.py
@@ -0,0 +1,211 @@
+"""HTTP calls to the upstreams beside this daemon."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from twisted.internet.defer import CancelledError, Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import (
+    ConnectError,
+)
+from twisted.internet.error import (
+    ConnectionRefusedError as UpstreamRefusedError,
+)
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure as TwistedFailure
+from twisted.web.client import (  # type: ignore[attr-defined]
+    URI,
+    Agent,
+    HTTPConnectionPool,
+    RequestNotSent,
+    ResponseDone,
+)
+from twisted.web.http_headers import Headers as WebHeaders
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from zope.interface import implementer
+
+from .effects import CallUpstream
+from .events import CallFault, Event, UpstreamAnswered, UpstreamFailed
+from .ids import CallId
+from .outcomes import Failure, Step
+
+CONNECT_TIMEOUT_S: Final = 1
+#: Upstreams accept about 400 connections; their slots need few of them.
+POOLED_CONNECTIONS: Final = 16
+#: Pooled connections are closed before common servers close them.
+POOLED_FOR_S: Final = 50
+
+Submit = Callable[[Event], None]
+
+
+class TooLargeError(Exception):
+    """An answer is above its limit."""
+
+
+class TruncatedError(Exception):
+    """An answer ended before its length."""
+
+
+@implementer(IBodyProducer)
+class _BytesProducer:
+    """Writes a body that is held in memory."""
+
+    def __init__(self, body: bytes) -> None:
+        self.length = len(body)
+        self._body = body
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:
+        """Do nothing: the body has been written."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing: the body has been written."""
+
+    def stopProducing(self) -> None:
+        """Do nothing: the body has been written."""
+
+
+class _Body(Protocol):
+    """Collects the body of an answer up to its limit."""
+
+    transport: Any
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.done: Deferred[bytes] = Deferred(self._cancelled)
+        self._limit_bytes = limit_bytes
+        self._pieces: list[bytes] = []
+        self._size_bytes = 0
+
+    def dataReceived(self, data: bytes) -> None:
+        self._size_bytes += len(data)
+        if self._size_bytes <= self._limit_bytes:
+            self._pieces.append(data)
+            return
+        self.transport.loseConnection()
+        if not self.done.called:
+            self.done.errback(TooLargeError(f'above {self._limit_bytes} bytes'))
+
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
+        if self.done.called:
+            return
+        if reason.check(ResponseDone):
+            self.done.callback(b''.join(self._pieces))
+        else:
+            # Without a length, a cut answer cannot be told from a whole one.
+            self.done.errback(TruncatedError(reason.getErrorMessage()))
+
+    def _cancelled(self, _done: 'Deferred[bytes]') -> None:
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+
+@implementer(IAgentEndpointFactory)
+class _Endpoints:
+    """Connects to IP numbers; the default would look up names each time."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> Any:
+        return TCP4ClientEndpoint(
+            self._reactor,
+            uri.host.decode(),
+            uri.port,
+            timeout=CONNECT_TIMEOUT_S,
+        )
+
+
+class UpstreamCalls:
+    """Carries out calls to upstreams and reports their ends as events."""
+
+    def __init__(self, reactor: Any, submit: Submit) -> None:
+        """Calls report through ``submit``."""
+        self._reactor = reactor
+        self._submit = submit
+        self._agents: dict[str, tuple[Agent, HTTPConnectionPool]] = {}
+        self._endpoints = _Endpoints(reactor)
+        self._fresh = Agent.usingEndpointFactory(reactor, self._endpoints)
+        self._running: dict[CallId, Deferred[Any]] = {}
+
+    def call(self, effect: CallUpstream) -> None:
+        """Start a call."""
+        agent = self._fresh if effect.fresh else self._agent(effect.address)
+        web_headers = WebHeaders()
+        for name, content in effect.headers:
+            web_headers.addRawHeader(name, content)
+        producer: Any = _BytesProducer(effect.body) if effect.body else None
+        url = b'http://%b%b' % (effect.address.encode(), effect.target)
+        running: Deferred[Any] = agent.request(
+            effect.method, url, web_headers, producer
+        )
+        self._running[effect.call] = running
+        running.addCallback(self._read, effect)
+        running.addErrback(self._failed, effect)
+
+    def abort(self, call: CallId) -> None:
+        """Cancel a call by closing its connection."""
+        running = self._running.pop(call, None)
+        if running is not None:
+            running.cancel()
+
+    def drop(self, address: str) -> None:
+        """Close the pooled connections to an upstream."""
+        known = self._agents.pop(address, None)
+        if known is not None:
+            known[1].closeCachedConnections()
+
+    def _agent(self, address: str) -> Agent:
+        known = self._agents.get(address)
+        if known is not None:
+            return known[0]
+        pool = HTTPConnectionPool(self._reactor)
+        # The library would send an idempotent request again on its own;
+        # retries belong to the entrance and its budget.
+        pool.retryAutomatically = False
+        pool.maxPersistentPerHost = POOLED_CONNECTIONS
+        pool.cachedConnectionTimeout = POOLED_FOR_S
+        agent: Agent = Agent.usingEndpointFactory(
+            self._reactor, self._endpoints, pool
+        )
+        self._agents[address] = (agent, pool)
+        return agent
+
+    def _read(self, response: Any, effect: CallUpstream) -> Any:
+        body = _Body(effect.limit_bytes)
+        response.deliverBody(body)
+        return body.done.addCallback(self._answered, response, effect)
+
+    def _answered(
+        self, body: bytes, response: Any, effect: CallUpstream
+    ) -> None:
+        if self._running.pop(effect.call, None) is None:
+            return
+        raw = response.headers.getAllRawHeaders()
+        pairs = tuple(
+            (name, content) for name, contents in raw for content in contents
+        )
+        self._submit(UpstreamAnswered(effect.call, response.code, pairs, body))
+
+    def _failed(self, reason: TwistedFailure, effect: CallUpstream) -> None:
+        if self._running.pop(effect.call, None) is None:
+            return
+        failure = Failure(
+            Step.call, effect.address, reason.getErrorMessage()[:200]
+        )
+        sent = not reason.check(ConnectError, RequestNotSent)
+        self._submit(UpstreamFailed(effect.call, _fault(reason), sent, failure))
+
+
+def _fault(reason: TwistedFailure) -> CallFault:
+    if reason.check(UpstreamRefusedError, ConnectError):
+        return CallFault.refused
+    if reason.check(TooLargeError):
+        return CallFault.too_large
+    if reason.check(TruncatedError):
+        return CallFault.truncated
+    if reason.check(CancelledError):
+        return CallFault.aborted
+    return CallFault.reset
--- /dev/null
+++ b/greengagemux/daemons.py
@@ -0,0 +1,322 @@
+"""The shell of a daemon: turns I/O into events and carries out effects."""
+
+import gc
+import logging
+import signal
+import sys
+from collections import deque
+from collections.abc import Mapping
+from functools import partial, singledispatchmethod
+from random import Random
+from typing import Any, Final
+
+from twisted.internet.task import LoopingCall
+
+from .administration import BundleView, build_site
+from .clocks import Clock, SystemClock, ms
+from .connections import UpstreamCalls
+from .effects import (
+    AbortCall,
+    AppendLog,
+    CallUpstream,
+    CloseStream,
+    DropConnections,
+    Effect,
+    Exit,
+    OpenStream,
+    ReadLog,
+    Record,
+    Respond,
+    Send,
+)
+from .events import Event, StopRequested, Tick
+from .ids import DaemonId, DataCentre, Incarnation, Region
+from .listeners import CallerListener
+from .logclients import LogClient
+from .logs import BufferedHandler, DescriptorSink, install, log_event
+from .messages import PROTOCOL_VERSION, Hello, MemberRecord
+from .metrics import Metrics
+from .outcomes import Failure
+from .reducers import TICK, Daemon, Identity, reduce
+from .rollouts import Rollout
+from .settings import Address, Settings
+from .signatures import KeyRing
+from .streams import Counters, StreamHub
+from .views import bundle_of, state_of
+
+logger = logging.getLogger(__name__)
+
+#: Young objects are collected this often, between requests.
+COLLECT_EVERY_S: Final = 1.0
+#: Every so many collections all generations are collected.
+FULL_COLLECT_TURNS: Final = 600
+#: Log lines are written this often, and this many at a time.
+FLUSH_EVERY_S: Final = 0.02
+FLUSH_LINES: Final = 50
+#: Time for the last answers to leave the process.
+EXIT_DELAY_S: Final = 0.1
+
+
+class Shell:
+    """One daemon process: its sockets, timers and its reducer."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        reactor: Any,
+        clock: Clock,
+        handler: BufferedHandler,
+    ) -> None:
+        """Build all parts; nothing listens yet."""
+        self.settings = settings
+        self.metrics = Metrics()
+        self._reactor = reactor
+        self._clock = clock
+        self._handler = handler
+        self._incarnation = _incarnation(clock)
+        self._events: deque[Event] = deque()
+        self._running = False
+        self._streams_opened = 0
+        self._ports: list[Any] = []
+        self._loops: list[LoopingCall] = []
+        self._turn = 0
+        self.daemon = self._build_daemon()
+        self._listener = CallerListener(reactor, clock, self.submit)
+        self._calls = UpstreamCalls(reactor, self.submit)
+        self._hub = StreamHub(
+            reactor,
+            self.submit,
+            self._next_hello,
+            Counters(
+                self._stream_failed, self._count_sent, self._count_received
+            ),
+            handler.hybrid,
+        )
+        self._log = self._build_log()
+        self._turn_timer = self.metrics.timer('reducer_turn_us')
+
+    def start(self) -> None:
+        """Listen and start the timers; raises ``CannotListenError``."""
+        daemon = self.settings.daemon
+        self._ports.append(self._hub.listen(daemon.peer_address))
+        self._ports.append(
+            self._reactor.listenTCP(
+                daemon.admin_address.port,
+                build_site(self, daemon, self.metrics, self._reactor),
+                interface=daemon.admin_address.host,
+            )
+        )
+        self._listener.listen(daemon.http_address)
+        self._every(TICK.total_seconds(), self._tick)
+        self._every(FLUSH_EVERY_S, self._flush)
+        self._every(COLLECT_EVERY_S, self._collect)
+        # Collection of all objects takes longer than a request may wait.
+        gc.collect()
+        gc.freeze()
+        gc.disable()
+        self._carry_out(Record('started', {'http': str(daemon.http_address)}))
+
+    def submit(self, event: Event) -> None:
+        """Apply an event; one that arises meanwhile is applied after it."""
+        self._events.append(event)
+        if self._running:
+            return
+        self._running = True
+        while self._events:
+            self._apply(self._events.popleft())
+        self._running = False
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop."""
+        self.submit(StopRequested())
+
+    def ready(self) -> tuple[bool, str]:
+        """Return whether the daemon can serve callers, and why."""
+        return self.daemon.ready()
+
+    def state(self) -> Mapping[str, Any]:
+        """Return upstreams with reasons, bundle, members and streams."""
+        return state_of(self.daemon, self._clock.monotonic())
+
+    def bundle(self) -> BundleView:
+        """Return the bundle in force and the newest rejected records."""
+        return bundle_of(self.daemon)
+
+    def _build_daemon(self) -> Daemon:
+        daemon = self.settings.daemon
+        own = MemberRecord(
+            daemon=DaemonId(daemon.id),
+            incarnation=self._incarnation,
+            sequence=1,
+            data_centre=DataCentre(daemon.data_centre),
+            region=Region(daemon.region),
+            peer_address=str(daemon.peer_address),
+        )
+        identity = Identity(
+            own=own,
+            seeds=tuple(str(seed) for seed in daemon.seeds),
+            stop_limit=ms(daemon.stop_limit_ms),
+        )
+        rollout = Rollout(
+            KeyRing.from_settings(self.settings.operators),
+            own.daemon,
+            own.data_centre,
+        )
+        seed = f'{daemon.id}/{self._incarnation}'
+        return Daemon(identity, rollout, Random(seed))
+
+    def _build_log(self) -> LogClient | None:
+        log = self.settings.log
+        if log is None:
+            return None
+        return LogClient(str(log.url), self._reactor, self.submit)
+
+    def _apply(self, event: Event) -> None:
+        started = self._clock.monotonic()
+        try:
+            for effect in reduce(self.daemon, event, started):
+                self._carry_out(effect)
+        except Exception:
+            # One event that cannot be handled must not end the others.
+            logger.exception('event failed: %s', type(event).__name__)
+            self.metrics.count('event_failures_total')
+        self._turn_timer.record(self._clock.monotonic() - started)
+
+    def _tick(self) -> None:
+        self.submit(Tick(self._clock.wall()))
+
+    def _flush(self) -> None:
+        self._handler.flush(FLUSH_LINES)
+
+    def _collect(self) -> None:
+        self._turn += 1
+        gc.collect(2 if self._turn % FULL_COLLECT_TURNS == 0 else 1)
+        self.metrics.gauge('caller_connections', self._listener.connections)
+        self.metrics.settle()
+
+    def _every(self, interval_s: float, work: Any) -> None:
+        loop = LoopingCall(work)
+        loop.clock = self._reactor
+        loop.start(interval_s, now=False).addErrback(_log_crash)
+        self._loops.append(loop)
+
+    def _next_hello(self) -> Hello:
+        self._streams_opened += 1
+        own = self.daemon.own
+        return Hello(
+            PROTOCOL_VERSION,
+            own.daemon,
+            own.data_centre,
+            own.region,
+            own.incarnation,
+            self._streams_opened,
+        )
+
+    def _stream_failed(self, failure: Failure) -> None:
+        self.metrics.count('stream_failures_total', step=failure.step.value)
+        log_event(
+            logger, 'stream-failed', {'failure': str(failure)}, logging.WARNING
+        )
+
+    def _count_sent(self, size_bytes: int) -> None:
+        self.metrics.count('stream_sent_bytes_total', size_bytes)
+
+    def _count_received(self, size_bytes: int) -> None:
+        self.metrics.count('stream_received_bytes_total', size_bytes)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: Effect) -> None:
+        raise TypeError(f'not an effect: {type(effect).__name__}')
+
+    @_carry_out.register
+    def _respond(self, effect: Respond) -> None:
+        self._listener.respond(effect)
+        self.metrics.count('answers_total', status=str(effect.status))
+
+    @_carry_out.register
+    def _send(self, effect: Send) -> None:
+        self._hub.send(effect.stream, effect.message)
+
+    @_carry_out.register
+    def _open_stream(self, effect: OpenStream) -> None:
+        self._hub.open(effect.daemon, Address.parse(effect.address))
+
+    @_carry_out.register
+    def _close_stream(self, effect: CloseStream) -> None:
+        self._hub.close(effect.stream)
+
+    @_carry_out.register
+    def _call_upstream(self, effect: CallUpstream) -> None:
+        self._calls.call(effect)
+
+    @_carry_out.register
+    def _abort_call(self, effect: AbortCall) -> None:
+        self._calls.abort(effect.call)
+
+    @_carry_out.register
+    def _drop_connections(self, effect: DropConnections) -> None:
+        self._calls.drop(effect.address)
+
+    @_carry_out.register
+    def _append_log(self, effect: AppendLog) -> None:
+        if self._log is not None:
+            self._log.append(effect)
+
+    @_carry_out.register
+    def _read_log(self, effect: ReadLog) -> None:
+        if self._log is not None:
+            self._log.read(effect)
+
+    @_carry_out.register
+    def _record(self, effect: Record) -> None:
+        level = logging.DEBUG if effect.detail else logging.INFO
+        log_event(logger, effect.name, effect.fields, level)
+        self.metrics.count('events_total', event=effect.name.replace('-', '_'))
+
+    @_carry_out.register
+    def _exit(self, effect: Exit) -> None:
+        self._listener.stop_accepting()
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+        for port in self._ports:
+            port.stopListening()
+        self._hub.stop()
+        self._handler.flush()
+        # Answers written in this turn still have to leave the process.
+        self._reactor.callLater(EXIT_DELAY_S, self._reactor.stop)
+
+
+def run(settings: Settings) -> None:
+    """Run a daemon until it is asked to stop; the log goes to stdout."""
+    # The import installs the reactor, which only the daemon itself wants.
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    clock = SystemClock()
+    handler = BufferedHandler(
+        clock,
+        DaemonId(settings.daemon.id),
+        _incarnation(clock),
+        DescriptorSink(sys.stdout.fileno()),
+    )
+    install(handler, settings.logging.level)
+    shell = Shell(settings, reactor, clock, handler)
+    reactor.callWhenRunning(shell.start)
+    reactor.addSystemEventTrigger('before', 'shutdown', handler.flush)
+    stop = partial(_stop_later, reactor, shell)
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    reactor.run(installSignalHandlers=False)
+
+
+def _stop_later(reactor: Any, shell: Shell, *_signal: object) -> None:
+    reactor.callFromThread(shell.request_stop)
+
+
+def _incarnation(clock: Clock) -> Incarnation:
+    return Incarnation(int(clock.wall().timestamp() * 1000))
+
+
+def _log_crash(failure: Any) -> None:
+    logger.critical('timer failed: %s', failure.getTraceback())
--- /dev/null
+++ b/greengagemux/distribution.py
@@ -0,0 +1,224 @@
+"""Spread of bundles from the log to every daemon."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+from functools import singledispatchmethod
+from random import Random
+
+import xxhash
+
+from .bundles import Bundle
+from .clocks import ZERO
+from .effects import Outbox, Record, Send
+from .events import LogAppended, LogFailed, LogRead
+from .ids import DaemonId, StreamId
+from .messages import BundleFetch, BundleOffer, BundleRecord, MemberRecord
+from .paths import Paths
+from .chains import Decision
+from .rollouts import Rollout
+
+BUNDLES = 'bundles'
+#: Daemons of a data centre that read the log; two readers are harmless.
+READERS = 3
+#: The first reader waits at the log; the others only look in this often.
+SPARE_READ_EVERY = timedelta(seconds=2)
+READ_WAIT = timedelta(seconds=2)
+READ_RETRY = timedelta(milliseconds=500)
+#: A read that has not ended after this long is taken as lost.
+READ_TIMEOUT = timedelta(seconds=10)
+#: Peers that a daemon tells of a new bundle, besides those of a reader.
+OFFER_PEERS = 3
+#: A random peer is offered the bundle this often, which repairs losses.
+REPAIR_EVERY = timedelta(seconds=2)
+
+
+class Distribution:
+    """Reads bundles from the log or from peers and passes them on."""
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        rollout: Rollout,
+        paths: Paths,
+        outbox: Outbox,
+        rng: Random,
+    ) -> None:
+        """Start without a bundle."""
+        self.rollout = rollout
+        self._own = own
+        self._paths = paths
+        self._outbox = outbox
+        self._rng = rng
+        self._read_due = ZERO
+        self._repair_due = ZERO
+        self._offered = b''
+        self._in_force: Bundle | None = None
+        self._changed = False
+        #: When the log last answered a read of this daemon.
+        self.log_seen_at: timedelta | None = None
+
+    def take_change(self) -> Bundle | None:
+        """Return the bundle in force if it changed since the last call."""
+        if not self._changed:
+            return None
+        self._changed = False
+        return self.rollout.bundle
+
+    def connected(self, stream: StreamId) -> None:
+        """Offer the bundle to a peer on a new stream."""
+        offer = self.rollout.offer()
+        if offer is not None:
+            self._outbox.emit(Send(stream, offer))
+
+    def tick(
+        self, live: Mapping[DaemonId, MemberRecord], now: timedelta
+    ) -> None:
+        """Read the log if this is a reader, and repair lost offers."""
+        if now >= self._read_due:
+            self._read(live, now)
+        if now < self._repair_due:
+            return
+        self._repair_due = now + REPAIR_EVERY
+        self._offer(live, 1)
+        append = self.rollout.keep_alive(now, _rank(self._own, live))
+        if append is not None:
+            self._outbox.emit(append)
+
+    def log_event(
+        self,
+        event: LogRead | LogAppended | LogFailed,
+        live: Mapping[DaemonId, MemberRecord],
+        now: timedelta,
+    ) -> None:
+        """Take in the result of a read or an append."""
+        self._log_event(event, live, now)
+
+    def receive(
+        self,
+        message: BundleOffer | BundleFetch | BundleRecord,
+        stream: StreamId,
+        live: Mapping[DaemonId, MemberRecord],
+        now: timedelta,
+    ) -> None:
+        """Take in a message of a peer about bundles."""
+        if isinstance(message, BundleOffer):
+            fetch = self.rollout.on_offer(message, now)
+            if fetch is not None:
+                self._outbox.emit(Send(stream, fetch))
+        elif isinstance(message, BundleFetch):
+            record = self.rollout.on_fetch(message)
+            if record is not None:
+                self._outbox.emit(Send(stream, record))
+        else:
+            self._note(self.rollout.on_record(message))
+            self._check_change(live)
+
+    @singledispatchmethod
+    def _log_event(
+        self,
+        event: object,
+        live: Mapping[DaemonId, MemberRecord],
+        now: timedelta,
+    ) -> None:
+        raise TypeError(f'not a log event: {type(event).__name__}')
+
+    @_log_event.register
+    def _log_read(
+        self,
+        event: LogRead,
+        live: Mapping[DaemonId, MemberRecord],
+        now: timedelta,
+    ) -> None:
+        if event.stream != BUNDLES:
+            return
+        self.log_seen_at = now
+        self._read_due = now
+        if self._reader_rank(live):
+            self._read_due = now + SPARE_READ_EVERY
+        for decision in self.rollout.read(event):
+            self._note(decision)
+        self._check_change(live)
+
+    @_log_event.register
+    def _log_failed(
+        self,
+        event: LogFailed,
+        live: Mapping[DaemonId, MemberRecord],
+        now: timedelta,
+    ) -> None:
+        if event.stream == BUNDLES and event.payload is None:
+            self._read_due = now + READ_RETRY * self._rng.uniform(1, 3)
+
+    @_log_event.register
+    def _log_appended(
+        self,
+        event: LogAppended,
+        live: Mapping[DaemonId, MemberRecord],
+        now: timedelta,
+    ) -> None:
+        """Do nothing: the record counts once it is read."""
+
+    def _read(
+        self, live: Mapping[DaemonId, MemberRecord], now: timedelta
+    ) -> None:
+        rank = self._reader_rank(live)
+        self._read_due = now + READ_TIMEOUT
+        if rank >= READERS:
+            self._read_due = now + SPARE_READ_EVERY
+            return
+        wait = ZERO if rank else READ_WAIT
+        self._outbox.emit(self.rollout.next_read(wait))
+
+    def _reader_rank(self, live: Mapping[DaemonId, MemberRecord]) -> int:
+        nearby = {
+            daemon: record
+            for daemon, record in live.items()
+            if record.data_centre == self._own.data_centre
+        }
+        return _rank(self._own, nearby)
+
+    def _check_change(self, live: Mapping[DaemonId, MemberRecord]) -> None:
+        offer = self.rollout.offer()
+        if offer is not None and offer.digest != self._offered:
+            self._offered = offer.digest
+            near = self._reader_rank(live) < READERS
+            self._offer(live, len(live) if near else OFFER_PEERS)
+        bundle = self.rollout.bundle
+        if bundle is not self._in_force:
+            self._in_force = bundle
+            self._changed = True
+            version = bundle.version if bundle else None
+            self._outbox.emit(Record('bundle-in-force', {'version': version}))
+
+    def _offer(self, live: Mapping[DaemonId, MemberRecord], count: int) -> None:
+        offer = self.rollout.offer()
+        if offer is None:
+            return
+        peers = [daemon for daemon in live if self._paths.connected(daemon)]
+        for daemon in self._rng.sample(peers, min(count, len(peers))):
+            self._paths.send(daemon, offer)
+
+    def _note(self, decision: Decision) -> None:
+        self._outbox.emit(
+            Record(
+                'bundle-record',
+                {
+                    'offset': decision.offset,
+                    'outcome': decision.outcome.value,
+                    'version': decision.version,
+                    'operator': decision.operator,
+                    'detail': decision.detail,
+                },
+            )
+        )
+
+
+def _rank(own: MemberRecord, live: Mapping[DaemonId, MemberRecord]) -> int:
+    """Return the place of a daemon in the rendezvous order of members."""
+    score = _score(own.daemon)
+    others = (daemon for daemon in live if daemon != own.daemon)
+    return sum(_score(other) > score for other in others)
+
+
+def _score(daemon: DaemonId) -> int:
+    return xxhash.xxh3_64_intdigest(daemon.encode())
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -43,7 +43,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallUpstream:
-    """Call an upstream over HTTP; ``limit_bytes`` bounds its answer body."""
+    """Call an upstream over HTTP; ``limit_bytes`` bounds its answer body.
+
+    ``fresh`` asks for a new connection instead of a pooled one.
+    """
 
     call: CallId
     address: str
@@ -52,6 +55,14 @@
     headers: Headers
     body: bytes
     limit_bytes: int
+    fresh: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DropConnections:
+    """Close the pooled connections to an upstream."""
+
+    address: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,10 +91,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """Write an event to the time line."""
+    """Write an event to the time line; ``detail`` events are optional."""
 
     name: str
     fields: dict[str, Any] = field(default_factory=dict)
+    detail: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,9 +109,30 @@
     | OpenStream
     | CloseStream
     | CallUpstream
+    | DropConnections
     | AbortCall
     | AppendLog
     | ReadLog
     | Record
     | Exit
 )
+
+
+class Outbox:
+    """Collects the effects of one event in order."""
+
+    __slots__ = ('_effects',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._effects: list[Effect] = []
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect."""
+        self._effects.append(effect)
+
+    def drain(self) -> list[Effect]:
+        """Return the effects collected so far and start empty."""
+        effects = self._effects
+        self._effects = []
+        return effects
--- /dev/null
+++ b/greengagemux/entrances.py
@@ -0,0 +1,498 @@
+"""Lifecycle of requests at the entrance."""
+
+import heapq
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+from random import Random
+
+import xxhash
+
+from . import headers
+from .accounts import Accounts
+from .answers import Origin
+from .baselines import Baselines
+from .bundles import Bundle, Route
+from .candidates import Candidates
+from .choices import Pick, UsableView, choose
+from .clocks import ms, in_ms
+from .effects import Outbox, Record, Respond, Send
+from .events import CallerGone, CallerRequest
+from .ids import (
+    CallerName,
+    DaemonId,
+    ExchangeId,
+    RequestId,
+    ServiceName,
+)
+from .lasthops import LastHop
+from .messages import (
+    Answer,
+    Cancel,
+    Dispatch,
+    Inquire,
+    MemberRecord,
+    Message,
+    NotSeen,
+    Refusal,
+    Running,
+)
+from .outcomes import Outcome, Reason
+from .paths import Path, Paths, PathState
+from .requests import Attempt, Waiting, completion, refusal
+from .retries import Budget
+
+#: Upstreams a request is offered to before its refusal is passed on.
+REROUTE_LIMIT = 4
+#: Attempts of an idempotent request, the first one included.
+ATTEMPT_LIMIT = 3
+#: A second attempt starts when the first is older than this multiple of the
+#: expected service time, and at least ``HEDGE_AFTER`` old.
+HEDGE_FACTOR = 8
+HEDGE_AFTER = timedelta(milliseconds=150)
+#: Without an expected service time a second attempt waits this long.
+HEDGE_UNKNOWN_AFTER = timedelta(seconds=1)
+
+_HTTP_ERROR = 500
+
+
+class Entrance:
+    """Owns the callers' requests, their deadlines and their retries."""
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        last_hop: LastHop,
+        paths: Paths,
+        outbox: Outbox,
+        rng: Random,
+    ) -> None:
+        """Start without a bundle; every request is refused until one is."""
+        self._own = own
+        self._last_hop = last_hop
+        self._paths = paths
+        self._outbox = outbox
+        self._rng = rng
+        self._accounts = Accounts()
+        self._candidates = Candidates(own, paths)
+        self._budgets: dict[ServiceName, Budget] = {}
+        self._baselines = Baselines()
+        self._waiting: dict[ExchangeId, Waiting] = {}
+        self._attempts: dict[RequestId, Waiting] = {}
+        self._deadlines: list[tuple[timedelta, ExchangeId]] = []
+        self._next_request = 1
+
+    @property
+    def busy(self) -> bool:
+        """Whether callers wait for answers."""
+        return bool(self._waiting)
+
+    @property
+    def views(self) -> Mapping[ServiceName, UsableView]:
+        """Usable upstreams of each service, as this entrance sees them."""
+        return self._candidates.views
+
+    def configure(self, bundle: Bundle) -> None:
+        """Apply a new bundle; waiting requests keep their old route."""
+        self._accounts.configure(bundle)
+        for name, service in bundle.services.items():
+            share = bundle.retries_pct / 100
+            budget = self._budgets.setdefault(name, Budget(share))
+            budget.share = share
+            self._candidates.view(name).set_floor(service.floor_pct)
+
+    def members_changed(
+        self,
+        members: Mapping[DaemonId, MemberRecord],
+        changed: Iterable[DaemonId],
+        now: timedelta,
+    ) -> None:
+        """Update the candidates of the daemons whose records changed."""
+        dropped = self._candidates.members_changed(members, changed, now)
+        for upstream in dropped:
+            self._baselines.forget(upstream)
+
+    def request(self, event: CallerRequest, now: timedelta) -> None:
+        """Accept a request of a caller, or refuse it at once."""
+        admitted = self._accounts.admit(event)
+        if isinstance(admitted, Reason):
+            self._outbox.emit(
+                refusal(event.exchange, Outcome.not_run, admitted)
+            )
+            return
+        caller = admitted.caller
+        route = admitted.route
+        limit_ms = _deadline_ms(event, route)
+        waiting = Waiting(
+            exchange=event.exchange,
+            route=route,
+            caller=caller,
+            method=event.method,
+            target=event.target,
+            headers=headers.for_upstream(event.headers, caller.name),
+            body=event.body,
+            priority=admitted.priority,
+            arrived=now,
+            deadline=now + ms(limit_ms),
+        )
+        self._waiting[event.exchange] = waiting
+        heapq.heappush(self._deadlines, (waiting.deadline, event.exchange))
+        self._accounts.count(caller, 1)
+        self._budgets[route.service].earn()
+        self._place(waiting, now)
+
+    def gone(self, event: CallerGone, now: timedelta) -> None:
+        """Cancel the request of a caller that closed its connection."""
+        waiting = self._waiting.get(event.exchange)
+        if waiting is not None:
+            self._cancel_attempts(waiting, now)
+            self._finish(waiting)
+
+    def reply(self, daemon: DaemonId, message: Message, now: timedelta) -> None:
+        """Take a reply of a last hop; one that matches nothing is dropped."""
+        request = getattr(message, 'request', None)
+        waiting = self._attempts.get(request) if request else None
+        if waiting is None or request is None:
+            self._outbox.emit(Record('reply-discarded', {'peer': daemon}))
+            return
+        attempt = waiting.attempts[request]
+        if attempt.daemon != daemon:
+            self._outbox.emit(Record('reply-crossed', {'peer': daemon}))
+            return
+        if isinstance(message, Answer):
+            self._answer(waiting, attempt, message, now)
+        elif isinstance(message, Refusal):
+            self._refused(waiting, attempt, message, now)
+        elif isinstance(message, NotSeen):
+            self._not_seen(waiting, attempt, now)
+        elif isinstance(message, Running):
+            attempt.lost = False
+
+    def path_opened(self, path: Path, now: timedelta) -> None:
+        """Ask for requests that were on a lost stream, place parked ones."""
+        self._candidates.path_changed(path)
+        for waiting in tuple(self._waiting.values()):
+            for attempt in tuple(waiting.attempts.values()):
+                if attempt.lost and attempt.daemon == path.daemon:
+                    self._reattach(waiting, attempt, path, now)
+            if not waiting.attempts and not waiting.done:
+                self._place(waiting, now)
+
+    def path_lost(self, path: Path, now: timedelta) -> None:
+        """Deal with the requests on a stream that ended or went silent."""
+        self._candidates.path_changed(path)
+        for waiting in tuple(self._waiting.values()):
+            for attempt in tuple(waiting.attempts.values()):
+                if attempt.stream and attempt.daemon == path.daemon:
+                    self._lose(waiting, attempt, path, now)
+
+    def tick(self, now: timedelta) -> None:
+        """Answer requests whose deadline passed, hedge slow ones."""
+        while self._deadlines and self._deadlines[0][0] <= now:
+            exchange = heapq.heappop(self._deadlines)[1]
+            waiting = self._waiting.get(exchange)
+            if waiting is not None:
+                self._expire(waiting, now)
+        for slow in tuple(self._waiting.values()):
+            if slow.idempotent and self._is_slow(slow, now):
+                self._retry(slow, now)
+
+    def _place(self, waiting: Waiting, now: timedelta) -> None:
+        view = self._candidates.view(waiting.route.service)
+        pick = choose(
+            view.current(),
+            self._rng,
+            waiting.excluded,
+            idempotent=waiting.idempotent,
+        )
+        if pick is None:
+            self._no_candidate(waiting)
+            return
+        if pick.candidate.daemon == self._own.daemon:
+            self._send_local(waiting, pick, now)
+            return
+        path = self._paths.by_daemon.get(pick.candidate.daemon)
+        if path is None or path.stream is None:
+            self._exclude_unopened(waiting, pick, now)
+            return
+        self._send(waiting, pick, path, now)
+
+    def _exclude_unopened(
+        self, waiting: Waiting, pick: Pick, now: timedelta
+    ) -> None:
+        """Try another upstream; the request is parked when none is left."""
+        daemon = pick.candidate.daemon
+        known = self._paths.by_daemon.get(daemon)
+        if known is not None:
+            self._paths.want(daemon, known.address, now)
+        waiting.excluded.add(pick.candidate.upstream)
+        self._place(waiting, now)
+
+    def _no_candidate(self, waiting: Waiting) -> None:
+        if waiting.attempts:
+            return
+        if not waiting.reroutes and not waiting.may_have_run:
+            # Upstreams behind paths that are still opening may come up
+            # before the deadline.
+            waiting.excluded.clear()
+            if self._candidates.opening(waiting.route.service):
+                return
+        self._conclude(waiting, waiting.last_reason)
+
+    def _attempt(
+        self, waiting: Waiting, pick: Pick, now: timedelta
+    ) -> tuple[Attempt, Dispatch]:
+        candidate = pick.candidate
+        request = RequestId(self._next_request)
+        self._next_request += 1
+        expected_ms = self._baselines.expected_ms(
+            waiting.route.name, candidate.upstream
+        )
+        attempt = Attempt(request, candidate, pick.forced, now, expected_ms)
+        waiting.attempts[request] = attempt
+        waiting.excluded.add(candidate.upstream)
+        self._attempts[request] = waiting
+        candidate.outstanding += 1
+        route = waiting.route
+        return attempt, Dispatch(
+            request=request,
+            upstream=candidate.upstream,
+            service=route.service,
+            route=route.name,
+            method=waiting.method,
+            target=waiting.target,
+            headers=waiting.headers,
+            body=waiting.body,
+            remaining_ms=max(1, int(in_ms(waiting.deadline - now))),
+            answer_limit_bytes=route.answer_limit_bytes,
+            priority=waiting.priority,
+            caller=CallerName(waiting.caller.name),
+            idempotent=waiting.idempotent,
+            expected_ms=expected_ms,
+            forced=pick.forced,
+            echo=route.echo_header,
+        )
+
+    def _send_local(self, waiting: Waiting, pick: Pick, now: timedelta) -> None:
+        attempt, message = self._attempt(waiting, pick, now)
+        self._last_hop.dispatch(self._origin(attempt), None, message, now)
+
+    def _send(
+        self, waiting: Waiting, pick: Pick, path: Path, now: timedelta
+    ) -> None:
+        if path.stream is None:
+            return
+        attempt, message = self._attempt(waiting, pick, now)
+        attempt.stream = path.stream
+        attempt.incarnation = path.incarnation
+        path.waiting += 1
+        path.used_at = now
+        if path.waiting == 1:
+            # Silence is measured from the moment an answer is expected.
+            path.received_at = now
+        self._outbox.emit(Send(path.stream, message))
+
+    def _origin(self, attempt: Attempt) -> Origin:
+        return Origin(self._own.daemon, self._own.incarnation, attempt.request)
+
+    def _answer(
+        self,
+        waiting: Waiting,
+        attempt: Attempt,
+        message: Answer,
+        now: timedelta,
+    ) -> None:
+        self._drop(waiting, attempt)
+        attempt.candidate.report(message.load)
+        if not _is_whole(message):
+            self._outbox.emit(
+                Record('answer-damaged', {'peer': attempt.daemon})
+            )
+            self._failed(waiting, Reason.connection_lost, now)
+            return
+        self._baselines.add(
+            waiting.route.name, attempt.candidate.upstream, message.service_ms
+        )
+        if message.status >= _HTTP_ERROR and waiting.idempotent:
+            waiting.fallback = message
+            if waiting.attempts:
+                return
+            if self._may_retry(waiting):
+                self._retry_spent(waiting, now)
+                return
+        self._cancel_attempts(waiting, now)
+        self._respond(waiting, completion(waiting.exchange, message))
+
+    def _refused(
+        self,
+        waiting: Waiting,
+        attempt: Attempt,
+        message: Refusal,
+        now: timedelta,
+    ) -> None:
+        self._drop(waiting, attempt)
+        if message.load is not None:
+            attempt.candidate.report(message.load)
+        waiting.last_reason = message.reason
+        if message.outcome is Outcome.not_run:
+            self._reroute(waiting, message, now)
+            return
+        self._failed(waiting, message.reason, now)
+
+    def _reroute(
+        self, waiting: Waiting, message: Refusal, now: timedelta
+    ) -> None:
+        if waiting.attempts:
+            return
+        waiting.reroutes += 1
+        final = message.reason is Reason.crashes_upstreams
+        if final or waiting.reroutes >= REROUTE_LIMIT:
+            self._conclude(waiting, message.reason, message.retry_after_ms)
+            return
+        self._place(waiting, now)
+
+    def _not_seen(
+        self, waiting: Waiting, attempt: Attempt, now: timedelta
+    ) -> None:
+        path = self._paths.by_daemon.get(attempt.daemon)
+        self._drop(waiting, attempt)
+        if path is None or path.incarnation != attempt.incarnation:
+            self._failed(waiting, Reason.connection_lost, now)
+            return
+        if not waiting.attempts:
+            waiting.reroutes += 1
+            self._place(waiting, now)
+
+    def _failed(self, waiting: Waiting, reason: Reason, now: timedelta) -> None:
+        """Deal with an attempt that may have run."""
+        waiting.may_have_run = True
+        waiting.last_reason = reason
+        if waiting.attempts:
+            return
+        if self._may_retry(waiting):
+            self._retry_spent(waiting, now)
+            return
+        self._conclude(waiting, reason)
+
+    def _lose(
+        self, waiting: Waiting, attempt: Attempt, path: Path, now: timedelta
+    ) -> None:
+        known = attempt.lost
+        attempt.lost = True
+        dead = path.state is PathState.failed and path.refused
+        if dead:
+            self._drop(waiting, attempt)
+            self._failed(waiting, Reason.connection_lost, now)
+        elif not known and self._may_retry(waiting):
+            self._retry_spent(waiting, now)
+
+    def _reattach(
+        self, waiting: Waiting, attempt: Attempt, path: Path, now: timedelta
+    ) -> None:
+        if path.incarnation != attempt.incarnation:
+            self._drop(waiting, attempt)
+            self._failed(waiting, Reason.connection_lost, now)
+            return
+        if path.stream is None:
+            return
+        attempt.stream = path.stream
+        self._outbox.emit(Send(path.stream, Inquire(attempt.request)))
+
+    def _is_slow(self, waiting: Waiting, now: timedelta) -> bool:
+        if len(waiting.attempts) != 1 or waiting.retries >= ATTEMPT_LIMIT - 1:
+            return False
+        attempt = next(iter(waiting.attempts.values()))
+        return now - attempt.sent_at >= _hedge_after(attempt)
+
+    def _retry(self, waiting: Waiting, now: timedelta) -> None:
+        if self._may_retry(waiting):
+            self._retry_spent(waiting, now)
+
+    def _may_retry(self, waiting: Waiting) -> bool:
+        if not waiting.idempotent or waiting.retries >= ATTEMPT_LIMIT - 1:
+            return False
+        return self._budgets[waiting.route.service].spend()
+
+    def _retry_spent(self, waiting: Waiting, now: timedelta) -> None:
+        waiting.retries += 1
+        self._place(waiting, now)
+
+    def _expire(self, waiting: Waiting, now: timedelta) -> None:
+        if waiting.attempts:
+            waiting.may_have_run = True
+        self._cancel_attempts(waiting, now)
+        self._conclude(waiting, Reason.deadline)
+
+    def _cancel_attempts(self, waiting: Waiting, now: timedelta) -> None:
+        for attempt in tuple(waiting.attempts.values()):
+            self._drop(waiting, attempt)
+            if attempt.daemon == self._own.daemon:
+                self._last_hop.cancel(self._origin(attempt), now)
+            elif attempt.stream is not None:
+                self._outbox.emit(Send(attempt.stream, Cancel(attempt.request)))
+
+    def _drop(self, waiting: Waiting, attempt: Attempt) -> None:
+        waiting.attempts.pop(attempt.request, None)
+        self._attempts.pop(attempt.request, None)
+        attempt.candidate.outstanding -= 1
+        path = self._paths.by_daemon.get(attempt.daemon)
+        if path is not None and attempt.stream is not None:
+            path.waiting -= 1
+
+    def _conclude(
+        self, waiting: Waiting, reason: Reason, retry_after_ms: int = 0
+    ) -> None:
+        if waiting.fallback is not None:
+            self._respond(
+                waiting, completion(waiting.exchange, waiting.fallback)
+            )
+            return
+        outcome = Outcome.not_run
+        if waiting.may_have_run:
+            outcome = Outcome.unknown
+        self._outbox.emit(
+            Record(
+                'request-failed',
+                {
+                    'outcome': outcome.value,
+                    'reason': reason.value,
+                    'route': waiting.route.name,
+                },
+            )
+        )
+        self._respond(
+            waiting,
+            refusal(
+                waiting.exchange,
+                outcome,
+                reason,
+                retry_after_ms=retry_after_ms,
+            ),
+        )
+
+    def _respond(self, waiting: Waiting, effect: Respond) -> None:
+        self._outbox.emit(effect)
+        self._finish(waiting)
+
+    def _finish(self, waiting: Waiting) -> None:
+        waiting.done = True
+        self._waiting.pop(waiting.exchange, None)
+        self._accounts.count(waiting.caller, -1)
+
+
+def _deadline_ms(event: CallerRequest, route: Route) -> int:
+    asked = headers.get(event.headers, headers.DEADLINE)
+    if asked is None or not asked.isdigit():
+        return route.deadline_ms
+    return max(1, min(route.deadline_ms, int(asked)))
+
+
+def _is_whole(message: Answer) -> bool:
+    if len(message.body) != message.length:
+        return False
+    return xxhash.xxh3_64_intdigest(message.body) == message.digest
+
+
+def _hedge_after(attempt: Attempt) -> timedelta:
+    if not attempt.expected_ms:
+        return HEDGE_UNKNOWN_AFTER
+    return max(HEDGE_AFTER, ms(attempt.expected_ms * HEDGE_FACTOR))
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -44,11 +44,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamOpened:
-    """A stream with a peer is ready; ``outbound`` if opened from here."""
+    """A stream with a peer is ready; ``outbound`` if opened from here.
+
+    ``address`` is the one it was opened to; empty for an inbound stream.
+    """
 
     stream: StreamId
     hello: Hello
     outbound: bool
+    address: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,11 +65,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerUnreachable:
-    """A stream to this address could not be opened."""
+    """A stream to this address could not be opened.
+
+    ``refused`` means that nothing listens there: the process is gone.
+    """
 
     daemon: DaemonId
     address: str
     failure: Failure
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/greengagemux/lasthops.py
@@ -0,0 +1,627 @@
+"""Lifecycle of requests at the last hop, beside their upstreams."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from types import MappingProxyType
+
+import xxhash
+
+
+from .admissions import Queue
+from .answers import FinishedJobs, Origin
+from .bundles import Service
+from .clocks import ZERO, ms, in_ms
+from .detectors import ErrorRates, Sample, SampleKind
+from .effects import (
+    AbortCall,
+    CallUpstream,
+    DropConnections,
+    Outbox,
+    Record,
+    Send,
+)
+from .events import Announced, CallFault, UpstreamAnswered, UpstreamFailed
+from .headers import echoes
+from .ids import (
+    CallId,
+    DaemonId,
+    Incarnation,
+    ServiceName,
+    StreamId,
+    UpstreamId,
+)
+from .messages import (
+    Answer,
+    Dispatch,
+    Load,
+    Message,
+    NotSeen,
+    Priority,
+    Refusal,
+    Running,
+    UpstreamRecord,
+    UpstreamState,
+)
+from .outcomes import Outcome, Reason
+from .verdicts import StateChange, Verdicts
+
+#: An upstream that stops announcing itself is gone after this long.
+ANNOUNCE_LEASE = timedelta(seconds=3)
+#: How long a write may run on after its deadline, so that its result is known.
+WRITE_GRACE = timedelta(seconds=5)
+#: Weight of the newest service time in the running mean.
+SERVICE_TIME_WEIGHT = 0.1
+#: Service time assumed before the first answer of an upstream.
+INITIAL_SERVICE_MS = 10.0
+#: Share of slots that internal requests may not take while others arrive.
+RESERVED_SLOTS = 1
+#: Internal requests may use all slots when no other arrived for this long.
+RESERVE_TIMEOUT = timedelta(seconds=1)
+#: Added to a request that was refused because of load.
+RETRY_AFTER_MS = 1000
+
+_HTTP_ERROR = 500
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request from its dispatch to its end."""
+
+    origin: Origin
+    stream: StreamId | None
+    dispatch: Dispatch
+    arrived: timedelta
+    deadline: timedelta
+    priority: Priority
+    size_bytes: int
+    call: CallId | None = None
+    started: timedelta = ZERO
+    fresh: bool = False
+    silent: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Upstream:
+    """An upstream beside this daemon."""
+
+    upstream: UpstreamId
+    service: ServiceName
+    address: str
+    slots: int
+    announced: UpstreamState
+    expires: timedelta
+    queue: Queue[Job]
+    state: UpstreamState
+    running: dict[CallId, Job] = field(default_factory=dict)
+    service_ms: float = INITIAL_SERVICE_MS
+    urgent_at: timedelta | None = None
+
+
+class LastHop:
+    """Owns the upstreams beside this daemon and the requests they run."""
+
+    def __init__(
+        self, own: DaemonId, outbox: Outbox, verdicts: Verdicts
+    ) -> None:
+        """Start with no upstream announced."""
+        self._own = own
+        self._outbox = outbox
+        #: Health of the upstreams beside this daemon.
+        self.verdicts = verdicts
+        self._services: Mapping[ServiceName, Service] = {}
+        self.upstreams: dict[UpstreamId, Upstream] = {}
+        self._jobs: dict[Origin, Job] = {}
+        self._calls: dict[CallId, Job] = {}
+        self._finished = FinishedJobs()
+        self._next_call = 1
+        self._newest: dict[DaemonId, tuple[Incarnation, int, StreamId]] = {}
+        #: Replies to requests of this daemon's own entrance.
+        self.local_replies: list[Message] = []
+        #: Whether upstream records changed since they were last announced.
+        self.changed = False
+
+    def configure(self, services: Mapping[ServiceName, Service]) -> None:
+        """Apply the services of a new bundle."""
+        self._services = services
+        for name, service in services.items():
+            rates = ErrorRates(service.false_alarm, service.miss)
+            self.verdicts.configure(name, rates)
+        for upstream in self.upstreams.values():
+            self._bound_queue(upstream)
+
+    @property
+    def busy(self) -> bool:
+        """Whether requests are queued or running."""
+        return bool(self._jobs)
+
+    def records(self) -> tuple[UpstreamRecord, ...]:
+        """Return what this daemon announces of its upstreams."""
+        return tuple(
+            UpstreamRecord(
+                upstream=each.upstream,
+                service=each.service,
+                slots=each.slots,
+                state=each.state,
+                severity=self.verdicts.severity(each.upstream),
+            )
+            for each in self.upstreams.values()
+        )
+
+    def announce(self, event: Announced, now: timedelta) -> None:
+        """Renew the lease of an upstream and take over its state."""
+        known = self.upstreams.get(event.upstream)
+        if known is None or known.address != event.address:
+            self._add(event, now)
+            return
+        known.expires = now + ANNOUNCE_LEASE
+        if known.announced is event.state and known.slots == event.slots:
+            return
+        known.announced = event.state
+        known.slots = event.slots
+        self._announce_state(known, now)
+        self._fill(known, now)
+
+    def stream_opened(
+        self, stream: StreamId, daemon: DaemonId, incarnation: int, number: int
+    ) -> None:
+        """Accept dispatches of a peer on its newest stream only.
+
+        A stream that went silent may still deliver a request whose caller
+        was already told that it was not run.
+        """
+        known = self._newest.get(daemon)
+        if known is None or (incarnation, number) > known[:2]:
+            self._newest[daemon] = (Incarnation(incarnation), number, stream)
+
+    def dispatch(
+        self,
+        origin: Origin,
+        stream: StreamId | None,
+        message: Dispatch,
+        now: timedelta,
+    ) -> None:
+        """Admit a request: run it, queue it or refuse it."""
+        if stream is not None and not self._is_newest(origin, stream):
+            self._outbox.emit(
+                Record('dispatch-superseded', {'peer': origin.daemon})
+            )
+            return
+        if origin in self._jobs or origin in self._finished:
+            return
+        upstream = self.upstreams.get(message.upstream)
+        if upstream is None:
+            self._refuse(origin, stream, Reason.no_upstream)
+            return
+        admitted = self.verdicts.admits(
+            upstream.upstream,
+            len(upstream.running),
+            idempotent=message.idempotent,
+            forced=message.forced,
+        )
+        if not admitted:
+            draining = upstream.state is UpstreamState.draining
+            reason = Reason.draining if draining else Reason.sick
+            self._refuse(origin, stream, reason, upstream)
+            return
+        job = _job(origin, stream, message, now)
+        self._admit(upstream, job, now)
+
+    def cancel(self, origin: Origin, now: timedelta) -> None:
+        """Stop a request whose caller no longer waits.
+
+        A write that runs is left alone, so that its result becomes known.
+        """
+        job = self._jobs.get(origin)
+        if job is None:
+            return
+        if job.call is None:
+            self._discard(job)
+            self._end(job, _refusal(job, Reason.deadline), now)
+        elif job.dispatch.idempotent:
+            self._abort(job, Reason.deadline, now)
+
+    def inquire(self, origin: Origin, stream: StreamId, now: timedelta) -> None:
+        """Tell an entrance on a new stream what became of its request."""
+        finished = self._finished.get(origin)
+        if finished is not None:
+            self._outbox.emit(Send(stream, finished))
+            return
+        job = self._jobs.get(origin)
+        if job is None:
+            self._outbox.emit(Send(stream, NotSeen(origin.request)))
+            return
+        job.stream = stream
+        self._outbox.emit(Send(stream, Running(origin.request)))
+
+    def answered(self, event: UpstreamAnswered, now: timedelta) -> None:
+        """Pass on a whole answer of an upstream."""
+        job = self._calls.get(event.call)
+        if job is None:
+            return
+        upstream = self.upstreams[job.dispatch.upstream]
+        service_ms = in_ms(now - job.started)
+        self._release(job, upstream)
+        if job.fresh and job.silent:
+            # The kept connections have gone silent and new ones work.
+            self._outbox.emit(DropConnections(upstream.address))
+        if not echoes(job.dispatch.headers, event.headers, job.dispatch.echo):
+            self._observe(job, SampleKind.wrong, now)
+            self._end(job, _unknown(job, Reason.upstream_failed, 'echo'), now)
+            self._fill(upstream, now)
+            return
+        kind = SampleKind.success
+        if event.status >= _HTTP_ERROR:
+            kind = SampleKind.error
+        else:
+            change = service_ms - upstream.service_ms
+            upstream.service_ms += SERVICE_TIME_WEIGHT * change
+        self._observe(job, kind, now)
+        answer = Answer(
+            request=job.origin.request,
+            status=event.status,
+            headers=event.headers,
+            body=event.body,
+            length=len(event.body),
+            digest=xxhash.xxh3_64_intdigest(event.body),
+            service_ms=service_ms,
+            load=load_of(upstream),
+        )
+        self._end(job, answer, now)
+        self._fill(upstream, now)
+
+    def failed(self, event: UpstreamFailed, now: timedelta) -> None:
+        """End a request whose call failed."""
+        job = self._calls.get(event.call)
+        if job is None:
+            return
+        upstream = self.upstreams[job.dispatch.upstream]
+        self._release(job, upstream)
+        kind = _FAULT_SAMPLES.get(event.fault)
+        if kind is not None:
+            self._observe(job, kind, now)
+        reason = _FAULT_REASONS.get(event.fault, Reason.upstream_failed)
+        outcome = Outcome.unknown if event.sent else Outcome.not_run
+        refusal = Refusal(
+            request=job.origin.request,
+            reason=reason,
+            outcome=outcome,
+            detail=str(event.failure),
+            load=load_of(upstream),
+        )
+        self._end(job, refusal, now)
+        self._fill(upstream, now)
+
+    def tick(self, now: timedelta) -> None:
+        """Expire leases, deadlines and kept answers."""
+        for upstream in tuple(self.upstreams.values()):
+            if upstream.expires <= now:
+                self._expire(upstream, now)
+        self._apply(self.verdicts.tick(now))
+        for running in tuple(self._calls.values()):
+            self._check_silence(running, now)
+        for job in self._late(now):
+            self._end_late(job, now)
+        for waiting in self.upstreams.values():
+            self._fill(waiting, now)
+        self._finished.trim(now)
+
+    def _add(self, event: Announced, now: timedelta) -> None:
+        old = self.upstreams.get(event.upstream)
+        if old is not None:
+            self._expire(old, now)
+        upstream = Upstream(
+            upstream=event.upstream,
+            service=event.service,
+            address=event.address,
+            slots=event.slots,
+            announced=event.state,
+            expires=now + ANNOUNCE_LEASE,
+            queue=Queue(0, 0),
+            state=event.state,
+        )
+        self._bound_queue(upstream)
+        self.upstreams[event.upstream] = upstream
+        self._announce_state(upstream, now)
+        self.changed = True
+
+    def _bound_queue(self, upstream: Upstream) -> None:
+        service = self._services.get(upstream.service)
+        if service is not None:
+            upstream.queue.limit = service.queue_limit
+            upstream.queue.limit_bytes = service.queue_limit_bytes
+
+    def _announce_state(self, upstream: Upstream, now: timedelta) -> None:
+        changes = self.verdicts.announced(
+            upstream.upstream,
+            upstream.service,
+            upstream.slots,
+            upstream.announced,
+            now,
+        )
+        self._apply(changes)
+        self.changed = True
+
+    def _apply(self, changes: list[StateChange]) -> None:
+        for change in changes:
+            upstream = self.upstreams.get(change.upstream)
+            if upstream is None:
+                continue
+            self.changed = True
+            if upstream.state is not change.state:
+                upstream.state = change.state
+                self._note_state(upstream, change.reason)
+
+    def _observe(self, job: Job, kind: SampleKind, now: timedelta) -> None:
+        sample = Sample(
+            kind,
+            job.dispatch.route,
+            in_ms(now - job.started),
+            job.dispatch.expected_ms,
+            fresh=job.fresh,
+        )
+        upstream = job.dispatch.upstream
+        self._apply(self.verdicts.observe(upstream, sample, now))
+
+    def _check_silence(self, job: Job, now: timedelta) -> None:
+        """Count a request that is too old, and try a new connection once.
+
+        A kept connection may have gone silent while new ones work; only an
+        idempotent request can tell by being called again.
+        """
+        upstream = self.upstreams[job.dispatch.upstream]
+        if job.silent and (job.fresh or not job.dispatch.idempotent):
+            return
+        limit_ms = self.verdicts.silence_limit_ms(
+            upstream.upstream,
+            job.dispatch.route,
+            job.dispatch.expected_ms,
+            job.started,
+            now,
+        )
+        if in_ms(now - job.started) < limit_ms:
+            return
+        self._observe(job, SampleKind.silent, now)
+        job.silent = True
+        if not job.dispatch.idempotent or job.fresh or job.call is None:
+            return
+        self._outbox.emit(AbortCall(job.call))
+        self._release(job, upstream)
+        job.fresh = True
+        self._start(upstream, job, now)
+
+    def _expire(self, upstream: Upstream, now: timedelta) -> None:
+        if upstream.announced is not UpstreamState.draining:
+            upstream.announced = UpstreamState.draining
+            self._announce_state(upstream, now)
+        self._refuse_queued(upstream, Reason.draining, now)
+        if not upstream.running:
+            self.upstreams.pop(upstream.upstream)
+            self.verdicts.retire(upstream.upstream)
+            self._outbox.emit(DropConnections(upstream.address))
+            self.changed = True
+
+    def _note_state(self, upstream: Upstream, reason: str) -> None:
+        self._outbox.emit(
+            Record(
+                'upstream-state',
+                {
+                    'upstream': upstream.upstream,
+                    'service': upstream.service,
+                    'state': upstream.state.value,
+                    'reason': reason,
+                },
+            )
+        )
+
+    def _is_newest(self, origin: Origin, stream: StreamId) -> bool:
+        newest = self._newest.get(origin.daemon)
+        return newest is not None and newest[2] == stream
+
+    def _admit(self, upstream: Upstream, job: Job, now: timedelta) -> None:
+        self._jobs[job.origin] = job
+        if job.priority is not Priority.internal:
+            upstream.urgent_at = now
+        if not upstream.queue and _has_slot(upstream, job.priority, now):
+            self._start(upstream, job, now)
+            return
+        if _expected_wait_ms(upstream, job) > in_ms(job.deadline - now):
+            self._end(job, _overloaded(job, upstream), now)
+            return
+        for refused in upstream.queue.offer(job):
+            self._end(refused, _overloaded(refused, upstream), now)
+
+    def _start(self, upstream: Upstream, job: Job, now: timedelta) -> None:
+        call = CallId(self._next_call)
+        self._next_call += 1
+        job.call = call
+        job.started = now
+        upstream.running[call] = job
+        self._calls[call] = job
+        message = job.dispatch
+        remaining_ms = max(1, int(in_ms(job.deadline - now)))
+        identity = f'{job.origin.daemon}/{job.origin.incarnation}'
+        identity = f'{identity}/{job.origin.request}'
+        if not message.idempotent:
+            self._outbox.emit(
+                Record(
+                    'write-dispatched',
+                    {'request': identity, 'upstream': upstream.upstream},
+                )
+            )
+        self._outbox.emit(
+            CallUpstream(
+                call=call,
+                address=upstream.address,
+                method=message.method,
+                target=message.target,
+                headers=(
+                    *message.headers,
+                    (b'Greengage-Deadline-Ms', b'%d' % remaining_ms),
+                    (b'Greengage-Request', identity.encode()),
+                ),
+                body=message.body,
+                limit_bytes=message.answer_limit_bytes,
+                fresh=job.fresh,
+            )
+        )
+
+    def _fill(self, upstream: Upstream, now: timedelta) -> None:
+        while upstream.queue and _has_slot(upstream, Priority.waiting, now):
+            reserved = not _has_slot(upstream, Priority.internal, now)
+            job = upstream.queue.take(reserved=reserved)
+            if job is None:
+                return
+            if job.deadline <= now:
+                self._end(job, _refusal(job, Reason.deadline), now)
+                continue
+            self._start(upstream, job, now)
+
+    def _release(self, job: Job, upstream: Upstream) -> None:
+        if job.call is None:
+            return
+        self._calls.pop(job.call, None)
+        upstream.running.pop(job.call, None)
+
+    def _end(self, job: Job, message: Answer | Refusal, now: timedelta) -> None:
+        self._jobs.pop(job.origin, None)
+        if job.origin.daemon == self._own:
+            self.local_replies.append(message)
+            return
+        if job.stream is not None:
+            self._outbox.emit(Send(job.stream, message))
+        self._finished.keep(job.origin, message, max(job.deadline, now))
+
+    def _refuse(
+        self,
+        origin: Origin,
+        stream: StreamId | None,
+        reason: Reason,
+        upstream: Upstream | None = None,
+    ) -> None:
+        refusal = Refusal(
+            request=origin.request,
+            reason=reason,
+            outcome=Outcome.not_run,
+            load=load_of(upstream) if upstream else None,
+        )
+        if stream is None:
+            self.local_replies.append(refusal)
+            return
+        self._outbox.emit(Send(stream, refusal))
+
+    def _refuse_queued(
+        self, upstream: Upstream, reason: Reason, now: timedelta
+    ) -> None:
+        while upstream.queue:
+            job = upstream.queue.take()
+            if job is not None:
+                self._end(job, _refusal(job, reason), now)
+
+    def _discard(self, job: Job) -> None:
+        upstream = self.upstreams.get(job.dispatch.upstream)
+        if upstream is not None:
+            upstream.queue.discard(job)
+
+    def _abort(self, job: Job, reason: Reason, now: timedelta) -> None:
+        upstream = self.upstreams[job.dispatch.upstream]
+        if job.call is not None:
+            self._outbox.emit(AbortCall(job.call))
+        self._release(job, upstream)
+        self._end(job, _unknown(job, reason, ''), now)
+        self._fill(upstream, now)
+
+    def _late(self, now: timedelta) -> Iterator[Job]:
+        late = [job for job in self._jobs.values() if job.deadline <= now]
+        yield from late
+
+    def _end_late(self, job: Job, now: timedelta) -> None:
+        if job.call is None:
+            self._discard(job)
+            self._end(job, _refusal(job, Reason.deadline), now)
+            return
+        grace = ZERO if job.dispatch.idempotent else WRITE_GRACE
+        if job.deadline + grace <= now:
+            self._abort(job, Reason.deadline, now)
+
+
+_FAULT_REASONS = MappingProxyType(
+    {
+        CallFault.reset: Reason.connection_lost,
+        CallFault.too_large: Reason.answer_too_large,
+    }
+)
+
+_FAULT_SAMPLES = MappingProxyType(
+    {
+        CallFault.refused: SampleKind.refused,
+        CallFault.reset: SampleKind.reset,
+        CallFault.truncated: SampleKind.truncated,
+        CallFault.malformed: SampleKind.wrong,
+    }
+)
+
+
+def load_of(upstream: Upstream) -> Load:
+    """Return the load that is reported with each answer."""
+    return Load(
+        in_flight=len(upstream.running),
+        queued=len(upstream.queue),
+        slots=upstream.slots,
+        service_ms=upstream.service_ms,
+        state=upstream.state,
+    )
+
+
+def _job(
+    origin: Origin, stream: StreamId | None, message: Dispatch, now: timedelta
+) -> Job:
+    return Job(
+        origin=origin,
+        stream=stream,
+        dispatch=message,
+        arrived=now,
+        deadline=now + ms(message.remaining_ms),
+        priority=message.priority,
+        size_bytes=len(message.body) + len(message.target),
+    )
+
+
+def _has_slot(upstream: Upstream, priority: Priority, now: timedelta) -> bool:
+    free = upstream.slots - len(upstream.running)
+    if priority is not Priority.internal:
+        return free > 0
+    urgent_at = upstream.urgent_at
+    if urgent_at is None or urgent_at + RESERVE_TIMEOUT <= now:
+        return free > 0
+    return free > min(RESERVED_SLOTS, upstream.slots - 1)
+
+
+def _expected_wait_ms(upstream: Upstream, job: Job) -> float:
+    ahead = upstream.queue.ahead(job.priority) + 1
+    return ahead * upstream.service_ms / max(1, upstream.slots)
+
+
+def _refusal(job: Job, reason: Reason) -> Refusal:
+    return Refusal(
+        request=job.origin.request, reason=reason, outcome=Outcome.not_run
+    )
+
+
+def _unknown(job: Job, reason: Reason, detail: str) -> Refusal:
+    return Refusal(
+        request=job.origin.request,
+        reason=reason,
+        outcome=Outcome.unknown,
+        detail=detail,
+    )
+
+
+def _overloaded(job: Job, upstream: Upstream) -> Refusal:
+    return Refusal(
+        request=job.origin.request,
+        reason=Reason.overloaded,
+        outcome=Outcome.not_run,
+        retry_after_ms=RETRY_AFTER_MS,
+        load=load_of(upstream),
+    )
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -87,13 +87,18 @@
 
 
 class Hello(Struct, frozen=True, array_like=True, tag='hello'):
-    """First message in both directions of a stream."""
+    """First message in both directions of a stream.
+
+    ``number`` rises with each stream that one incarnation opens; a newer
+    stream supersedes older ones of the same incarnation.
+    """
 
     version: int
     daemon: DaemonId
     data_centre: DataCentre
     region: Region
     incarnation: Incarnation
+    number: int
 
 
 class Ping(Struct, frozen=True, array_like=True, tag='ping'):
@@ -113,7 +118,8 @@
 
     ``forced`` marks work placed on a sick upstream to keep the floor.
     ``expected_ms`` is the median service time of the route over other
-    upstreams, or 0 when it is not known.
+    upstreams, or 0 when it is not known. ``echo`` names, in lower case, the
+    header of the request that a right answer repeats; empty for none.
     """
 
     request: RequestId
@@ -132,6 +138,7 @@
     key: str = ''
     expected_ms: float = 0
     forced: bool = False
+    echo: str = ''
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- /dev/null
+++ b/greengagemux/reducers.py
@@ -0,0 +1,420 @@
+"""The one reducer of a daemon: events in, effects out."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import singledispatch
+from random import Random
+
+from .answers import Origin
+from .clocks import ZERO
+from .distribution import Distribution
+from .effects import CloseStream, Effect, Exit, OpenStream, Outbox, Record, Send
+from .entrances import Entrance
+from .events import (
+    Announced,
+    CallerGone,
+    CallerRequest,
+    Event,
+    LogAppended,
+    LogFailed,
+    LogRead,
+    PeerMessage,
+    PeerUnreachable,
+    StopRequested,
+    StreamClosed,
+    StreamOpened,
+    Tick,
+    UpstreamAnswered,
+    UpstreamFailed,
+)
+from .gossips import Directed
+from .ids import DaemonId, Incarnation, ServiceName, StreamId
+from .lasthops import LastHop
+from .members import Members
+from .messages import (
+    Answer,
+    BundleFetch,
+    BundleOffer,
+    BundleRecord,
+    Cancel,
+    Dispatch,
+    Inquire,
+    MemberBeats,
+    MemberDeltas,
+    MemberDigest,
+    MemberPull,
+    MemberRecord,
+    MemberSummary,
+    Message,
+    NotSeen,
+    Ping,
+    Pong,
+    Refusal,
+    Running,
+)
+from .paths import Paths
+from .rollouts import Rollout
+from .verdicts import Verdicts
+
+#: Interval of ``Tick`` events.
+TICK = timedelta(milliseconds=25)
+#: Paths are checked less often than deadlines: there may be 650 of them.
+PATH_CHECK_EVERY = timedelta(milliseconds=100)
+#: Seeds are tried again this often while no peer is connected.
+SEED_EVERY = timedelta(seconds=1)
+#: A stopping daemon stays up this long, until callers and peers know.
+STOP_NOTICE = timedelta(seconds=2)
+
+_UNKNOWN_DAEMON = DaemonId('')
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a daemon is and where it starts from."""
+
+    own: MemberRecord
+    seeds: tuple[str, ...]
+    stop_limit: timedelta
+
+
+class Daemon:
+    """State of one daemon; all changes go through ``reduce``."""
+
+    def __init__(
+        self, identity: Identity, rollout: Rollout, rng: Random
+    ) -> None:
+        """Start without peers, upstreams or bundle."""
+        own = identity.own
+        self.identity = identity
+        self.own = own
+        self.outbox = Outbox()
+        self.paths = Paths(self.outbox, rng)
+        self.last_hop = LastHop(own.daemon, self.outbox, Verdicts(TICK))
+        self.entrance = Entrance(
+            own, self.last_hop, self.paths, self.outbox, rng
+        )
+        self.members = Members(own, rng)
+        self.distribution = Distribution(
+            own, rollout, self.paths, self.outbox, rng
+        )
+        self.incarnations: dict[StreamId, Incarnation] = {}
+        self.stopping_since: timedelta | None = None
+        self.seeds_due = ZERO
+        self.paths_due = ZERO
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the daemon was asked to stop."""
+        return self.stopping_since is not None
+
+    def ready(self) -> tuple[bool, str]:
+        """Return whether callers may be sent here, and why not."""
+        if self.stopping:
+            return False, 'stopping'
+        if self.distribution.rollout.bundle is None:
+            return False, 'no bundle in force'
+        return True, 'serving'
+
+    def send_all(self, messages: Iterable[Directed], now: timedelta) -> None:
+        """Send membership messages; a missing stream is opened for later."""
+        for directed in messages:
+            if self.paths.send(directed.daemon, directed.message):
+                continue
+            record = self.members.record(directed.daemon)
+            if record is not None:
+                self.paths.want(record.daemon, record.peer_address, now)
+
+    def settle(self, now: timedelta) -> None:
+        """Pass on what one part of the daemon has for another."""
+        last_hop = self.last_hop
+        while last_hop.local_replies:
+            reply = last_hop.local_replies.pop(0)
+            self.entrance.reply(self.own.daemon, reply, now)
+        if last_hop.changed:
+            last_hop.changed = False
+            self.members.set_own(last_hop.records(), self.stopping, now)
+        changed = self.members.changes()
+        if changed:
+            self._members_changed(changed, now)
+        bundle = self.distribution.take_change()
+        if bundle is not None:
+            last_hop.configure(bundle.services)
+            self.entrance.configure(bundle)
+
+    def _members_changed(
+        self, changed: Iterable[DaemonId], now: timedelta
+    ) -> None:
+        live = self.members.live()
+        for daemon in changed:
+            if daemon not in live:
+                self.paths.forget(daemon)
+        self.entrance.members_changed(live, changed, now)
+        own = {each.service for each in self.last_hop.upstreams.values()}
+        for service in own:
+            self._note_peers(service)
+
+    def _note_peers(self, service: ServiceName) -> None:
+        view = self.entrance.views.get(service)
+        if view is None:
+            return
+        states = [
+            candidate.state
+            for candidate in view.candidates.values()
+            if candidate.daemon != self.own.daemon
+        ]
+        self.last_hop.verdicts.note_peers(service, states)
+
+
+def reduce(daemon: Daemon, event: Event, now: timedelta) -> list[Effect]:
+    """Apply an event at monotonic time ``now`` and return the effects."""
+    handle(event, daemon, now)
+    daemon.settle(now)
+    return daemon.outbox.drain()
+
+
+@singledispatch
+def handle(event: object, daemon: Daemon, now: timedelta) -> None:
+    """Apply one event; raises ``TypeError`` for an unknown one."""
+    raise TypeError(f'not an event: {type(event).__name__}')
+
+
+@handle.register
+def _tick(event: Tick, daemon: Daemon, now: timedelta) -> None:
+    daemon.last_hop.tick(now)
+    daemon.entrance.tick(now)
+    daemon.send_all(daemon.members.tick(now), now)
+    daemon.distribution.tick(daemon.members.live(), now)
+    if now >= daemon.paths_due:
+        daemon.paths_due = now + PATH_CHECK_EVERY
+        for path in daemon.paths.tick(now):
+            daemon.entrance.path_lost(path, now)
+    if now >= daemon.seeds_due:
+        daemon.seeds_due = now + SEED_EVERY
+        _open_seeds(daemon)
+    if daemon.stopping_since is not None:
+        _check_stop(daemon, daemon.stopping_since, now)
+
+
+@handle.register
+def _caller_request(
+    event: CallerRequest, daemon: Daemon, now: timedelta
+) -> None:
+    daemon.entrance.request(event, now)
+
+
+@handle.register
+def _caller_gone(event: CallerGone, daemon: Daemon, now: timedelta) -> None:
+    daemon.entrance.gone(event, now)
+
+
+@handle.register
+def _stream_opened(event: StreamOpened, daemon: Daemon, now: timedelta) -> None:
+    hello = event.hello
+    if hello.daemon == daemon.own.daemon:
+        # A seed list may name every daemon, this one included.
+        daemon.outbox.emit(CloseStream(event.stream))
+        return
+    path = daemon.paths.opened(event, now)
+    if not event.outbound:
+        daemon.incarnations[event.stream] = hello.incarnation
+        daemon.last_hop.stream_opened(
+            event.stream, hello.daemon, hello.incarnation, hello.number
+        )
+    if path is not None:
+        daemon.entrance.path_opened(path, now)
+    daemon.send_all(daemon.members.connected(hello.daemon, now), now)
+    daemon.distribution.connected(event.stream)
+
+
+@handle.register
+def _stream_closed(event: StreamClosed, daemon: Daemon, now: timedelta) -> None:
+    daemon.incarnations.pop(event.stream, None)
+    path = daemon.paths.closed(event.stream, now)
+    if path is not None:
+        daemon.entrance.path_lost(path, now)
+
+
+@handle.register
+def _peer_unreachable(
+    event: PeerUnreachable, daemon: Daemon, now: timedelta
+) -> None:
+    path = daemon.paths.unreachable(event.daemon, now, refused=event.refused)
+    if path is not None:
+        daemon.entrance.path_lost(path, now)
+
+
+@handle.register
+def _peer_message(event: PeerMessage, daemon: Daemon, now: timedelta) -> None:
+    peer = daemon.paths.peer(event.stream)
+    if peer is None:
+        return
+    daemon.paths.received(event.stream, now)
+    receive(event.message, daemon, Sender(peer, event.stream), now)
+
+
+@handle.register
+def _upstream_answered(
+    event: UpstreamAnswered, daemon: Daemon, now: timedelta
+) -> None:
+    daemon.last_hop.answered(event, now)
+
+
+@handle.register
+def _upstream_failed(
+    event: UpstreamFailed, daemon: Daemon, now: timedelta
+) -> None:
+    daemon.last_hop.failed(event, now)
+
+
+@handle.register
+def _announced(event: Announced, daemon: Daemon, now: timedelta) -> None:
+    daemon.last_hop.announce(event, now)
+
+
+@handle.register(LogRead)
+@handle.register(LogAppended)
+@handle.register(LogFailed)
+def _log_event(
+    event: LogRead | LogAppended | LogFailed, daemon: Daemon, now: timedelta
+) -> None:
+    daemon.distribution.log_event(event, daemon.members.live(), now)
+
+
+@handle.register
+def _stop_requested(
+    event: StopRequested, daemon: Daemon, now: timedelta
+) -> None:
+    if daemon.stopping:
+        return
+    daemon.stopping_since = now
+    daemon.members.set_own(daemon.last_hop.records(), True, now)
+    daemon.outbox.emit(Record('stopping'))
+
+
+@dataclass(frozen=True, slots=True)
+class Sender:
+    """The peer and the stream that a message came from."""
+
+    daemon: DaemonId
+    stream: StreamId
+
+
+@singledispatch
+def receive(
+    message: object, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    """Apply a message of a peer; raises ``TypeError`` for an unknown one."""
+    raise TypeError(f'not a message: {type(message).__name__}')
+
+
+@receive.register
+def _dispatch(
+    message: Dispatch, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    origin = _origin(daemon, sender, message)
+    if origin is not None:
+        daemon.last_hop.dispatch(origin, sender.stream, message, now)
+
+
+@receive.register
+def _cancel(
+    message: Cancel, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    origin = _origin(daemon, sender, message)
+    if origin is not None:
+        daemon.last_hop.cancel(origin, now)
+
+
+@receive.register
+def _inquire(
+    message: Inquire, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    origin = _origin(daemon, sender, message)
+    if origin is not None:
+        daemon.last_hop.inquire(origin, sender.stream, now)
+
+
+@receive.register(Answer)
+@receive.register(Refusal)
+@receive.register(Running)
+@receive.register(NotSeen)
+def _reply(
+    message: Message, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    daemon.entrance.reply(sender.daemon, message, now)
+
+
+@receive.register
+def _ping(
+    message: Ping, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    daemon.outbox.emit(Send(sender.stream, Pong(message.nonce)))
+
+
+@receive.register
+def _pong(
+    message: Pong, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    """Do nothing: hearing the peer was all that counts."""
+
+
+@receive.register(MemberDeltas)
+@receive.register(MemberBeats)
+@receive.register(MemberSummary)
+@receive.register(MemberDigest)
+@receive.register(MemberPull)
+def _membership(
+    message: MemberDeltas
+    | MemberBeats
+    | MemberSummary
+    | MemberDigest
+    | MemberPull,
+    daemon: Daemon,
+    sender: Sender,
+    now: timedelta,
+) -> None:
+    replies = daemon.members.receive(message, sender.daemon, now)
+    daemon.send_all(replies, now)
+
+
+@receive.register(BundleOffer)
+@receive.register(BundleFetch)
+@receive.register(BundleRecord)
+def _bundle_message(
+    message: BundleOffer | BundleFetch | BundleRecord,
+    daemon: Daemon,
+    sender: Sender,
+    now: timedelta,
+) -> None:
+    daemon.distribution.receive(
+        message, sender.stream, daemon.members.live(), now
+    )
+
+
+def _origin(
+    daemon: Daemon, sender: Sender, message: Dispatch | Cancel | Inquire
+) -> Origin | None:
+    incarnation = daemon.incarnations.get(sender.stream)
+    if incarnation is None:
+        # Requests come only on streams that the peer opened.
+        return None
+    return Origin(sender.daemon, incarnation, message.request)
+
+
+def _open_seeds(daemon: Daemon) -> None:
+    if any(path.stream for path in daemon.paths.by_daemon.values()):
+        return
+    for address in daemon.identity.seeds:
+        if address != daemon.own.peer_address:
+            daemon.outbox.emit(OpenStream(_UNKNOWN_DAEMON, address))
+
+
+def _check_stop(daemon: Daemon, since: timedelta, now: timedelta) -> None:
+    waited = now - since
+    if waited < STOP_NOTICE:
+        return
+    idle = not daemon.entrance.busy and not daemon.last_hop.busy
+    if idle or waited >= daemon.identity.stop_limit:
+        daemon.outbox.emit(Record('stopped', {'idle': idle}))
+        daemon.outbox.emit(Exit())
--- /dev/null
+++ b/greengagemux/requests.py
@@ -0,0 +1,133 @@
+"""Requests that wait at an entrance, and the answers made for them."""
+
+import json
+from dataclasses import dataclass, field
+from datetime import timedelta
+from types import MappingProxyType
+
+from . import headers
+from .bundles import Caller, Route
+from .choices import Candidate
+from .effects import Respond
+from .ids import (
+    DaemonId,
+    ExchangeId,
+    Incarnation,
+    RequestId,
+    StreamId,
+    UpstreamId,
+)
+from .messages import Answer, Headers, Priority
+from .outcomes import Outcome, Reason
+
+#: Seconds are rounded up, so a caller retries after one second at least.
+RETRY_AFTER_MS = 1000
+
+_STATUSES = MappingProxyType(
+    {
+        Reason.bad_request: 400,
+        Reason.unauthorized: 401,
+        Reason.no_route: 404,
+        Reason.method_not_allowed: 405,
+        Reason.body_too_large: 413,
+        Reason.key_conflict: 409,
+        Reason.key_in_progress: 409,
+        Reason.caller_limit: 429,
+        Reason.crashes_upstreams: 422,
+    }
+)
+_NOT_RUN_STATUS = 503
+_LOST_STATUS = 502
+_LATE_STATUS = 504
+_RETRY_STATUSES = frozenset((429, 503))
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One dispatch of a waiting request; no stream means this daemon."""
+
+    request: RequestId
+    candidate: Candidate
+    forced: bool
+    sent_at: timedelta
+    expected_ms: float
+    stream: StreamId | None = None
+    incarnation: Incarnation = Incarnation(0)
+    lost: bool = False
+
+    @property
+    def daemon(self) -> DaemonId:
+        """Daemon beside the chosen upstream."""
+        return self.candidate.daemon
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A caller's request from its arrival to its answer."""
+
+    exchange: ExchangeId
+    route: Route
+    caller: Caller
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    priority: Priority
+    arrived: timedelta
+    deadline: timedelta
+    attempts: dict[RequestId, Attempt] = field(default_factory=dict)
+    excluded: set[UpstreamId] = field(default_factory=set)
+    reroutes: int = 0
+    retries: int = 0
+    may_have_run: bool = False
+    last_reason: Reason = Reason.no_upstream
+    fallback: Answer | None = None
+    done: bool = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.idempotent
+
+
+def status_of(outcome: Outcome, reason: Reason) -> int:
+    """Return the HTTP status of an answer made by the fleet itself."""
+    if outcome is Outcome.not_run:
+        return _STATUSES.get(reason, _NOT_RUN_STATUS)
+    if reason is Reason.deadline:
+        return _LATE_STATUS
+    return _LOST_STATUS
+
+
+def refusal(
+    exchange: ExchangeId,
+    outcome: Outcome,
+    reason: Reason,
+    detail: str = '',
+    retry_after_ms: int = 0,
+) -> Respond:
+    """Return the answer for a request that was not completed."""
+    status = status_of(outcome, reason)
+    if status in _RETRY_STATUSES:
+        retry_after_ms = max(retry_after_ms, RETRY_AFTER_MS)
+    content = {
+        'outcome': outcome.value,
+        'reason': reason.value,
+        'detail': detail,
+    }
+    return Respond(
+        exchange,
+        status,
+        headers.of_refusal(outcome, reason, retry_after_ms),
+        json.dumps(content).encode(),
+    )
+
+
+def completion(exchange: ExchangeId, answer: Answer) -> Respond:
+    """Return the answer of an upstream for its caller."""
+    return Respond(
+        exchange,
+        answer.status,
+        headers.for_caller(answer.headers),
+        answer.body,
+    )
--- /dev/null
+++ b/greengagemux/streams.py
@@ -0,0 +1,348 @@
+"""Streams of messages between daemons over TCP."""
+
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.interfaces import (
+    IAddress,
+    IPushProducer,
+)
+from twisted.internet.error import ConnectionRefusedError as PeerRefusedError
+from twisted.internet.protocol import (
+    ClientFactory,
+    Factory,
+    Protocol,
+    connectionDone,
+)
+from twisted.python.failure import Failure as TwistedFailure
+from zope.interface import implementer
+
+from .codecs import decode, encode
+from .events import (
+    Event,
+    PeerMessage,
+    PeerUnreachable,
+    StreamClosed,
+    StreamOpened,
+)
+from .frames import FrameReader, FrameWriter
+from .ids import DaemonId, StreamId
+from .logs import HybridClock, Stamp
+from .messages import PROTOCOL_VERSION, Hello, Message
+from .outcomes import Failure, FailureError, Step
+from .settings import Address
+
+#: A stream that has not been opened after this long is given up.
+CONNECT_TIMEOUT_S = 1.0
+#: A peer that sends no ``Hello`` for this long is disconnected.
+HELLO_TIMEOUT_S = 5.0
+#: A peer that does not read is cut off when this much is unsent.
+UNSENT_LIMIT_BYTES = 32 * 1024 * 1024
+#: Pause between two fragments of a long message, so that others go between.
+FRAGMENT_PAUSE_S = 0.001
+
+#: Each message starts with the logical time of its sender.
+_STAMP = struct.Struct('>Q')
+
+Submit = Callable[[Event], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Counters:
+    """Callbacks that count what happens on streams."""
+
+    failed: Callable[[Failure], None]
+    sent_bytes: Callable[[int], None]
+    received_bytes: Callable[[int], None]
+
+
+@implementer(IPushProducer)
+class PeerStream(Protocol):
+    """One stream between two daemons."""
+
+    transport: Any
+
+    def __init__(self, hub: 'StreamHub', address: str) -> None:
+        """Prepare a stream; ``address`` is empty for an inbound one."""
+        self._hub = hub
+        self._address = address
+        self._writer = FrameWriter()
+        self._reader = FrameReader('unknown')
+        self._hello: Hello | None = None
+        self._failure: Failure | None = None
+        self._hello_timer: Any = None
+        self._paused = False
+        self._fragment_due = False
+        self._unsent_bytes = 0
+        self.stream = hub.new_stream()
+
+    def connectionMade(self) -> None:
+        """Say hello."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self.transport.registerProducer(self, True)
+        self._reader = FrameReader(self._peer_name())
+        self._hello_timer = self._hub.reactor.callLater(
+            HELLO_TIMEOUT_S, self._no_hello
+        )
+        self.send(self._hub.next_hello())
+
+    def dataReceived(self, data: bytes) -> None:
+        """Read messages; a malformed one ends this stream only."""
+        self._hub.counters.received_bytes(len(data))
+        try:
+            self._read(data)
+        except FailureError as error:
+            self.fail(error.failure)
+
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
+        """Report the end of the stream."""
+        if self._hello_timer is not None and self._hello_timer.active():
+            self._hello_timer.cancel()
+        failure = self._failure or Failure(
+            Step.connect, self._peer_name(), reason.getErrorMessage()
+        )
+        if self._reader.partial:
+            self._hub.counters.failed(
+                Failure(Step.frame, self._peer_name(), 'truncated message')
+            )
+        self._hub.lost(self, self._hello, failure)
+
+    def send(self, message: Message) -> None:
+        """Write a message; long ones are written in fragments."""
+        stamp = _STAMP.pack(self._hub.stamp())
+        frames = self._writer.frames(stamp + encode(message))
+        if frames:
+            self._write(frames)
+            return
+        self._write_fragment()
+
+    def fail(self, failure: Failure) -> None:
+        """End the stream because of a failure."""
+        self._failure = failure
+        self._hub.counters.failed(failure)
+        self.transport.abortConnection()
+
+    def pauseProducing(self) -> None:
+        """Hold back fragments; the peer reads more slowly than we write."""
+        self._paused = True
+
+    def resumeProducing(self) -> None:
+        """Go on writing fragments."""
+        self._paused = False
+        self._unsent_bytes = 0
+        self._write_fragment()
+
+    def stopProducing(self) -> None:
+        """Hold back everything; the stream is ending."""
+        self._paused = True
+
+    def close(self) -> None:
+        """End the stream without waiting for unsent data."""
+        self.transport.abortConnection()
+
+    def _read(self, received: bytes) -> None:
+        for payload in self._reader.feed(received):
+            if self._failure is not None:
+                return
+            message = self._decode(payload)
+            if self._hello is None:
+                self._greet(message)
+            else:
+                self._hub.submit(PeerMessage(self.stream, message))
+
+    def _decode(self, payload: bytes) -> Message:
+        if len(payload) < _STAMP.size:
+            raise FailureError(
+                Failure(Step.frame, self._peer_name(), 'message without stamp')
+            )
+        self._hub.observe(_STAMP.unpack_from(payload)[0])
+        return decode(payload[_STAMP.size :], self._peer_name())
+
+    def _greet(self, message: Message) -> None:
+        if not isinstance(message, Hello):
+            raise FailureError(
+                Failure(
+                    Step.decode, self._peer_name(), 'first message is not hello'
+                )
+            )
+        if message.version != PROTOCOL_VERSION:
+            detail = (
+                f'protocol version {message.version}, not {PROTOCOL_VERSION}'
+            )
+            raise FailureError(Failure(Step.decode, self._peer_name(), detail))
+        if self._hello_timer is not None and self._hello_timer.active():
+            self._hello_timer.cancel()
+        self._hello = message
+        self._hub.greeted(self, message, self._address)
+
+    def _write(self, frames: bytes) -> None:
+        self._hub.counters.sent_bytes(len(frames))
+        self.transport.write(frames)
+        if not self._paused:
+            return
+        self._unsent_bytes += len(frames)
+        if self._unsent_bytes > UNSENT_LIMIT_BYTES:
+            self.fail(
+                Failure(Step.frame, self._peer_name(), 'peer does not read')
+            )
+
+    def _write_fragment(self) -> None:
+        if self._paused or not self.connected or self._fragment_due:
+            return
+        fragment = self._writer.next_fragment()
+        if not fragment:
+            return
+        self._write(fragment)
+        if self._writer.pending:
+            self._fragment_due = True
+            self._hub.reactor.callLater(FRAGMENT_PAUSE_S, self._next_fragment)
+
+    def _next_fragment(self) -> None:
+        self._fragment_due = False
+        self._write_fragment()
+
+    def _no_hello(self) -> None:
+        self.fail(Failure(Step.connect, self._peer_name(), 'no hello'))
+
+    def _peer_name(self) -> str:
+        if self._hello is not None:
+            return self._hello.daemon
+        peer = self.transport.getPeer()
+        return f'{peer.host}:{peer.port}'
+
+
+class StreamHub:
+    """All streams of this daemon, inbound and outbound."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        submit: Submit,
+        next_hello: Callable[[], Hello],
+        counters: Counters,
+        hybrid: HybridClock,
+    ) -> None:
+        """Streams report events through ``submit``."""
+        self._hybrid = hybrid
+        self.reactor = reactor
+        self.submit = submit
+        self.next_hello = next_hello
+        self.counters = counters
+        self._streams: dict[StreamId, PeerStream] = {}
+        self._last_stream = 0
+        self._opening: set[str] = set()
+        self._port: Any = None
+
+    def listen(self, address: Address) -> Any:
+        """Accept streams of peers; raises ``CannotListenError``."""
+        factory = _InboundFactory(self)
+        self._port = self.reactor.listenTCP(
+            address.port, factory, interface=address.host
+        )
+        return self._port
+
+    def open(self, daemon: DaemonId, address: Address) -> None:
+        """Open a stream; the result is an event."""
+        target = str(address)
+        if target in self._opening:
+            return
+        self._opening.add(target)
+        factory = _OutboundFactory(self, daemon, address)
+        self.reactor.connectTCP(
+            address.host, address.port, factory, timeout=CONNECT_TIMEOUT_S
+        )
+
+    def opened(self, address: Address) -> None:
+        """Note that an attempt to open a stream ended."""
+        self._opening.discard(str(address))
+
+    def send(self, stream: StreamId, message: Message) -> None:
+        """Send a message; dropped when the stream has ended."""
+        known = self._streams.get(stream)
+        if known is not None:
+            known.send(message)
+
+    def close(self, stream: StreamId) -> None:
+        """Close a stream."""
+        known = self._streams.get(stream)
+        if known is not None:
+            known.close()
+
+    def stop(self) -> None:
+        """Stop accepting streams and close all."""
+        if self._port is not None:
+            self._port.stopListening()
+        for stream in tuple(self._streams.values()):
+            stream.transport.loseConnection()
+
+    def stamp(self) -> int:
+        """Return the packed logical time for an outgoing message."""
+        return self._hybrid.tick().pack()
+
+    def observe(self, packed: int) -> None:
+        """Take in the packed logical time of a message."""
+        self._hybrid.observe(Stamp.unpack(packed))
+
+    def new_stream(self) -> StreamId:
+        """Return the id of a new stream."""
+        self._last_stream += 1
+        return StreamId(self._last_stream)
+
+    def greeted(self, stream: PeerStream, hello: Hello, address: str) -> None:
+        """Report a stream whose peer said hello."""
+        self._streams[stream.stream] = stream
+        self.submit(StreamOpened(stream.stream, hello, bool(address), address))
+
+    def lost(
+        self, stream: PeerStream, hello: Hello | None, failure: Failure
+    ) -> None:
+        """Report the end of a stream that was open."""
+        self._streams.pop(stream.stream, None)
+        if hello is not None:
+            self.submit(StreamClosed(stream.stream, failure))
+
+
+class _InboundFactory(Factory):
+    """Builds streams that peers open."""
+
+    noisy = False
+
+    def __init__(self, hub: StreamHub) -> None:
+        self._hub = hub
+
+    def buildProtocol(self, addr: IAddress | None) -> PeerStream:
+        return PeerStream(self._hub, '')
+
+
+class _OutboundFactory(ClientFactory):
+    """Opens one stream and reports when that fails."""
+
+    noisy = False
+
+    def __init__(
+        self, hub: StreamHub, daemon: DaemonId, address: Address
+    ) -> None:
+        self._hub = hub
+        self._daemon = daemon
+        self._address = address
+
+    def buildProtocol(self, addr: IAddress | None) -> PeerStream:
+        self._hub.opened(self._address)
+        return PeerStream(self._hub, str(self._address))
+
+    def clientConnectionFailed(
+        self, connector: Any, reason: TwistedFailure
+    ) -> None:
+        self._hub.opened(self._address)
+        refused = bool(reason.check(PeerRefusedError))
+        failure = Failure(
+            Step.connect, str(self._address), reason.getErrorMessage()
+        )
+        self._hub.submit(
+            PeerUnreachable(
+                self._daemon, str(self._address), failure, refused=refused
+            )
+        )
--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -54,6 +54,8 @@
 #: A gap between two calls beyond a tick by this much is a stall.
 STALL_MARGIN = timedelta(milliseconds=50)
 STALLS_KEPT = 8
+#: Default interval between calls of ``Verdicts.tick``.
+TICK = timedelta(milliseconds=100)
 
 _TIMED = frozenset((SampleKind.success, SampleKind.silent))
 _WEIGHTS = MappingProxyType(
@@ -151,7 +153,7 @@
 class Verdicts:
     """Health of all upstreams beside one daemon."""
 
-    def __init__(self, tick: timedelta = timedelta(milliseconds=100)) -> None:
+    def __init__(self, tick: timedelta = TICK) -> None:
         """Expect ``tick`` to be called at this interval."""
         self._cases: dict[UpstreamId, _Case] = {}
         self._rates: dict[ServiceName, ErrorRates] = {}
--- /dev/null
+++ b/greengagemux/views.py
@@ -0,0 +1,121 @@
+"""Views of a daemon's state for its administrators."""
+
+from datetime import timedelta
+from typing import Any
+
+from .administration import BundleView, RejectedRecord
+from .clocks import in_ms
+from .lasthops import Upstream
+from .paths import Path
+from .reducers import Daemon
+from .chains import RecordOutcome
+
+_HARMLESS = frozenset(
+    (RecordOutcome.accepted, RecordOutcome.repeated, RecordOutcome.held)
+)
+
+
+def state_of(daemon: Daemon, now: timedelta) -> dict[str, Any]:
+    """Return upstreams with reasons, bundle, members and paths as JSON."""
+    ready, why = daemon.ready()
+    rollout = daemon.distribution.rollout.status()
+    return {
+        'daemon': daemon.own.daemon,
+        'incarnation': daemon.own.incarnation,
+        'ready': ready,
+        'why': why,
+        'bundle': {
+            'in_force': rollout.in_force,
+            'accepted': rollout.accepted,
+            'offset': rollout.offset,
+            'from_log': rollout.from_log,
+            'reasons': rollout.reasons,
+        },
+        'upstreams': [
+            _local(daemon, upstream)
+            for upstream in daemon.last_hop.upstreams.values()
+        ],
+        'services': _services(daemon),
+        'members': [
+            {
+                'daemon': record.daemon,
+                'incarnation': record.incarnation,
+                'data_centre': record.data_centre,
+                'region': record.region,
+                'leaving': record.leaving,
+                'upstreams': len(record.upstreams),
+            }
+            for record in daemon.members.live().values()
+        ],
+        'paths': [_path(path, now) for path in daemon.paths.by_daemon.values()],
+    }
+
+
+def bundle_of(daemon: Daemon) -> BundleView:
+    """Return the bundle in force and the newest rejected records."""
+    rollout = daemon.distribution.rollout
+    status = rollout.status()
+    accepted = rollout.accepted
+    rejected = tuple(
+        RejectedRecord(decision.offset, decision.outcome.value)
+        for decision in status.decisions
+        if decision.outcome not in _HARMLESS
+    )
+    newest = max(
+        (decision.offset for decision in status.decisions), default=None
+    )
+    return BundleView(
+        version=status.in_force,
+        offset=status.offset,
+        newest_offset=newest,
+        operator=accepted.signed.operator if accepted else '',
+        text=accepted.signed.text if accepted else '',
+        rejected=rejected,
+    )
+
+
+def _local(daemon: Daemon, upstream: Upstream) -> dict[str, Any]:
+    return {
+        'upstream': upstream.upstream,
+        'service': upstream.service,
+        'address': upstream.address,
+        'announced': upstream.announced.value,
+        'state': upstream.state.value,
+        'why': daemon.last_hop.verdicts.why(upstream.upstream),
+        'slots': upstream.slots,
+        'running': len(upstream.running),
+        'queued': len(upstream.queue),
+        'service_ms': round(upstream.service_ms, 3),
+    }
+
+
+def _services(daemon: Daemon) -> dict[str, Any]:
+    views: dict[str, Any] = {}
+    for service, view in daemon.entrance.views.items():
+        usable = view.current()
+        allowed = {each.upstream for each in usable.allowed}
+        views[service] = [
+            {
+                'upstream': each.upstream,
+                'daemon': each.daemon,
+                'state': each.state.value,
+                'reachable': each.reachable,
+                'nearness': each.nearness.name,
+                'usable': each.upstream in allowed,
+                'forced': each.upstream in usable.forced,
+                'outstanding': each.outstanding,
+                'service_ms': round(each.service_ms, 3),
+            }
+            for each in view.candidates.values()
+        ]
+    return views
+
+
+def _path(path: Path, now: timedelta) -> dict[str, Any]:
+    return {
+        'daemon': path.daemon,
+        'address': path.address,
+        'state': path.state.value,
+        'waiting': path.waiting,
+        'silent_ms': round(in_ms(now - path.received_at)),
+    }
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,190 @@
+"""Requests through several daemons while parts fail."""
+
+import pytest
+from fakes_fleet import FakeFleet, started
+
+
+def _others(fleet: FakeFleet, name: str) -> list[str]:
+    return [other for other in fleet.nodes if other != name]
+
+
+def _running_at(fleet: FakeFleet, tag: bytes) -> str:
+    for node in fleet.nodes.values():
+        for upstream in node.upstreams.values():
+            if tag in upstream.runs:
+                return node.name
+    return ''
+
+
+def _ask_remote(fleet: FakeFleet, tag: bytes, path: bytes) -> tuple[int, str]:
+    """Ask at d0 until an upstream beside another daemon runs the request."""
+    for turn in range(40):
+        each = tag + b'%d' % turn
+        exchange = fleet.ask('d0', each, path)
+        fleet.run(2)
+        where = _running_at(fleet, each)
+        if where not in {'', 'd0'}:
+            return exchange, where
+    raise AssertionError('no request left d0')
+
+
+def test_every_entrance_serves() -> None:
+    """Guards the whole path through any daemon."""
+    fleet = started(4)
+    asked = [fleet.ask(name, name.encode()) for name in fleet.nodes]
+    fleet.run(500)
+    for exchange in asked:
+        assert fleet.outcome(exchange) == 'completed'
+        assert fleet.answers[exchange].body == fleet.asked[exchange][0]
+
+
+def test_killed_last_hop_read_is_retried() -> None:
+    """A read must survive the death of the daemon that ran it."""
+    fleet = started(4)
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 100
+    exchange, where = _ask_remote(fleet, b'read', b'/stock/1')
+    fleet.kill(where)
+    fleet.run(1500)
+    assert fleet.outcome(exchange) == 'completed'
+
+
+def test_killed_last_hop_write_is_unknown_and_prompt() -> None:
+    """A write on a killed daemon may have run, so it is not run again."""
+    fleet = started(4)
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 100
+    exchange, where = _ask_remote(fleet, b'write', b'/intake/1')
+    tag, asked = fleet.asked[exchange]
+    fleet.kill(where)
+    fleet.run(1500)
+    assert fleet.outcome(exchange) == 'unknown'
+    assert fleet.answers[exchange].status == 502
+    assert fleet.runs(tag) == 1
+
+
+def test_silent_stream_is_replaced_and_the_write_answered() -> None:
+    """A stream that goes silent must not lose the answer of a write."""
+    fleet = started(4)
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 300
+    exchange, where = _ask_remote(fleet, b'write', b'/intake/1')
+    fleet.silence('d0', where)
+    fleet.run(2000)
+    assert fleet.outcome(exchange) == 'completed'
+    assert fleet.runs(fleet.asked[exchange][0]) == 1
+
+
+@pytest.mark.parametrize('sends', [True, False])
+def test_one_way_cut_never_runs_a_write_twice(sends: bool) -> None:
+    """A cut in one direction leaves the outcome true and the write single."""
+    fleet = started(4)
+    asked = []
+    for turn in range(20):
+        for other in _others(fleet, 'd0'):
+            pair = ('d0', other) if sends else (other, 'd0')
+            fleet.cut(*pair)
+        asked.append(fleet.ask('d0', b'w%d' % turn, b'/intake/1'))
+        fleet.run(300)
+    fleet.run(3000)
+    fleet.heal()
+    fleet.run(3000)
+    for exchange in asked:
+        tag = fleet.asked[exchange][0]
+        assert fleet.runs(tag) <= 1
+        assert fleet.outcome(exchange) in {'completed', 'not-run', 'unknown'}
+        if fleet.outcome(exchange) == 'not-run':
+            assert fleet.runs(tag) == 0
+
+
+def test_hung_upstream_is_ejected() -> None:
+    """A hung upstream must stop receiving work within a second."""
+    fleet = started(4)
+    hung = fleet.nodes['d1'].upstreams['d1-u0']
+    for turn in range(400):
+        hung.hang = turn >= 200
+        fleet.ask(f'd{turn % 4}', b'r%d' % turn)
+        fleet.run(12)
+    fleet.run(2500)
+    assert len(fleet.answers) == 400
+    outcomes = [fleet.outcome(exchange) for exchange in fleet.answers]
+    assert outcomes.count('completed') >= 395
+    states = [
+        record.fields['state']
+        for record in fleet.records['d1']
+        if record.name == 'upstream-state'
+    ]
+    assert 'sick' in states
+
+
+def test_draining_upstream_gets_no_new_work() -> None:
+    """A leaving upstream must receive no new work 3 s after it said so."""
+    fleet = started(4)
+    leaving = fleet.nodes['d2'].upstreams['d2-u0']
+    leaving.draining = True
+    fleet.run(3000)
+    before = len(leaving.runs)
+    for turn in range(100):
+        fleet.ask(f'd{turn % 4}', b'r%d' % turn)
+        fleet.run(20)
+    assert len(leaving.runs) == before
+    assert all(
+        fleet.outcome(exchange) == 'completed' for exchange in fleet.answers
+    )
+
+
+def test_planned_stop_cuts_off_nothing() -> None:
+    """A stopping daemon ends what runs, and work moves elsewhere."""
+    from greengagemux.events import StopRequested
+
+    fleet = started(4)
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 200
+    for turn in range(60):
+        if turn == 20:
+            fleet.nodes['d3'].submit(StopRequested())
+        fleet.ask(f'd{turn % 3}', b'r%d' % turn, b'/intake/1')
+        fleet.run(50)
+    fleet.run(3000)
+    assert fleet.nodes['d3'].exited
+    assert len(fleet.answers) == 60
+    for exchange in fleet.answers:
+        assert fleet.outcome(exchange) == 'completed'
+
+
+def test_store_out_serving_goes_on() -> None:
+    """Requests and new daemons must not need the log."""
+    fleet = started(4)
+    fleet.log_down = True
+    fleet.kill('d2')
+    fleet.run(1000)
+    fleet.nodes['d2'].start()
+    fleet.run(5000)
+    exchange = fleet.ask('d2', b'read')
+    fleet.run(1000)
+    assert fleet.outcome(exchange) == 'completed'
+
+
+def test_all_upstreams_dead_is_not_run() -> None:
+    """A refused connection means not run, and says so promptly."""
+    fleet = started(2)
+    for upstream in fleet.upstreams:
+        upstream.dead = True
+    exchange = fleet.ask('d0', b'write', b'/intake/1')
+    fleet.run(500)
+    assert fleet.outcome(exchange) == 'not-run'
+    assert fleet.answers[exchange].status == 503
+
+
+def test_wrong_answer_never_reaches_a_caller() -> None:
+    """An answer that does not echo its request must not be passed on."""
+    fleet = started(4)
+    for upstream in fleet.nodes['d1'].upstreams.values():
+        upstream.wrong = True
+    for turn in range(80):
+        fleet.ask(f'd{turn % 4}', b'r%d' % turn)
+        fleet.run(20)
+    fleet.run(2500)
+    for exchange, answer in fleet.answers.items():
+        if fleet.outcome(exchange) == 'completed':
+            assert answer.body == fleet.asked[exchange][0]
