Generate histories with faults and check the seven invariants

Ruled out: a cluster simulator; the fake joins real reducers and has no behaviour of its own beyond delays and cuts. Change: histories of requests, kills, restarts, planned stops, pauses, cuts, silent streams, log outages, racing bundles, sick and draining upstreams; one module for each invariant. Conclusion: leases are checked at dispatch and distrusted after a stall.

--- a/greengagemux/distribution.py
+++ b/greengagemux/distribution.py
@@ -184,7 +184,7 @@
             near = self._reader_rank(live) < READERS
             self._offer(live, len(live) if near else OFFER_PEERS)
         bundle = self.rollout.bundle
-        if bundle is not self._in_force:
+        if bundle != self._in_force:
             self._in_force = bundle
             self._changed = True
             version = bundle.version if bundle else None
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -48,6 +48,11 @@
 
 #: An upstream that stops announcing itself is gone after this long.
 ANNOUNCE_LEASE = timedelta(seconds=3)
+#: A process that did nothing for this long was paused or starved.
+STALL = timedelta(seconds=1)
+#: Announcements that arrive this soon after a stall may have waited during
+#: it, and may be older than a drain that has not been announced yet.
+STALL_BACKLOG = timedelta(milliseconds=250)
 #: How long a write may run on after its deadline, so that its result is known.
 WRITE_GRACE = timedelta(seconds=5)
 #: Weight of the newest service time in the running mean.
@@ -62,6 +67,7 @@
 RETRY_AFTER_MS = 1000
 
 _HTTP_ERROR = 500
+_DRAINING = UpstreamState.draining
 
 
 @dataclass(slots=True, eq=False)
@@ -96,6 +102,11 @@
     running: dict[CallId, Job] = field(default_factory=dict)
     service_ms: float = INITIAL_SERVICE_MS
     urgent_at: timedelta | None = None
+    confirmed: bool = True
+
+    def takes_work(self, now: timedelta) -> bool:
+        """Return whether its lease allows new work."""
+        return self.confirmed and self.expires > now
 
 
 class LastHop:
@@ -116,6 +127,8 @@
         self._finished = FinishedJobs()
         self._next_call = 1
         self._newest: dict[DaemonId, tuple[Incarnation, int, StreamId]] = {}
+        self._seen_at: timedelta | None = None
+        self._backlog_until = ZERO
         #: Replies to requests of this daemon's own entrance.
         self.local_replies: list[Message] = []
         #: Whether upstream records changed since they were last announced.
@@ -150,11 +163,14 @@
 
     def announce(self, event: Announced, now: timedelta) -> None:
         """Renew the lease of an upstream and take over its state."""
+        if now < self._backlog_until and event.state is not _DRAINING:
+            return
         known = self.upstreams.get(event.upstream)
         if known is None or known.address != event.address:
             self._add(event, now)
             return
         known.expires = now + ANNOUNCE_LEASE
+        known.confirmed = True
         if known.announced is event.state and known.slots == event.slots:
             return
         known.announced = event.state
@@ -162,6 +178,17 @@
         self._announce_state(known, now)
         self._fill(known, now)
 
+    def notice(self, now: timedelta) -> None:
+        """Distrust all leases after a stall of this process."""
+        stalled = self._seen_at is not None and now - self._seen_at >= STALL
+        self._seen_at = now
+        if not stalled:
+            return
+        self._outbox.emit(Record('stalled'))
+        self._backlog_until = now + STALL_BACKLOG
+        for upstream in self.upstreams.values():
+            upstream.confirmed = False
+
     def stream_opened(
         self, stream: StreamId, daemon: DaemonId, incarnation: int, number: int
     ) -> None:
@@ -190,7 +217,9 @@
         if origin in self._jobs or origin in self._finished:
             return
         upstream = self.upstreams.get(message.upstream)
-        if upstream is None:
+        if upstream is None or not upstream.takes_work(now):
+            # A process that was paused may not have seen that an upstream
+            # is leaving, so the lease is checked here as well.
             self._refuse(origin, stream, Reason.no_upstream)
             return
         admitted = self.verdicts.admits(
@@ -467,6 +496,8 @@
         )
 
     def _fill(self, upstream: Upstream, now: timedelta) -> None:
+        if not upstream.takes_work(now):
+            return
         while upstream.queue and _has_slot(upstream, Priority.waiting, now):
             reserved = not _has_slot(upstream, Priority.internal, now)
             job = upstream.queue.take(reserved=reserved)
@@ -536,6 +567,9 @@
         yield from late
 
     def _end_late(self, job: Job, now: timedelta) -> None:
+        if job.origin not in self._jobs:
+            # Ended meanwhile, when the end of another one freed a slot.
+            return
         if job.call is None:
             self._discard(job)
             self._end(job, _refusal(job, Reason.deadline), now)
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -168,6 +168,7 @@
 
 def reduce(daemon: Daemon, event: Event, now: timedelta) -> list[Effect]:
     """Apply an event at monotonic time ``now`` and return the effects."""
+    daemon.last_hop.notice(now)
     handle(event, daemon, now)
     daemon.settle(now)
     return daemon.outbox.drain()
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -95,10 +95,24 @@
     dead: bool = False
     draining: bool = False
     crash_on: bytes = b'\x00'
+    drains: list[tuple[timedelta, timedelta | None]] = field(
+        default_factory=list
+    )
     runs: list[bytes] = field(default_factory=list)
     started: list[timedelta] = field(default_factory=list)
 
 
+@dataclass
+class Asked:
+    """A caller's request and the process it was sent to."""
+
+    tag: bytes
+    at: timedelta
+    node: str
+    incarnation: Incarnation
+    paused: bool = False
+
+
 @dataclass
 class Pipe:
     """One end of a stream; ``other`` is the end at the peer."""
@@ -194,7 +208,9 @@
         self.log_down = False
         self.lose_append_replies = False
         self.answers: dict[int, Respond] = {}
-        self.asked: dict[int, tuple[bytes, timedelta]] = {}
+        self.asked: dict[int, Asked] = {}
+        self.deadline = ms(2000)
+        self.bundles: dict[tuple[str, int], list[tuple[int, bytes]]] = {}
         self.answered_at: dict[int, timedelta] = {}
         self.exchanges = 0
         self.records: dict[str, list[Record]] = defaultdict(list)
@@ -251,8 +267,11 @@
         headers = [(b'X-Request-Tag', tag)]
         if 'key' in extra:
             headers.append((b'Idempotency-Key', extra['key']))
-        self.asked[exchange] = (tag, self.now)
-        self.nodes[node].submit(
+        known = self.nodes[node]
+        self.asked[exchange] = Asked(
+            tag, self.now, node, known.incarnation, known.paused
+        )
+        known.submit(
             events.CallerRequest(
                 ExchangeId(exchange),
                 method,
@@ -286,7 +305,11 @@
 
     def pause(self, name: str) -> None:
         """Freeze a process; its connections stay open."""
-        self.nodes[name].paused = True
+        node = self.nodes[name]
+        node.paused = True
+        for exchange, asked in self.asked.items():
+            if asked.node == name and exchange not in self.answers:
+                asked.paused = True
 
     def wake(self, name: str) -> None:
         """Let a frozen process go on with what arrived meanwhile."""
@@ -339,10 +362,30 @@
             self._use_log(node, effect)
         elif isinstance(effect, Record):
             self.records[node.name].append(effect)
+            if effect.name == 'bundle-in-force':
+                self._note_bundle(node)
         elif type(effect).__name__ == 'Exit':
             node.exited = True
             self.kill(node.name)
 
+    def _note_bundle(self, node: Node) -> None:
+        accepted = node.daemon.distribution.rollout.accepted
+        if accepted is not None:
+            key = (node.name, node.incarnation)
+            taken = self.bundles.setdefault(key, [])
+            taken.append((accepted.version, accepted.signed.digest))
+
+    def drain(self, upstream: FakeUpstream) -> None:
+        """Let an upstream announce that it is leaving."""
+        upstream.draining = True
+        upstream.drains.append((self.now, None))
+
+    def undrain(self, upstream: FakeUpstream) -> None:
+        """Let a leaving upstream serve again."""
+        upstream.draining = False
+        since, _until = upstream.drains[-1]
+        upstream.drains[-1] = (since, self.now)
+
     def _send(self, pipe: Pipe, message: Message) -> None:
         if pipe.other is None:
             return
--- /dev/null
+++ b/tests/histories.py
@@ -0,0 +1,230 @@
+"""Generated histories of a fleet with failures, and their replay."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from fakes_fleet import BUNDLE, FakeUpstream, started
+from invariants import (
+    bundles_stay,
+    capacity_floor,
+    graceful_stops,
+    leaving_upstreams,
+    prompt_answers,
+    single_writes,
+    true_not_run,
+    whole_answers,
+)
+
+from greengagemux.events import StopRequested
+
+SIZE = 4
+CHECKS = (
+    whole_answers,
+    prompt_answers,
+    true_not_run,
+    single_writes,
+    leaving_upstreams,
+    graceful_stops,
+    bundles_stay,
+)
+
+
+@dataclass(frozen=True)
+class Step:
+    """One action; ``first`` and ``second`` choose what it applies to."""
+
+    action: str
+    first: int
+    second: int
+    wait_ms: int
+
+
+class History:
+    """Replays steps on a fleet and collects violations."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.fleet = started(SIZE, seed, upstreams=2)
+        self.violations: list[str] = []
+        self.count = 0
+        self.version = 1
+
+    def play(self, steps: list[Step]) -> list[str]:
+        """Play all steps, let the fleet settle, return the violations."""
+        for step in steps:
+            ACTIONS[step.action](self, step)
+            self.advance(step.wait_ms)
+        self.settle()
+        for module in CHECKS:
+            name = module.__name__.rpartition('.')[2]
+            self.violations += [
+                f'{name}: {line}' for line in module.check(self.fleet)
+            ]
+        return self.violations
+
+    def advance(self, wait_ms: int) -> None:
+        """Let time pass and look at the floor."""
+        self.fleet.run(wait_ms)
+        for node in self.fleet.nodes.values():
+            if node.alive:
+                self.violations += [
+                    f'capacity_floor: {line}'
+                    for line in capacity_floor.broken(node.daemon)
+                ]
+
+    def settle(self) -> None:
+        """End all faults and wait until every deadline has passed."""
+        for name, node in self.fleet.nodes.items():
+            if node.paused:
+                self.fleet.wake(name)
+        self.fleet.heal()
+        self.advance(4000)
+
+    def node(self, place: int) -> str:
+        """Return the name of a daemon."""
+        return f'd{place % SIZE}'
+
+
+def _ask_reads(history: History, step: Step) -> None:
+    for turn in range(1 + step.second % 6):
+        _ask(history, step.first + turn, b'read', b'/stock/1')
+
+
+def _ask_writes(history: History, step: Step) -> None:
+    for turn in range(1 + step.second % 6):
+        _ask(history, step.first + turn, b'write', b'/intake/1')
+
+
+def _ask(history: History, place: int, kind: bytes, path: bytes) -> None:
+    name = history.node(place)
+    if history.fleet.nodes[name].alive:
+        history.count += 1
+        history.fleet.ask(name, b'%b%d' % (kind, history.count), path)
+
+
+def _kill(history: History, step: Step) -> None:
+    history.fleet.kill(history.node(step.first))
+
+
+def _restart(history: History, step: Step) -> None:
+    node = history.fleet.nodes[history.node(step.first)]
+    if not node.alive:
+        node.start()
+
+
+def _stop(history: History, step: Step) -> None:
+    history.fleet.nodes[history.node(step.first)].submit(StopRequested())
+
+
+def _pause(history: History, step: Step) -> None:
+    history.fleet.pause(history.node(step.first))
+
+
+def _wake(history: History, step: Step) -> None:
+    name = history.node(step.first)
+    if history.fleet.nodes[name].paused:
+        history.fleet.wake(name)
+
+
+def _cut(history: History, step: Step) -> None:
+    first = history.node(step.first)
+    second = history.node(step.second)
+    if first != second:
+        history.fleet.cut(first, second)
+
+
+def _heal(history: History, step: Step) -> None:
+    history.fleet.heal()
+
+
+def _silence(history: History, step: Step) -> None:
+    first = history.node(step.first)
+    second = history.node(step.second)
+    history.fleet.silence(first, second)
+
+
+def _log(history: History, step: Step) -> None:
+    history.fleet.log_down = step.first % 2 == 0
+    history.fleet.lose_append_replies = step.second % 2 == 0
+
+
+def _publish(history: History, step: Step) -> None:
+    """Let two operators race for the successor of a version."""
+    follows = max(1, history.version - step.first % 2)
+    for retries in {step.first % 50, step.second % 50}:
+        text = BUNDLE.replace('version = 1', f'version = {follows + 1}')
+        text = text.replace('follows = 0', f'follows = {follows}')
+        text = text.replace('[service', f'retries_pct = {retries}\n[service')
+        history.fleet.publish(text)
+    history.version = max(history.version, follows + 1)
+
+
+def _sicken(history: History, step: Step) -> None:
+    upstream = _upstream(history, step)
+    upstream.hang = step.second % 5 == 0
+    upstream.wrong = step.second % 5 == 1
+    upstream.status = 500 if step.second % 5 == 2 else 200
+    upstream.service_ms = 200 if step.second % 5 == 3 else 5
+
+
+def _crash(history: History, step: Step) -> None:
+    upstream = _upstream(history, step)
+    for node in history.fleet.nodes.values():
+        if upstream.name in node.upstreams and node.alive:
+            history.fleet.crash(node, upstream)
+
+
+def _revive(history: History, step: Step) -> None:
+    _upstream(history, step).dead = False
+
+
+def _drain(history: History, step: Step) -> None:
+    upstream = _upstream(history, step)
+    if upstream.draining:
+        history.fleet.undrain(upstream)
+    else:
+        history.fleet.drain(upstream)
+
+
+def _upstream(history: History, step: Step) -> FakeUpstream:
+    upstreams = history.fleet.upstreams
+    return upstreams[step.first % len(upstreams)]
+
+
+ACTIONS: dict[str, Callable[[History, Step], None]] = {
+    'ask-reads': _ask_reads,
+    'ask-writes': _ask_writes,
+    'kill': _kill,
+    'restart': _restart,
+    'stop': _stop,
+    'pause': _pause,
+    'wake': _wake,
+    'cut': _cut,
+    'heal': _heal,
+    'silence': _silence,
+    'log': _log,
+    'publish': _publish,
+    'sicken': _sicken,
+    'crash': _crash,
+    'revive': _revive,
+    'drain': _drain,
+}
+
+#: Requests are frequent, so that every fault meets some.
+WEIGHTS = {'ask-reads': 8, 'ask-writes': 10, 'restart': 3, 'heal': 3}
+
+
+def generated(rng: Random, length: int = 30) -> list[Step]:
+    """Return the steps of a random history."""
+    names = list(ACTIONS)
+    weights = [WEIGHTS.get(name, 1) for name in names]
+    chosen = rng.choices(names, weights, k=length)
+    return [
+        Step(
+            action,
+            rng.randrange(100),
+            rng.randrange(100),
+            rng.choice((0, 1, 2, 5, 20, 100, 500, 1500)),
+        )
+        for action in chosen
+    ]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,7 +35,7 @@
     fleet.run(500)
     for exchange in asked:
         assert fleet.outcome(exchange) == 'completed'
-        assert fleet.answers[exchange].body == fleet.asked[exchange][0]
+        assert fleet.answers[exchange].body == fleet.asked[exchange].tag
 
 
 def test_killed_last_hop_read_is_retried() -> None:
@@ -55,7 +55,7 @@
     for upstream in fleet.upstreams:
         upstream.service_ms = 100
     exchange, where = _ask_remote(fleet, b'write', b'/intake/1')
-    tag, asked = fleet.asked[exchange]
+    tag = fleet.asked[exchange].tag
     fleet.kill(where)
     fleet.run(1500)
     assert fleet.outcome(exchange) == 'unknown'
@@ -72,7 +72,7 @@
     fleet.silence('d0', where)
     fleet.run(2000)
     assert fleet.outcome(exchange) == 'completed'
-    assert fleet.runs(fleet.asked[exchange][0]) == 1
+    assert fleet.runs(fleet.asked[exchange].tag) == 1
 
 
 @pytest.mark.parametrize('sends', [True, False])
@@ -90,7 +90,7 @@
     fleet.heal()
     fleet.run(3000)
     for exchange in asked:
-        tag = fleet.asked[exchange][0]
+        tag = fleet.asked[exchange].tag
         assert fleet.runs(tag) <= 1
         assert fleet.outcome(exchange) in {'completed', 'not-run', 'unknown'}
         if fleet.outcome(exchange) == 'not-run':
@@ -187,4 +187,4 @@
     fleet.run(2500)
     for exchange, answer in fleet.answers.items():
         if fleet.outcome(exchange) == 'completed':
-            assert answer.body == fleet.asked[exchange][0]
+            assert answer.body == fleet.asked[exchange].tag
