--- a/greengagemux_standins/announcers.py
+++ b/greengagemux_standins/announcers.py
@@ -7,12 +7,12 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol
 from twisted.internet.task import Cooperator, LoopingCall
 from twisted.web.client import (
     Agent,
     FileBodyProducer,
     HTTPConnectionPool,
-    readBody,
 )
 from twisted.web.http_headers import Headers
 
@@ -30,6 +30,10 @@
 _logger = logging.getLogger(__name__)
 
 
+class _Discard(Protocol):
+    """Reads a body to its end, after which the connection is reused."""
+
+
 class Announcement(msgspec.Struct):
     """Body of ``POST /announce``."""
 
@@ -99,12 +103,12 @@
         asked.addCallback(self._answered)
         asked.addErrback(self._lost)
 
-    def _answered(self, response: Any) -> Deferred[bytes]:
+    def _answered(self, response: Any) -> None:
         if response.code >= OK + 100:
             raise ValueError(f'announce answered with {response.code}')
         self.sent += 1
         self._failing = False
-        return readBody(response)
+        response.deliverBody(_Discard())
 
     def _lost(self, failure: Any) -> None:
         self.failed += 1
--- a/tests/fakes_standins.py
+++ b/tests/fakes_standins.py
@@ -1,9 +1,14 @@
 """In-memory network for tests of the stand-ins and the load tool."""
 
+from datetime import UTC, datetime, timedelta
 from typing import Any
 
 import msgspec
-from twisted.internet.error import ConnectionAborted, ConnectionDone
+from twisted.internet.error import (
+    ConnectionAborted,
+    ConnectionDone,
+    ConnectionRefusedError,
+)
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -76,3 +81,69 @@
         """Exchange JSON and return the decoded answer."""
         self.send(target, method, msgspec.json.encode(shape))
         return msgspec.json.decode(self.answer()[2])
+
+
+class PipeTransport(Transport):
+    """A transport that delivers to its peer in the next turn."""
+
+    def __init__(self, network: MemoryReactorClock) -> None:
+        super().__init__()
+        self.network = network
+        self.peer: Any = None
+
+    def write(self, data: bytes) -> None:
+        if data and not self.disconnected:
+            self.network.callLater(0, self.peer.receive, data)
+
+    def writeSequence(self, data: Any) -> None:
+        self.write(b''.join(data))
+
+    def receive(self, data: bytes) -> None:
+        if not self.disconnected:
+            self.protocol.dataReceived(data)
+
+    def _end(self, reason: Exception) -> None:
+        if not self.disconnected:
+            super()._end(reason)
+            self.network.callLater(0, self.peer._end, reason)
+
+
+class PipeNetwork(MemoryReactorClock):
+    """A network whose connections reach the listeners of the same object."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.listeners: dict[int, Any] = {}
+
+    def listenTCP(self, port: int, factory: Any, *args: Any, **kw: Any) -> Any:
+        port = port or 1 + len(self.listeners)
+        self.listeners[port] = factory
+        return super().listenTCP(port, factory, *args, **kw)
+
+    def connectTCP(
+        self, host: str, port: int, factory: Any, *args: Any, **kw: Any
+    ) -> Any:
+        if port not in self.listeners:
+            refusal = Failure(ConnectionRefusedError())
+            return self.callLater(
+                0, factory.clientConnectionFailed, None, refusal
+            )
+        near, far = PipeTransport(self), PipeTransport(self)
+        near.peer = far
+        far.peer = near
+        far.protocol = self.listeners[port].buildProtocol(None)
+        near.protocol = factory.buildProtocol(None)
+        far.protocol.makeConnection(far)
+        near.protocol.makeConnection(near)
+        return None
+
+    def run(self, seconds: float, step: float = 0.001) -> None:
+        """Advance in small steps, so that each turn is processed."""
+        for _ in range(round(seconds / step)):
+            self.advance(step)
+
+    def wall(self) -> datetime:
+        return datetime(2026, 1, 1, tzinfo=UTC)
+
+    def monotonic(self) -> timedelta:
+        return timedelta(seconds=self.seconds())
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -3,13 +3,13 @@
 from typing import Any
 
 import pytest
-from fakes_standins import Connection
+from fakes_standins import Connection, PipeNetwork
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
 
-from greengagemux_standins import faults
+from greengagemux_standins import faults, servers
 from greengagemux_standins.ledgers import Ledger, WorkKey
 from greengagemux_standins.slots import Capacity, End, Job, SlotPool
 from greengagemux_standins.upstreams import State, Upstream, UpstreamSettings
@@ -295,3 +295,27 @@
     probe.send('/load')
     network.advance(1)
     assert b'"in_flight":1' in probe.answer()[2]
+
+
+def test_announces_each_second_over_the_network() -> None:
+    """A daemon that gets no announcement in 3 s drops the upstream."""
+    network = PipeNetwork()
+    got: list[bytes] = []
+
+    def respond(request: servers.Request) -> None:
+        got.append(servers.body_of(request))
+        servers.reply_json(request, servers.OK, {})
+
+    admin = servers.HttpServer(network, respond)
+    admin.start()
+    stand_in = Upstream(
+        UpstreamSettings('u-1', 'depot', admin_address=admin.address), network
+    )
+    stand_in.start()
+    network.run(3.5, step=0.01)
+    announcement = (
+        b'{"upstream":"u-1","service":"depot","address":"%s",'
+        b'"slots":4,"state":"serving"}' % stand_in.address.encode()
+    )
+    assert set(got) == {announcement}
+    assert len(got) == 4
