--- a/greengagemux/loads.py
+++ b/greengagemux/loads.py
@@ -420,10 +420,15 @@
             raise FailureError(Failure(Step.settings, profile.name, detail))
 
 
-def run_load(plan: Plan, options: LoadOptions) -> Report:
+def run_load(
+    plan: Plan,
+    options: LoadOptions,
+    prepare: Callable[[Any], object] | None = None,
+) -> Report:
     """Run a plan on the reactor of this process and return the report.
 
-    A reactor can run only once in a process.
+    ``prepare`` gets the reactor before it runs. A reactor can run only once
+    in a process. Raises ``FailureError`` if it is stopped before the end.
     """
     from twisted.internet import reactor  # noqa: PLC0415, WPS433
 
@@ -432,11 +437,14 @@
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD)
 
-    run = LoadRun(plan, options, network)
-    finished = run.start()
+    if prepare is not None:
+        prepare(network)
+    finished = LoadRun(plan, options, network).start()
     finished.addCallback(reports.append)
     finished.addBoth(lambda _: network.stop())
     network.run()
+    if not reports:
+        raise FailureError(Failure(Step.call, 'load', 'interrupted'))
     return reports[0]
 
 
--- a/greengagemux_standins/cli.py
+++ b/greengagemux_standins/cli.py
@@ -9,7 +9,10 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
+from greengagemux.loads import load as load_command
+
 from .cutters import LinkOrder, Relay
+from .demos import demo
 from .logstores import LogSettings, LogStore
 from .servers import Network
 from .slots import MS_PER_SECOND, Capacity
@@ -26,6 +29,10 @@
     logging.basicConfig(level=logging.INFO, format='%(asctime)s %(message)s')
 
 
+main.add_command(demo)
+main.add_command(load_command)
+
+
 def _prefixes(
     _context: click.Context, _option: click.Parameter, given: tuple[str, ...]
 ) -> tuple[tuple[str, float], ...]:
--- a/greengagemux_standins/ledgers.py
+++ b/greengagemux_standins/ledgers.py
@@ -42,7 +42,7 @@
 
 
 class LedgerPage(msgspec.Struct):
-    """Answer of ``GET /_ledger``.
+    """Answer of ``GET /_ledger``; ``?runs=0`` leaves out ``runs``.
 
     ``dropped`` counts entries that are missing because of the limit.
     ``after_drain_ms`` is the time between the start of draining and the last
@@ -99,8 +99,8 @@
         self.stopped += 1
         self._run(key).stopped += 1
 
-    def page(self) -> LedgerPage:
-        """Return all counts."""
+    def page(self, with_runs: bool = True) -> LedgerPage:
+        """Return all counts, or the totals only."""
         return LedgerPage(
             upstream=self._upstream,
             started=self.started,
@@ -110,7 +110,7 @@
             after_drain=self.after_drain,
             after_drain_ms=self.after_drain_ms,
             dropped=self.dropped,
-            runs=list(self._runs.values()),
+            runs=list(self._runs.values()) if with_runs else [],
         )
 
     def _run(self, key: WorkKey) -> Run:
--- a/greengagemux_standins/upstreams.py
+++ b/greengagemux_standins/upstreams.py
@@ -215,7 +215,9 @@
         if path == b'/_fault':
             self._serve_fault(request)
         elif path == b'/_ledger':
-            servers.reply_json(request, servers.OK, self.ledger.page())
+            with_runs = servers.query(request, 'runs', 1) > 0
+            page = self.ledger.page(with_runs)
+            servers.reply_json(request, servers.OK, page)
         elif self.pool.pause_left:
             self._network.callLater(
                 self.pool.pause_left, self._respond_if_open, request
