--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -9,11 +9,13 @@
 
 import itertools
 import math
+import statistics
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 from types import MappingProxyType
 
-from .ids import RouteName
+from .ids import RouteName, UpstreamId
 
 
 class SampleKind(Enum):
@@ -68,6 +70,11 @@
 SILENT_TAIL = 0.005
 SILENCE_MIN_MS = 150
 SILENCE_UNKNOWN_MS = 2000
+#: Answers of a route over which an entrance takes the median.
+MEDIAN_WINDOW = 96
+MEDIAN_MIN = 8
+#: New answers of a route after which its medians are taken again.
+MEDIAN_REFRESH = 16
 #: Weights of one sample in the recent and the longer view of expected_ms.
 RECENT_GAIN = 0.2
 LONGER_GAIN = 0.02
@@ -341,3 +348,58 @@
             times.refresh()
             self._routes[route] = times
         return times
+
+
+class _Window:
+    """Latest service times of one route."""
+
+    def __init__(self) -> None:
+        self._latest: deque[tuple[UpstreamId, float]] = deque(
+            maxlen=MEDIAN_WINDOW,
+        )
+        self._medians: dict[UpstreamId, float] = {}
+        self._unread = 0
+
+    def note(self, upstream: UpstreamId, service_ms: float) -> None:
+        """Add an answer."""
+        self._latest.append((upstream, service_ms))
+        self._unread += 1
+        if self._unread >= MEDIAN_REFRESH:
+            self._medians.clear()
+            self._unread = 0
+
+    def median(self, upstream: UpstreamId) -> float:
+        """Return the median over other upstreams, 0 when unknown."""
+        known = self._medians.get(upstream)
+        if known is not None:
+            return known
+        others = [took for source, took in self._latest if source != upstream]
+        median = float(0)
+        if len(others) >= MEDIAN_MIN:
+            median = statistics.median(others)
+            self._medians[upstream] = median
+        return median
+
+
+class ExpectedTimes:
+    """Median service time of each route, kept by an entrance."""
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self._windows: dict[RouteName, _Window] = {}
+
+    def note(
+        self,
+        upstream: UpstreamId,
+        route: RouteName,
+        service_ms: float,
+    ) -> None:
+        """Take in the service time of a successful answer."""
+        if route not in self._windows:
+            self._windows[route] = _Window()
+        self._windows[route].note(upstream, service_ms)
+
+    def expected_ms(self, upstream: UpstreamId, route: RouteName) -> float:
+        """Return the median over other upstreams, 0 when unknown."""
+        window = self._windows.get(route)
+        return window.median(upstream) if window else 0
--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -51,6 +51,8 @@
 PROBE_INTERVAL_SUSPECT = timedelta(milliseconds=500)
 PROBE_INTERVAL_SICK = timedelta(milliseconds=2500)
 PROBE_ROUTE = RouteName('probe')
+#: Interval at which the shell calls ``tick``.
+TICK = timedelta(milliseconds=100)
 #: A gap between two calls beyond a tick by this much is a stall.
 STALL_MARGIN = timedelta(milliseconds=50)
 STALLS_KEPT = 8
@@ -151,7 +153,7 @@
 class Verdicts:
     """Health of all upstreams beside one daemon."""
 
-    def __init__(self, tick: timedelta = timedelta(milliseconds=100)) -> None:
+    def __init__(self, tick: timedelta = TICK) -> None:
         """Expect ``tick`` to be called at this interval."""
         self._cases: dict[UpstreamId, _Case] = {}
         self._rates: dict[ServiceName, ErrorRates] = {}
@@ -224,8 +226,9 @@
         if case is None:
             return []
         sample, paused = self._without_stalls(sample, now)
-        if paused and not _still_silent(case, sample):
-            return []
+        if paused and sample.kind is SampleKind.silent:
+            if sample.service_ms < _silence_limit(case, sample):
+                return []
         troubled = self._troubled.get(case.service, False)
         reading = case.detector.observe(
             sample,
@@ -379,11 +382,8 @@
         return replace(sample, service_ms=rest), paused
 
 
-def _still_silent(case: _Case, sample: Sample) -> bool:
-    if sample.kind is not SampleKind.silent:
-        return True
-    limit = case.detector.silence_limit_ms(sample.route, sample.expected_ms)
-    return sample.service_ms >= limit
+def _silence_limit(case: _Case, sample: Sample) -> float:
+    return case.detector.silence_limit_ms(sample.route, sample.expected_ms)
 
 
 def _may_learn(case: _Case) -> bool:
