Keep evidence flowing from suspects

Cause: at half weight and compared by reported service time, a suspect got so few requests that the decision waited. Hung upstreams need another change.

--- a/greengagemux/choices.py
+++ b/greengagemux/choices.py
@@ -17,7 +17,7 @@
 DRAW_WEIGHTS = MappingProxyType(
     {
         UpstreamState.serving: 1,
-        UpstreamState.suspect: 0.5,
+        UpstreamState.suspect: 0.75,
         UpstreamState.cold: 0.25,
         UpstreamState.probation: 0.25,
         UpstreamState.sick: 0.25,
@@ -259,10 +259,12 @@
     idempotent: bool,
 ) -> Candidate | None:
     best: Candidate | None = None
-    for _ in range(DRAW_LIMIT):
-        drawn = _draw(tier, rng)
-        if drawn is None or not _takes(drawn, excluded, idempotent):
-            continue
+    draws = (_draw(tier, rng, excluded, idempotent) for _ in range(DRAW_LIMIT))
+    for drawn in filter(None, draws):
+        if drawn.state is UpstreamState.suspect and _has_room(drawn):
+            # A suspect is not compared: its reported service time would
+            # keep away the requests that are needed to decide.
+            return drawn
         # Drawing with replacement leaves a costly upstream a small share
         # of the traffic, without which its load could never be refreshed.
         first, best = best, _better(best, drawn)
@@ -271,9 +273,16 @@
     return best or _scan(tier, excluded, idempotent)
 
 
-def _draw(tier: tuple[Candidate, ...], rng: Random) -> Candidate | None:
+def _draw(
+    tier: tuple[Candidate, ...],
+    rng: Random,
+    excluded: Collection[UpstreamId],
+    idempotent: bool,
+) -> Candidate | None:
     drawn = tier[int(rng.random() * len(tier))]
-    return drawn if rng.random() < DRAW_WEIGHTS[drawn.state] else None
+    if rng.random() >= DRAW_WEIGHTS[drawn.state]:
+        return None
+    return drawn if _takes(drawn, excluded, idempotent) else None
 
 
 def _has_room(candidate: Candidate | None) -> bool:
--- a/greengagemux/experiments.py
+++ b/greengagemux/experiments.py
@@ -6,14 +6,16 @@
 ``experiment efficiency`` compares the test with Wald's lower bound.
 """
 
+import itertools
 import json
 import math
 import statistics
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any
 
 import click
@@ -23,24 +25,26 @@
 from .faults import ROUTES, FaultKind
 from .trials import Setup, Tally, Trial
 
-#: Upstreams and slots of the deployments: Agency, Hanbit, Hanbit's dispatch.
-DEPLOYMENTS = ((23, 4), (23, 3), (8, 4), (8, 3))
+_Decorator = Callable[[Any], Any]
+
 #: Requests a second to each upstream.
 RATES = (1, 5, 20)
 OVERLOAD_FACTOR = 2
 #: Targets of the design page for 99 in 100 at 20 requests a second.
 TARGET_RATE = 20
-TARGETS_MS = {
-    FaultKind.hung: 1000,
-    FaultKind.lying: 1000,
-    FaultKind.crashed: 1000,
-    FaultKind.slow10: 1000,
-    FaultKind.errors100: 1000,
-    FaultKind.wrong: 1000,
-    FaultKind.errors20: 3000,
-    FaultKind.slow3: 5000,
-    FaultKind.partition: 2000,
-}
+TARGETS_MS = MappingProxyType(
+    {
+        FaultKind.hung: 1000,
+        FaultKind.lying: 1000,
+        FaultKind.crashed: 1000,
+        FaultKind.slow10: 1000,
+        FaultKind.errors100: 1000,
+        FaultKind.wrong: 1000,
+        FaultKind.errors20: 3000,
+        FaultKind.slow3: 5000,
+        FaultKind.partition: 2000,
+    }
+)
 #: Target for requests hurt at one request a second.
 TARGET_HURT = 5
 _HURT_FAULTS = frozenset(
@@ -140,10 +144,7 @@
         for key in lines[0]
     }
     heads = {key: key for key in widths}
-    return '\n'.join(
-        '  '.join(line[key].rjust(width) for key, width in widths.items())
-        for line in (heads, *lines)
-    )
+    return '\n'.join(_aligned(line, widths) for line in (heads, *lines))
 
 
 def samples_needed(
@@ -239,25 +240,37 @@
     """Measure detection time and false ejections on a fake clock."""
 
 
-_workers = click.option('--workers', default=4, show_default=True)
-_json = click.option('--json', 'json_path', type=click.Path(path_type=Path))
-_false_alarm = click.option('--false-alarm', default=1e-6, show_default=True)
-_miss = click.option('--miss', default=1e-3, show_default=True)
+_common = (
+    click.option('--false-alarm', default=1e-6, show_default=True),
+    click.option('--miss', default=1e-3, show_default=True),
+    click.option('--workers', default=4, show_default=True),
+    click.option('--json', 'json_path', type=click.Path(path_type=Path)),
+)
+
+
+def _with(*options: _Decorator) -> _Decorator:
+    """Apply several click options as one decorator."""
+
+    def decorate(command: Any) -> Any:  # noqa: WPS430
+        for option in reversed(options):
+            command = option(command)
+        return command
+
+    return decorate
 
 
 @experiment.command()
-@click.option('--seeds', default=100, show_default=True)
-@click.option('--upstreams', default=8, show_default=True)
-@click.option('--slots', default=3, show_default=True)
-@click.option('--rate', 'rates', multiple=True, type=float)
-@click.option('--overload', is_flag=True, help='Add twice the capacity.')
-@click.option('--fault', 'faults', multiple=True)
-@click.option('--naive/--no-naive', default=True, show_default=True)
-@click.option('--plot', type=click.Path(path_type=Path))
-@_false_alarm
-@_miss
-@_workers
-@_json
+@_with(
+    click.option('--seeds', default=100, show_default=True),
+    click.option('--upstreams', default=8, show_default=True),
+    click.option('--slots', default=3, show_default=True),
+    click.option('--rate', 'rates', multiple=True, type=float),
+    click.option('--overload', is_flag=True, help='Add twice the capacity.'),
+    click.option('--fault', 'faults', multiple=True),
+    click.option('--naive/--no-naive', default=True, show_default=True),
+    click.option('--plot', type=click.Path(path_type=Path)),
+    *_common,
+)
 def faults(**options: Any) -> None:
     """Give each fault to one upstream and measure the detection."""
     setups = list(_fault_setups(options))
@@ -274,16 +287,15 @@
 
 
 @experiment.command('false-ejections')
-@click.option('--hours', default=1000, show_default=True)
-@click.option('--upstreams', default=8, show_default=True)
-@click.option('--slots', default=3, show_default=True)
-@click.option('--rate', default=float(1), show_default=True)
-@click.option('--first-seed', default=0, show_default=True)
-@click.option('--naive/--no-naive', default=False, show_default=True)
-@_false_alarm
-@_miss
-@_workers
-@_json
+@_with(
+    click.option('--hours', default=1000, show_default=True),
+    click.option('--upstreams', default=8, show_default=True),
+    click.option('--slots', default=3, show_default=True),
+    click.option('--rate', default=float(1), show_default=True),
+    click.option('--first-seed', default=0, show_default=True),
+    click.option('--naive/--no-naive', default=False, show_default=True),
+    *_common,
+)
 def false_ejections(**options: Any) -> None:
     """Disturb healthy services for a number of upstream-hours."""
     run_hours = 0.5
@@ -323,10 +335,7 @@
 
 
 @experiment.command()
-@click.option('--seeds', default=400, show_default=True)
-@_false_alarm
-@_miss
-@_json
+@_with(click.option('--seeds', default=400, show_default=True), *_common)
 def efficiency(**options: Any) -> None:
     """Compare mean samples to detection with Wald's lower bound."""
     rates = ErrorRates(options['false_alarm'], options['miss'])
@@ -340,10 +349,9 @@
         rates.append(OVERLOAD_FACTOR * capacity_rate(slots))
     names = options['faults'] or [each.value for each in FaultKind]
     policies = (False, True) if options['naive'] else (False,)
-    for fault in (FaultKind(name) for name in names):
-        for rate in rates:
-            for naive in policies:
-                yield from _seeded(options, fault, rate, naive)
+    kinds = [FaultKind(name) for name in names]
+    for fault, rate, naive in itertools.product(kinds, rates, policies):
+        yield from _seeded(options, fault, rate, naive)
 
 
 def _seeded(
@@ -370,7 +378,12 @@
 def _write(rows: list[dict[str, Any]], json_path: Path | None) -> None:
     click.echo(text_table(rows))
     if json_path:
-        json_path.write_text(json.dumps(rows, indent=1) + '\n')
+        json_path.write_text(json.dumps(rows, indent=1))
+
+
+def _aligned(line: dict[str, str], widths: dict[str, int]) -> str:
+    cells = (line[key].rjust(width) for key, width in widths.items())
+    return '  '.join(cells)
 
 
 def _cell(cell: object) -> str:
