--- a/greengagemux/gossips.py
+++ b/greengagemux/gossips.py
@@ -13,12 +13,12 @@
 PUSH_PEERS = 4
 #: Peers to which heartbeats and versions are told in one round.
 BEAT_PEERS = 3
-#: Relays of another region to which a relay pushes a changed record.
-CROSS_PEERS = 2
 #: Rounds in which the version of a changed record is mentioned.
 MENTIONS = 4
-#: Rounds for a record that was pulled: others know it already.
-PULLED_MENTIONS = 2
+#: Rounds for records that came in bulk, after a start or a long cut.
+BULK_MENTIONS = 1
+#: Rounds in which a relay mentions a change of its centre to other regions.
+CROSS_MENTIONS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,21 +44,22 @@
         self._beats: dict[DaemonId, None] = {}
         self._cross_beats: dict[DaemonId, None] = {}
         self._mentions: dict[DaemonId, int] = {}
+        self._cross_mentions: dict[DaemonId, int] = {}
 
-    def spread_record(self, entry: Entry, pulled: bool) -> None:
+    def spread_record(self, entry: Entry, lazy: bool, bulk: bool) -> None:
         """Queue a changed record.
 
-        A pulled record is known to others already: its version is enough.
+        The version alone is told of a ``lazy`` one.
         """
         daemon = entry.record.daemon
-        if pulled:
-            self._mentions[daemon] = PULLED_MENTIONS
-            if self._relays_for(entry) is not None:
-                self._cross_beats[daemon] = None
+        self._mentions[daemon] = BULK_MENTIONS if bulk else MENTIONS
+        relaying = self._relays_for(entry) is not None
+        if relaying:
+            self._cross_mentions[daemon] = CROSS_MENTIONS
+        if lazy:
             return
-        self._mentions[daemon] = MENTIONS
         self._push[daemon] = None
-        if self._relays_for(entry) is not None:
+        if relaying:
             self._cross_push[daemon] = None
 
     def spread_beat(self, entry: Entry) -> None:
@@ -81,25 +82,27 @@
         """Send the queued records."""
         if self._push:
             message = deltas(self._entries(self._push), now)
+            peers = self.peers(PUSH_PEERS)
+            if self._id in self._push:
+                # Relays hear changes of their centre first, so that the
+                # other regions do not wait for chance to reach a relay.
+                peers += self._own_relays(peers)
+            out.extend(Directed(peer, message) for peer in peers)
             self._push.clear()
-            for peer in self.peers(PUSH_PEERS):
-                out.append(Directed(peer, message))
         if self._cross_push:
             message = deltas(self._entries(self._cross_push), now)
-            self._cross_push.clear()
-            for relay in self.far_relays(CROSS_PEERS):
+            for relay in self.far_relays():
                 out.append(Directed(relay, message))
+            self._cross_push.clear()
 
     def mention(self, now: timedelta, out: list[Directed]) -> None:
         """Tell the versions of records that changed a short time ago."""
-        if not self._mentions:
-            return
-        self._tell(self._mentions, self.peers(BEAT_PEERS), now, out)
-        self._mentions = {
-            daemon: rounds - 1
-            for daemon, rounds in self._mentions.items()
-            if rounds > 1
-        }
+        if self._mentions:
+            self._tell(self._mentions, self.peers(BEAT_PEERS), now, out)
+            self._mentions = _next_round(self._mentions)
+        if self._cross_mentions:
+            self._tell(self._cross_mentions, self.far_relays(), now, out)
+            self._cross_mentions = _next_round(self._cross_mentions)
 
     def push_beats(self, now: timedelta, out: list[Directed]) -> None:
         """Send the queued heartbeats."""
@@ -107,7 +110,7 @@
             self._tell(self._beats, self.peers(BEAT_PEERS), now, out)
             self._beats.clear()
         if self._cross_beats:
-            self._tell(self._cross_beats, self.far_relays(1), now, out)
+            self._tell(self._cross_beats, self.far_relays(), now, out)
             self._cross_beats.clear()
 
     def _tell(
@@ -131,13 +134,30 @@
         found = self._rng.sample(near, min(count + 1, len(near)))
         return [peer for peer in found if peer != self._id][:count]
 
-    def far_relays(self, count: int) -> list[DaemonId]:
-        """Return random relays of each other region."""
-        found: list[DaemonId] = []
-        for region, relays in self._roster.groups.relays.items():
-            if region != self._region:
-                found += self._rng.sample(relays, min(count, len(relays)))
-        return found
+    def far_relays(self) -> list[DaemonId]:
+        """Return one random relay of each other region."""
+        return [
+            self._rng.choice(relays)
+            for region, relays in self._roster.groups.relays.items()
+            if region != self._region
+        ]
+
+    def _own_relays(self, besides: list[DaemonId]) -> list[DaemonId]:
+        """Return the other relays of the own data centre."""
+        centre = self._own.record.data_centre
+        return [
+            relay
+            for relay in self._roster.groups.relays.get(self._region, ())
+            if relay != self._id
+            and relay not in besides
+            and self._roster.entries[relay].record.data_centre == centre
+        ]
+
+
+def _next_round(mentions: dict[DaemonId, int]) -> dict[DaemonId, int]:
+    return {
+        daemon: rounds - 1 for daemon, rounds in mentions.items() if rounds > 1
+    }
 
 
 def deltas(entries: list[Entry], now: timedelta) -> MemberDeltas:
--- a/greengagemux/members.py
+++ b/greengagemux/members.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -32,9 +33,11 @@
 
 #: Most records in one message.
 RECORD_BATCH = 50
+#: More records than this in one message are not news of the last second.
+BULK_RECORDS = 10
 
 PUSH_EVERY = timedelta(milliseconds=50)
-MENTION_EVERY = timedelta(milliseconds=300)
+MENTION_EVERY = timedelta(milliseconds=200)
 BEAT_EVERY = timedelta(seconds=1)
 REFRESH_EVERY = timedelta(seconds=15)
 EXCHANGE_EVERY = timedelta(seconds=5)
@@ -42,11 +45,22 @@
 #: A member whose heartbeat is this old is asked about.
 OVERDUE = timedelta(seconds=32)
 #: A pull that was not answered is repeated after this time.
-PULL_AGAIN = timedelta(milliseconds=600)
+PULL_AGAIN = timedelta(milliseconds=200)
+#: Most times that a record is asked for before it is told again.
+PULL_LIMIT = 10
 #: Least time between two exchanges because of new streams.
 CONNECT_EXCHANGE_EVERY = timedelta(seconds=1)
 
 
+@dataclass(frozen=True, slots=True)
+class _Pull:
+    """A record asked for; ``peer`` told of it."""
+
+    peer: DaemonId
+    asked: timedelta
+    tries: int = 1
+
+
 class _Timers:
     """Times at which the regular work of a daemon is due."""
 
@@ -76,7 +90,7 @@
         self._roster = Roster()
         self._own = self._roster.put(own, 0, ZERO)
         self._gossip = Gossip(self._own, self._roster, rng)
-        self._asked: dict[DaemonId, timedelta] = {}
+        self._asked: dict[DaemonId, _Pull] = {}
         self._timers = _Timers()
         self._last_exchange: timedelta | None = None
         self._started = False
@@ -159,6 +173,7 @@
             self._gossip.push_records(now, out)
         if self._timers.due(MENTION_EVERY, now):
             self._gossip.mention(now, out)
+            self._pull_again(now, out)
         if self._timers.due(REFRESH_EVERY, now):
             self._own.beat += 1
             self._gossip.spread_beat(self._own)
@@ -182,13 +197,23 @@
         self, message: MemberDeltas, sender: DaemonId, now: timedelta
     ) -> list[Directed]:
         blank = (0,) * len(message.records)
-        for record, beat, age_s in zip(
+        bulk = len(message.records) > BULK_RECORDS
+        told = zip(
             message.records,
             message.beats or blank,
             message.ages_s or blank,
             strict=False,
-        ):
-            self._take_record(record, beat, now - timedelta(seconds=age_s), now)
+        )
+        for record, beat, age_s in told:
+            heard = now - timedelta(seconds=age_s)
+            pulled = self._asked.pop(record.daemon, None) is not None
+            if self._take_record(record, beat, heard, now):
+                # A record that was pulled inside the region is known to
+                # others already, and bulk comes after a start or a cut.
+                near = pulled and self._is_near(sender)
+                self._gossip.spread_record(
+                    self._roster.entries[record.daemon], near or bulk, bulk
+                )
         return []
 
     @_receive.register
@@ -260,20 +285,24 @@
         beat: int,
         heard: timedelta,
         now: timedelta,
-    ) -> None:
-        daemon = record.daemon
-        if daemon == self._id:
+    ) -> bool:
+        """Return whether the record was new."""
+        if record.daemon == self._id:
             self._check_own(record.incarnation, record.sequence, now)
-            return
-        pulled = self._asked.pop(daemon, None) is not None
+            return False
         if now - heard >= EXPIRY:
-            return
-        known = self._roster.entries.get(daemon)
+            return False
+        known = self._roster.entries.get(record.daemon)
         if known is None or known.version < _version(record):
-            entry = self._roster.put(record, beat, heard)
-            self._gossip.spread_record(entry, pulled)
-        elif known.record.incarnation == record.incarnation:
+            self._roster.put(record, beat, heard)
+            return True
+        if known.record.incarnation == record.incarnation:
             self._take_beat(known, beat, heard)
+        return False
+
+    def _is_near(self, daemon: DaemonId) -> bool:
+        peer = self._roster.entries.get(daemon)
+        return peer is None or peer.record.region == self._own.record.region
 
     def _take_beats(
         self, entries: Iterable[DigestEntry], now: timedelta
@@ -319,30 +348,34 @@
     def _announce(self, record: MemberRecord, now: timedelta) -> None:
         self._own.heard = now
         self._roster.put(record, self._own.beat, now)
-        self._gossip.spread_record(self._own, pulled=False)
+        self._gossip.spread_record(self._own, lazy=False, bulk=False)
 
     def _exchange(self, now: timedelta, out: list[Directed]) -> None:
-        for peer in self._gossip.peers(1):
-            out.append(self._summary(peer, now))
-        overdue = tuple(
-            entry.digest(now)
+        out.extend(self._summary(peer, now) for peer in self._gossip.peers(1))
+        overdue = [
+            entry
             for entry in self._roster.entries.values()
             if entry.lost is None and now - entry.heard >= OVERDUE
-        )
-        if overdue:
-            for peer in self._gossip.peers(1):
-                out.append(Directed(peer, MemberDigest(overdue)))
-        self._forget_pulls(now)
+        ]
+        if not overdue:
+            return
+        peers = self._gossip.peers(1)
+        if self._id in self._roster.groups.ranks:
+            # A heartbeat that the link lost is known only beyond it.
+            peers += self._gossip.far_relays()
+        message = MemberDigest(tuple(entry.digest(now) for entry in overdue))
+        out.extend(Directed(peer, message) for peer in peers)
 
     def _relay_exchange(self, now: timedelta, out: list[Directed]) -> None:
         groups = self._roster.groups
         if self._id not in groups.ranks:
             return
-        for relay in self._gossip.far_relays(1):
+        for relay in self._gossip.far_relays():
             out.append(self._summary(relay, now))
-        for region, lost in groups.lost.items():
-            if region != self._region and region not in groups.live:
-                out.append(self._summary(self._rng.choice(lost), now))
+        # The other side of a cut is lost here, and so are dead members: one
+        # of each region is tried, so that the sides meet when the cut ends.
+        for lost in groups.lost.values():
+            out.append(self._summary(self._rng.choice(lost), now))
 
     def _summary(self, peer: DaemonId, now: timedelta) -> Directed:
         self._last_exchange = now
@@ -353,18 +386,30 @@
     ) -> list[Directed]:
         ask: list[DaemonId] = []
         for daemon in wanted:
-            asked = self._asked.get(daemon)
-            if asked is None or now - asked >= PULL_AGAIN:
-                self._asked[daemon] = now
+            pull = self._asked.get(daemon)
+            if pull is None:
                 ask.append(daemon)
+                self._asked[daemon] = _Pull(sender, now)
+            else:
+                # The repetition goes to the peer heard last.
+                self._asked[daemon] = replace(pull, peer=sender)
         return [Directed(sender, MemberPull(tuple(ask)))] if ask else []
 
-    def _forget_pulls(self, now: timedelta) -> None:
-        self._asked = {
-            daemon: asked
-            for daemon, asked in self._asked.items()
-            if now - asked < PULL_AGAIN
-        }
+    def _pull_again(self, now: timedelta, out: list[Directed]) -> None:
+        """Repeat the pulls that were not answered, up to a limit."""
+        again: dict[DaemonId, list[DaemonId]] = {}
+        for daemon, pull in tuple(self._asked.items()):
+            if now - pull.asked < PULL_AGAIN:
+                continue
+            if pull.tries == PULL_LIMIT:
+                self._asked.pop(daemon)
+                continue
+            self._asked[daemon] = _Pull(pull.peer, now, pull.tries + 1)
+            again.setdefault(pull.peer, []).append(daemon)
+        out.extend(
+            Directed(teller, MemberPull(tuple(daemons[:RECORD_BATCH])))
+            for teller, daemons in again.items()
+        )
 
     def _spread_timers(self, now: timedelta) -> None:
         """Start the long periods at random so that daemons do not align."""
@@ -372,10 +417,6 @@
         for every in (REFRESH_EVERY, EXCHANGE_EVERY, RELAY_EXCHANGE_EVERY):
             self._timers.postpone(every, now + every * self._rng.random())
 
-    def __len__(self) -> int:
-        """Return the number of live members."""
-        return len(self._roster.live)
-
 
 def _version(told: MemberRecord | DigestEntry) -> tuple[Incarnation, int]:
     return told.incarnation, told.sequence
