Add convictions of requests that crash upstreams

Suspects carry the identities of their crashes instead of a count, so that two daemons that saw one crash each convict together and a repeated report counts once.

--- a/greengagemux/gossips.py
+++ b/greengagemux/gossips.py
@@ -134,6 +134,15 @@
         found = self._rng.sample(near, min(count + 1, len(near)))
         return [peer for peer in found if peer != self._id][:count]
 
+    def spread(self, origin: bool) -> list[DaemonId]:
+        """Return near peers, and relays where the news has to cross."""
+        found = self.peers(PUSH_PEERS)
+        if origin:
+            found += self._own_relays(found)
+        if self._id in self._roster.groups.ranks:
+            found += self.far_relays()
+        return found
+
     def far_relays(self) -> list[DaemonId]:
         """Return one random relay of each other region."""
         return [
--- a/greengagemux/members.py
+++ b/greengagemux/members.py
@@ -17,7 +17,7 @@
 
 from .clocks import ZERO
 from .gossips import Directed, Gossip, deltas
-from .ids import DaemonId, Incarnation
+from .ids import DaemonId, Incarnation, ServiceName
 from .messages import (
     DigestEntry,
     MemberBeats,
@@ -121,6 +121,14 @@
         """Return the members changed, lost or found since the last call."""
         return self._roster.changes()
 
+    def spread(self, origin: bool) -> list[DaemonId]:
+        """Return the peers to tell news of another subject.
+
+        ``origin`` says that the news arose here; news of peers is passed on
+        in the same way by each daemon to which it is new.
+        """
+        return self._gossip.spread(origin)
+
     def set_own(
         self,
         upstreams: tuple[UpstreamRecord, ...],
@@ -210,7 +218,7 @@
             if self._take_record(record, beat, heard, now):
                 # A record that was pulled inside the region is known to
                 # others already, and bulk comes after a start or a cut.
-                near = pulled and self._is_near(sender)
+                near = pulled and self._roster.is_in(sender, self._own)
                 self._gossip.spread_record(
                     self._roster.entries[record.daemon], near or bulk, bulk
                 )
@@ -300,10 +308,6 @@
             self._take_beat(known, beat, heard)
         return False
 
-    def _is_near(self, daemon: DaemonId) -> bool:
-        peer = self._roster.entries.get(daemon)
-        return peer is None or peer.record.region == self._own.record.region
-
     def _take_beats(
         self, entries: Iterable[DigestEntry], now: timedelta
     ) -> list[DaemonId]:
@@ -418,6 +422,20 @@
             self._timers.postpone(every, now + every * self._rng.random())
 
 
+def having(members: Members, service: ServiceName) -> list[DaemonId]:
+    """Return the other live daemons with upstreams of a service.
+
+    Reports of crashes go to them directly: they would run the request next,
+    and gossip is slower than a caller that sends it again.
+    """
+    return [
+        daemon
+        for daemon, record in members.live().items()
+        if daemon != members.own.daemon
+        and any(upstream.service == service for upstream in record.upstreams)
+    ]
+
+
 def _version(told: MemberRecord | DigestEntry) -> tuple[Incarnation, int]:
     return told.incarnation, told.sequence
 
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -262,15 +262,20 @@
 
 
 class Suspect(Struct, frozen=True, array_like=True):
-    """A request fingerprint that was in flight when an upstream crashed."""
+    """A request fingerprint that was in flight when an upstream crashed.
+
+    ``crashes`` identifies the crashes, so that a crash told twice counts
+    once; ``cleared`` are those after which the request ran to its end.
+    """
 
     fingerprint: int
-    crashes: int
+    crashes: tuple[int, ...]
+    cleared: tuple[int, ...]
     expires_in_ms: int
 
 
 class Suspects(Struct, frozen=True, array_like=True, tag='suspects'):
-    """Suspected and convicted request fingerprints."""
+    """Suspected, convicted and cleared request fingerprints."""
 
     entries: tuple[Suspect, ...]
 
--- a/greengagemux/rosters.py
+++ b/greengagemux/rosters.py
@@ -82,6 +82,11 @@
             self._groups = _Groups(self.entries.values())
         return self._groups
 
+    def is_in(self, daemon: DaemonId, other: Entry) -> bool:
+        """Return whether a daemon is in the region of another one."""
+        known = self.entries.get(daemon)
+        return known is None or known.record.region == other.record.region
+
     def changes(self) -> tuple[DaemonId, ...]:
         """Return the members changed, lost or found since the last call."""
         changed = tuple(self._changed)
--- /dev/null
+++ b/tests/test_convictions.py
@@ -0,0 +1,210 @@
+"""Guards against requests that crash the fleet and innocents that wait."""
+
+import random
+from datetime import timedelta
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagemux import codecs
+from greengagemux.convictions import (
+    CRASH_LIMIT,
+    LIFETIME,
+    SHARED_TERM,
+    Convictions,
+    Verdict,
+    fingerprint,
+)
+from greengagemux.messages import Suspects
+
+_SECOND = timedelta(seconds=1)
+_Step = tuple[str, int, set[int], int]
+#: Times at which a crash was heard of and at which it expires.
+_Times = tuple[timedelta, timedelta]
+_CULPRIT = 99
+_steps = st.lists(
+    st.tuples(
+        st.sampled_from(['crash', 'answer', 'gossip', 'wait']),
+        st.integers(0, 2),
+        st.sets(st.integers(1, 5), min_size=1, max_size=4),
+        st.integers(0, 400),
+    ),
+    max_size=25,
+)
+
+
+class _Naive:
+    """Remembers every crash and answer that reached one daemon."""
+
+    def __init__(self) -> None:
+        self.crashes: dict[int, dict[int, _Times]] = {}
+        self.cleared: dict[int, set[int]] = {}
+
+    def counted(self, subject: int, now: timedelta) -> set[int]:
+        crashes = self.crashes.get(subject, {})
+        if not crashes or now >= max(end for _seen, end in crashes.values()):
+            self.crashes.pop(subject, None)
+            self.cleared.pop(subject, None)
+            return set()
+        return set(crashes) - self.cleared.get(subject, set())
+
+    def check(self, subject: int, now: timedelta) -> Verdict:
+        mine = self.counted(subject, now)
+        if len(self.crashes.get(subject, {})) >= CRASH_LIMIT:
+            return Verdict.convicted
+        if not mine:
+            return Verdict.clear
+        if len(mine) == 1:
+            return Verdict.suspect
+        latest = max(self.crashes[subject][crash][0] for crash in mine)
+        others = [key for key in list(self.crashes) if key != subject]
+        if now - latest >= SHARED_TERM and any(
+            mine <= self.counted(key, now) for key in others
+        ):
+            return Verdict.suspect
+        return Verdict.convicted
+
+    def note(self, message: Suspects, now: timedelta) -> None:
+        for entry in message.entries:
+            self.counted(entry.fingerprint, now)
+            crashes = self.crashes.setdefault(entry.fingerprint, {})
+            end = now + timedelta(milliseconds=entry.expires_in_ms)
+            for crash in entry.crashes:
+                crashes.setdefault(crash, (now, end))
+            known = self.cleared.setdefault(entry.fingerprint, set())
+            known.update(set(entry.cleared) & set(crashes))
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(steps=_steps)
+def test_agrees_with_naive_version(
+    steps: list[_Step],
+) -> None:
+    """Merging, expiry and clearing must not depend on the bookkeeping."""
+    daemons = [Convictions(random.Random(seed)) for seed in range(3)]
+    naive = [_Naive() for _ in daemons]
+    now = _SECOND
+    for kind, index, subjects, wait in steps:
+        one = daemons[index]
+        if kind == 'wait':
+            now += wait * _SECOND
+        elif kind == 'crash':
+            naive[index].note(one.crashed(subjects, now), now)
+        elif kind == 'answer':
+            for subject in subjects:
+                one.started(subject)
+                naive[index].note(one.finished(subject, True, now), now)
+        else:
+            target = (index + 1) % 3
+            message = codecs.decode(codecs.encode(one.snapshot(now)), 'peer')
+            assert isinstance(message, Suspects)
+            daemons[target].merge(message, now)
+            naive[target].note(message, now)
+            assert not daemons[target].merge(message, now).entries
+        for daemon, slow in zip(daemons, naive, strict=True):
+            for subject in range(1, 6):
+                assert daemon.check(subject, now) is slow.check(subject, now)
+
+
+def _everywhere(
+    daemons: list[Convictions], message: Suspects, now: timedelta
+) -> None:
+    for daemon in daemons:
+        daemon.merge(message, now)
+
+
+@pytest.mark.parametrize('gossip', [True, False])
+def test_two_crashes_convict_everywhere(gossip: bool) -> None:
+    """A third upstream must not run a request that crashed two."""
+    rng = random.Random(1)
+    for seed in range(200):
+        daemons = [Convictions(random.Random(seed + n)) for n in range(8)]
+        first = daemons[0].crashed([_CULPRIT, *rng.sample(range(40), 4)], ms(0))
+        if gossip:
+            _everywhere(daemons[1:], first, ms(300))
+            assert daemons[1].check(_CULPRIT, ms(300)) is Verdict.suspect
+            second = daemons[1].crashed([_CULPRIT], ms(400))
+        else:
+            others = rng.sample(range(40, 80), 4)
+            second = daemons[1].crashed([_CULPRIT, *others], ms(100))
+            _everywhere(daemons, first, ms(500))
+        _everywhere(daemons, second, ms(700))
+        verdicts = {daemon.check(_CULPRIT, ms(700)) for daemon in daemons}
+        assert verdicts == {Verdict.convicted}
+        assert daemons[2].check(_CULPRIT, ms(599_000)) is Verdict.convicted
+        assert daemons[2].check(_CULPRIT, ms(1_300_000)) is Verdict.clear
+
+
+def ms(amount: float) -> timedelta:
+    return timedelta(milliseconds=amount)
+
+
+def test_innocent_in_both_crashes_is_refused_for_a_short_time() -> None:
+    """Two requests in the same two crashes must not both be refused long."""
+    one = Convictions(random.Random(0))
+    one.crashed([1, _CULPRIT], ms(0))
+    one.crashed([1, _CULPRIT], ms(100))
+    assert one.check(1, ms(200)) is Verdict.convicted
+    later = ms(100) + SHARED_TERM
+    assert one.check(1, later) is Verdict.suspect
+    one.started(1)
+    assert one.on_trial(1)
+    told = one.finished(1, answered=True, now=later)
+    assert not one.on_trial(1)
+    assert one.check(1, later) is Verdict.clear
+    assert one.check(_CULPRIT, later) is Verdict.convicted
+    other = Convictions(random.Random(1))
+    other.merge(told, later)
+    assert other.check(1, later) is Verdict.clear
+
+
+def test_culprit_tried_first_is_told_from_the_innocent() -> None:
+    """A crash alone must end the ambiguity against the one that ran."""
+    one = Convictions(random.Random(0))
+    one.crashed([1, _CULPRIT], ms(0))
+    one.crashed([1, _CULPRIT], ms(100))
+    one.crashed([_CULPRIT], ms(20_000))
+    assert one.check(_CULPRIT, ms(100_000)) is Verdict.convicted
+    assert one.check(1, ms(100_000)) is Verdict.suspect
+
+
+def test_repeated_reports_do_not_prolong() -> None:
+    """Two daemons that repeat a case must not keep it alive."""
+    one = Convictions(random.Random(0))
+    two = Convictions(random.Random(1))
+    one.crashed([1], ms(0))
+    now = ms(0)
+    while now < LIFETIME:
+        two.merge(one.snapshot(now), now)
+        one.merge(two.snapshot(now), now)
+        now += ms(30_000)
+    assert one.check(1, now + ms(1)) is Verdict.clear
+    assert two.check(1, now + ms(1)) is Verdict.clear
+
+
+def test_size_is_bounded_and_convictions_stay() -> None:
+    """A flood of suspects must not push out a conviction."""
+    one = Convictions(random.Random(0), limit=10)
+    one.crashed([_CULPRIT], ms(0))
+    one.crashed([_CULPRIT], ms(1))
+    for subject in range(50):
+        one.crashed([subject + 100], ms(subject + 2))
+    assert len(one) == 10
+    assert one.check(_CULPRIT, ms(100)) is Verdict.convicted
+
+
+def test_alternating_request_is_refused_in_the_end() -> None:
+    """A request that completes between its crashes must be stopped."""
+    one = Convictions(random.Random(0))
+    for turn in range(CRASH_LIMIT):
+        one.crashed([1], ms(turn))
+        one.finished(1, answered=True, now=ms(turn))
+    assert one.check(1, ms(100)) is Verdict.convicted
+
+
+def test_fingerprint_keeps_parts_apart() -> None:
+    """Bytes moved between target and body must give another request."""
+    assert fingerprint(b'GET', b'/ab', b'c') != fingerprint(
+        b'GET', b'/a', b'bc'
+    )
