--- a/tests/histories.py
+++ b/tests/histories.py
@@ -151,7 +151,7 @@
 def _publish(history: History, step: Step) -> None:
     """Let two operators race for the successor of a version."""
     follows = max(1, history.version - step.first % 2)
-    for retries in {step.first % 50, step.second % 50}:
+    for retries in (step.first % 50, step.second % 50):
         text = BUNDLE.replace('version = 1', f'version = {follows + 1}')
         text = text.replace('follows = 0', f'follows = {follows}')
         text = text.replace('[service', f'retries_pct = {retries}\n[service')
