Run the demonstration with the real commands

Cause: launcher, command line and bundle commands were written against each other's descriptions and did not fit together. Ruled out: keeping a fake bundle module in the command line tests; the real one checks more. Change: launcher uses the options of keygen and sign; the command line imports each tool when it is used; command line tests use real signatures.

--- a/greengagemux/bundlecommands.py
+++ b/greengagemux/bundlecommands.py
@@ -1,6 +1,5 @@
 """Commands that check, sign and publish bundles."""
 
-import importlib
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -8,10 +7,10 @@
 
 import click
 
-from . import commands, httpcalls
+from . import commands, httpcalls, signatures
+from .bundles import BundleError, parse
 from .settings import Address
 
-_BUNDLES_MODULE: Final = 'greengagemux.bundles'
 _STREAM_PATH: Final = '/streams/bundles'
 _PRIVATE_MODE: Final = 0o600
 _PUBLIC_MODE: Final = 0o644
@@ -28,17 +27,12 @@
     """Check, sign and publish bundles."""
 
 
-def _bundles() -> Any:
-    return importlib.import_module(_BUNDLES_MODULE)
-
-
 def _checked(file: Path) -> tuple[str, Any]:
     """Return text and parsed bundle, or end with all problems."""
-    bundles = _bundles()
     text = commands.read_text(file)
     try:
-        return text, bundles.parse(text, str(file))
-    except bundles.BundleError as error:
+        return text, parse(text, str(file))
+    except BundleError as error:
         problems = '\n'.join(str(problem) for problem in error.problems)
         raise click.ClickException(problems) from error
 
@@ -60,7 +54,7 @@
 )
 def keygen(out: Path) -> None:
     """Make a key pair and print the public key for [operators]."""
-    private, public = _bundles().keygen()
+    private, public = signatures.keygen()
     commands.write_new(out, f'{private}\n'.encode(), _PRIVATE_MODE)
     click.echo(public)
 
@@ -79,7 +73,7 @@
     text, _bundle = _checked(file)
     key = commands.read_text(key_file).strip()
     try:
-        record = _bundles().sign(text, operator, key)
+        record = signatures.sign(text, operator, key)
     except ValueError as error:
         # The message may repeat the key, which must not be shown.
         raise click.ClickException(f'{key_file}: no private key') from error
--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -2,6 +2,7 @@
 
 from importlib import import_module, util
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, Final
 
 import click
@@ -10,27 +11,34 @@
 from .settings import Address, Settings, SettingsError, read_settings
 from .timelines import timeline
 
-_LOAD: Final = 'load'
-_LOADS_MODULE: Final = 'greengagemux.loads'
 _DAEMONS_MODULE: Final = 'greengagemux.daemons'
+#: Modules of the tools, imported only when they are used: some need the
+#: packages of the extra ``report``.
+_TOOLS: Final = MappingProxyType(
+    {
+        'convictions': 'greengagemux.crashtrials',
+        'experiment': 'greengagemux.experiments',
+        'load': 'greengagemux.loads',
+        'overload': 'greengagemux.overloads',
+        'slopes': 'greengagemux.slopes',
+    }
+)
 
 
 class _MainGroup(click.Group):
-    """Imports the load tool only when it is used."""
+    """Imports a tool only when it is used."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        names = super().list_commands(ctx)
-        if util.find_spec(_LOADS_MODULE):
-            names = sorted((*names, _LOAD))
-        return names
+        found = [name for name in _TOOLS if util.find_spec(_TOOLS[name])]
+        return sorted((*super().list_commands(ctx), *found))
 
     def get_command(
         self, ctx: click.Context, cmd_name: str
     ) -> click.Command | None:
-        has_loads = util.find_spec(_LOADS_MODULE)
-        if cmd_name != _LOAD or has_loads is None:
+        module = _TOOLS.get(cmd_name)
+        if module is None or util.find_spec(module) is None:
             return super().get_command(ctx, cmd_name)
-        command: click.Command = import_module(_LOADS_MODULE).load
+        command: click.Command = getattr(import_module(module), cmd_name)
         return command
 
 
--- a/greengagemux/distribution.py
+++ b/greengagemux/distribution.py
@@ -8,13 +8,13 @@
 import xxhash
 
 from .bundles import Bundle
+from .chains import Decision
 from .clocks import ZERO
 from .effects import Outbox, Record, Send
 from .events import LogAppended, LogFailed, LogRead
 from .ids import DaemonId, StreamId
 from .messages import BundleFetch, BundleOffer, BundleRecord, MemberRecord
 from .paths import Paths
-from .chains import Decision
 from .rollouts import Rollout
 
 BUNDLES = 'bundles'
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -14,7 +14,7 @@
 from .bundles import Bundle, Route
 from .candidates import Candidates
 from .choices import Pick, UsableView, choose
-from .clocks import ms, in_ms
+from .clocks import in_ms, ms
 from .effects import Outbox, Record, Respond, Send
 from .events import CallerGone, CallerRequest
 from .ids import (
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -7,11 +7,10 @@
 
 import xxhash
 
-
 from .admissions import Queue
 from .answers import FinishedJobs, Origin
 from .bundles import Service
-from .clocks import ZERO, ms, in_ms
+from .clocks import ZERO, in_ms, ms
 from .detectors import ErrorRates, Sample, SampleKind
 from .effects import (
     AbortCall,
--- a/greengagemux/loads.py
+++ b/greengagemux/loads.py
@@ -31,10 +31,10 @@
     Report,
     Result,
     Tally,
-    by_priority,
-    merged,
     as_json,
     as_text,
+    by_priority,
+    merged,
 )
 from .outcomes import Failure, FailureError, Outcome, Step
 
--- a/greengagemux/paths.py
+++ b/greengagemux/paths.py
@@ -7,8 +7,8 @@
 
 from .clocks import ZERO
 from .effects import CloseStream, OpenStream, Outbox, Record, Send
-from .ids import DaemonId, Incarnation, StreamId
 from .events import StreamOpened
+from .ids import DaemonId, Incarnation, StreamId
 from .messages import Message, Ping
 
 #: A stream with waiting requests is checked after this much silence.
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+from twisted.internet.error import ConnectionRefusedError as PeerRefusedError
 from twisted.internet.interfaces import (
     IAddress,
     IPushProducer,
 )
-from twisted.internet.error import ConnectionRefusedError as PeerRefusedError
 from twisted.internet.protocol import (
     ClientFactory,
     Factory,
--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -13,13 +13,13 @@
 
 from .clocks import MILLISECOND, ZERO, ms
 from .detectors import (
+    HEALTHY_SHARES,
+    KEPT_SILENT_SHARE,
     Detector,
     ErrorRates,
     Reading,
     Sample,
     SampleKind,
-    HEALTHY_SHARES,
-    KEPT_SILENT_SHARE,
 )
 from .ids import RouteName, ServiceName, UpstreamId
 from .messages import UpstreamState
--- a/greengagemux/views.py
+++ b/greengagemux/views.py
@@ -4,11 +4,11 @@
 from typing import Any
 
 from .administration import BundleView, RejectedRecord
+from .chains import RecordOutcome
 from .clocks import in_ms
 from .lasthops import Upstream
 from .paths import Path
 from .reducers import Daemon
-from .chains import RecordOutcome
 
 _HARMLESS = frozenset(
     (RecordOutcome.accepted, RecordOutcome.repeated, RecordOutcome.held)
--- a/greengagemux_standins/fleets.py
+++ b/greengagemux_standins/fleets.py
@@ -47,11 +47,11 @@
     )  # fmt: skip
     keygen: tuple[str, ...] = (
         '-m', 'greengagemux', 'bundle', 'keygen',
-        '--private', '{private}', '--public', '{public}',
+        '--out', '{private}',
     )  # fmt: skip
     sign: tuple[str, ...] = (
         '-m', 'greengagemux', 'bundle', 'sign', '--operator', '{operator}',
-        '--key', '{private}', '--output', '{signed}', '{bundle}',
+        '--key-file', '{private}', '--out', '{signed}', '{bundle}',
     )  # fmt: skip
     publish: tuple[str, ...] = (
         '-m', 'greengagemux', 'bundle', 'publish', '--log', '{log}',
@@ -361,15 +361,14 @@
         self._wait('log', f'{self.layout.log_url}/streams/bundles')
 
     def _make_keys(self) -> str:
-        names = {'private': 'operator.key', 'public': 'operator.pub'}
-        for name in names.values():
-            self._path(name).unlink(missing_ok=True)
-        self._run('keygen', self._filled(self.commands.keygen, **names))
-        return self._path('operator.pub').read_text().strip()
+        self._path('operator.key').unlink(missing_ok=True)
+        keygen = self._filled(self.commands.keygen, private='operator.key')
+        return self.processes.run('keygen', keygen, _COMMAND_LIMIT_S).strip()
 
     def _publish(self) -> None:
         text = self.layout.deployment.bundle_path.read_text()
         self._path('bundle.ini').write_text(text)
+        self._path('bundle.signed').unlink(missing_ok=True)
         names = {
             'private': 'operator.key',
             'bundle': 'bundle.ini',
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,8 +14,9 @@
 
 from greengagemux import bundlecommands
 from greengagemux.cli import main
+from greengagemux.signatures import open_record
 
-_KEY = 'cd' * 32
+_KEY = 'cd' * 31
 _SETTINGS = """
 [daemon]
 id = d-1
@@ -82,29 +83,10 @@
     peer.stop()
 
 
-class _BundleError(Exception):
-    def __init__(self, problems: tuple[str, ...]) -> None:
-        self.problems = problems
-
-
-@pytest.fixture(autouse=True)
-def _bundles(monkeypatch: pytest.MonkeyPatch) -> None:
-    def parse(text: str, source: str) -> object:
-        if 'version' not in text:
-            raise _BundleError((f'{source}: no version', 'no follows'))
-        return object()
-
-    def sign(text: str, operator: str, private_key: str) -> bytes:
-        if private_key != _KEY:
-            raise ValueError(private_key)
-        return f'{operator}:{text}'.encode()
-
-    fake: Any = ModuleType('greengagemux.bundles')
-    fake.parse = parse
-    fake.sign = sign
-    fake.keygen = lambda: (_KEY, 'public')
-    fake.BundleError = _BundleError
-    monkeypatch.setitem(sys.modules, fake.__name__, fake)
+_BUNDLE = """[bundle]
+version = 1
+follows = 0
+"""
 
 
 def _run(*words: object) -> Result:
@@ -164,22 +146,26 @@
     key = tmp_path / 'key'
     record = tmp_path / 'record'
     made = _run('bundle', 'keygen', '--out', key)
-    assert made.stdout == 'public\n'
     assert key.stat().st_mode & 0o777 == 0o600
     assert _run('bundle', 'keygen', '--out', key).exit_code == 1
     sign = ('bundle', 'sign', text, '--operator', 'alice', '--key-file')
-    text.write_text('')
+    text.write_text('[bundle]\nversion = x\n')
     found = _run(*sign, key, '--out', record)
     assert found.exit_code == 1
-    assert 'no version\nno follows' in found.stderr
+    assert 'version' in found.stderr
+    assert 'follows' in found.stderr
     assert _run('bundle', 'check', text).exit_code == 1
-    text.write_text('version')
-    found = _run(*sign, text, '--out', record)
+    text.write_text(_BUNDLE)
+    bad_key = tmp_path / 'bad-key'
+    bad_key.write_text(_KEY)
+    found = _run(*sign, bad_key, '--out', record)
     assert found.exit_code == 1
     assert _KEY not in found.output
     assert not record.exists()
     assert _run(*sign, key, '--out', record).exit_code == 0
-    assert record.read_bytes() == b'alice:version'
+    keys = {'alice': made.stdout.strip()}
+    opened = open_record(record.read_bytes(), keys)
+    assert (opened.text, opened.operator) == (_BUNDLE, 'alice')
 
 
 def test_publish_repeats_a_lost_reply(tmp_path: Path, peer: _Peer) -> None:
