Convict requests that crash upstreams, fleet-wide

Cause: a request that crashes whatever runs it was sent to one upstream after another by retries and by its caller. Ruled out: waiting for the next announcement to notice a crash; the retry of the entrance arrives sooner. Refusing suspects outright; innocents that ran at the same time would be refused too. Change: a reset call makes all requests in flight there suspects; entrances are told before their refusal and pass it on before the retry; suspects run alone, and two crashes convict. Figures: fake fleet of 6 daemons, 30 tries of the request with 3 innocents each: at most 2 upstreams crashed, all innocents completed.

--- /dev/null
+++ b/greengagemux/crashes.py
@@ -0,0 +1,106 @@
+"""Crashes of upstreams beside this daemon and what is told of them."""
+
+from collections.abc import Collection, Iterable, Mapping
+from datetime import timedelta
+from random import Random
+
+from .choices import UsableView
+from .convictions import Convictions
+from .effects import Outbox, Record, Send
+from .ids import DaemonId, ServiceName, StreamId
+from .messages import Suspects
+from .paths import Paths
+
+#: Calls that are reset this soon after one another belong to one crash.
+CRASH_WINDOW = timedelta(milliseconds=100)
+#: Peers that are told what was new, besides the daemons of the service.
+GOSSIP_PEERS = 3
+
+
+class CrashReports:
+    """Spreads suspicion to the daemons that could run the request next."""
+
+    def __init__(
+        self,
+        convictions: Convictions,
+        paths: Paths,
+        outbox: Outbox,
+        rng: Random,
+    ) -> None:
+        """Report through the streams of ``paths``."""
+        self.convictions = convictions
+        self._paths = paths
+        self._outbox = outbox
+        self._rng = rng
+        self._peers: Collection[DaemonId] = ()
+        self._views: Mapping[ServiceName, UsableView] = {}
+
+    def configure(
+        self,
+        peers: Collection[DaemonId],
+        views: Mapping[ServiceName, UsableView],
+    ) -> None:
+        """Take over who the members are and where services run."""
+        self._peers = peers
+        self._views = views
+
+    def crashed(
+        self,
+        service: ServiceName,
+        in_flight: Iterable[int],
+        waiting: Iterable[StreamId | None],
+        now: timedelta,
+    ) -> None:
+        """Suspect the requests in flight at a crash and tell others.
+
+        The entrances in ``waiting`` are told on the stream on which their
+        refusal follows, so that they know before they retry.
+        """
+        told = self.convictions.crashed(in_flight, now)
+        self._outbox.emit(
+            Record(
+                'upstream-crashed',
+                {
+                    'service': service,
+                    'suspects': [
+                        f'{entry.fingerprint:016x}' for entry in told.entries
+                    ],
+                },
+            )
+        )
+        for stream in set(waiting):
+            if stream is not None:
+                self._outbox.emit(Send(stream, told))
+        self.tell(service, told)
+
+    def tell(self, service: ServiceName, told: Suspects) -> None:
+        """Tell the daemons beside upstreams of a service, and a few more."""
+        if not told.entries:
+            return
+        view = self._views.get(service)
+        nearby: set[DaemonId] = set()
+        if view is not None:
+            nearby.update(each.daemon for each in view.candidates.values())
+        for daemon in sorted(nearby):
+            self._paths.send(daemon, told)
+        self._gossip(told)
+
+    def received(self, message: Suspects, now: timedelta) -> None:
+        """Take over what a peer tells and pass on what was new."""
+        fresh = self.convictions.merge(message, now)
+        if fresh.entries:
+            self._gossip(fresh)
+
+    def connected(self, stream: StreamId, now: timedelta) -> None:
+        """Tell a peer on a new stream all that is known."""
+        known = self.convictions.snapshot(now)
+        if known.entries:
+            self._outbox.emit(Send(stream, known))
+
+    def _gossip(self, told: Suspects) -> None:
+        peers = [
+            daemon for daemon in self._peers if self._paths.connected(daemon)
+        ]
+        count = min(GOSSIP_PEERS, len(peers))
+        for daemon in self._rng.sample(peers, count):
+            self._paths.send(daemon, told)
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -289,6 +289,10 @@
         if path.waiting == 1:
             # Silence is measured from the moment an answer is expected.
             path.received_at = now
+        hint = self._last_hop.hint(message, now)
+        if hint.entries:
+            # On the same stream, the hint arrives before the request.
+            self._outbox.emit(Send(path.stream, hint))
         self._outbox.emit(Send(path.stream, message))
 
     def _origin(self, attempt: Attempt) -> Origin:
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -1,5 +1,6 @@
 """Lifecycle of requests at the last hop, beside their upstreams."""
 
+from collections import deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -11,6 +12,8 @@
 from .answers import FinishedJobs, Origin
 from .bundles import Service
 from .clocks import ZERO, in_ms, ms
+from .convictions import Verdict, fingerprint
+from .crashes import CRASH_WINDOW, CrashReports
 from .detectors import ErrorRates, Sample, SampleKind
 from .effects import (
     AbortCall,
@@ -39,6 +42,7 @@
     Priority,
     Refusal,
     Running,
+    Suspects,
     UpstreamRecord,
     UpstreamState,
 )
@@ -80,6 +84,8 @@
     deadline: timedelta
     priority: Priority
     size_bytes: int
+    fingerprint: int
+    alone: bool = False
     call: CallId | None = None
     started: timedelta = ZERO
     fresh: bool = False
@@ -102,6 +108,15 @@
     service_ms: float = INITIAL_SERVICE_MS
     urgent_at: timedelta | None = None
     confirmed: bool = True
+    crashed_at: timedelta | None = None
+    trials: deque[Job] = field(default_factory=deque)
+
+    @property
+    def on_trial(self) -> bool:
+        """Whether a suspected request waits to run or runs alone."""
+        if self.trials:
+            return True
+        return any(job.alone for job in self.running.values())
 
     def takes_work(self, now: timedelta) -> bool:
         """Return whether its lease allows new work."""
@@ -112,13 +127,19 @@
     """Owns the upstreams beside this daemon and the requests they run."""
 
     def __init__(
-        self, own: DaemonId, outbox: Outbox, verdicts: Verdicts
+        self,
+        own: DaemonId,
+        outbox: Outbox,
+        verdicts: Verdicts,
+        crashes: CrashReports,
     ) -> None:
         """Start with no upstream announced."""
         self._own = own
         self._outbox = outbox
         #: Health of the upstreams beside this daemon.
         self.verdicts = verdicts
+        self._crashes = crashes
+        self._convictions = crashes.convictions
         self._services: Mapping[ServiceName, Service] = {}
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self._jobs: dict[Origin, Job] = {}
@@ -233,8 +254,18 @@
             self._refuse(origin, stream, reason, upstream)
             return
         job = _job(origin, stream, message, now)
+        verdict = self._convictions.check(job.fingerprint, now)
+        if verdict is Verdict.convicted:
+            self._refuse(origin, stream, Reason.crashes_upstreams, upstream)
+            return
+        job.alone = verdict is Verdict.suspect
         self._admit(upstream, job, now)
 
+    def hint(self, message: Dispatch, now: timedelta) -> Suspects:
+        """Return what is known of a request that another daemon will run."""
+        subject = fingerprint(message.method, message.target, message.body)
+        return self._convictions.hint(subject, now)
+
     def cancel(self, origin: Origin, now: timedelta) -> None:
         """Stop a request whose caller no longer waits.
 
@@ -270,6 +301,10 @@
         upstream = self.upstreams[job.dispatch.upstream]
         service_ms = in_ms(now - job.started)
         self._release(job, upstream)
+        self._crashes.tell(
+            upstream.service,
+            self._convictions.finished(job.fingerprint, answered=True, now=now),
+        )
         if job.fresh and job.silent:
             # The kept connections have gone silent and new ones work.
             self._outbox.emit(DropConnections(upstream.address))
@@ -305,6 +340,9 @@
             return
         upstream = self.upstreams[job.dispatch.upstream]
         self._release(job, upstream)
+        if event.fault is CallFault.reset and event.sent:
+            self._note_crash(upstream, job, now)
+        self._convictions.finished(job.fingerprint, answered=False, now=now)
         kind = _FAULT_SAMPLES.get(event.fault)
         if kind is not None:
             self._observe(job, kind, now)
@@ -415,6 +453,7 @@
             return
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
+        self._convictions.finished(job.fingerprint, answered=False, now=now)
         job.fresh = True
         self._start(upstream, job, now)
 
@@ -450,6 +489,10 @@
         self._jobs[job.origin] = job
         if job.priority is not Priority.internal:
             upstream.urgent_at = now
+        if job.alone:
+            upstream.trials.append(job)
+            self._fill(upstream, now)
+            return
         if not upstream.queue and _has_slot(upstream, job.priority, now):
             self._start(upstream, job, now)
             return
@@ -466,6 +509,7 @@
         job.started = now
         upstream.running[call] = job
         self._calls[call] = job
+        self._convictions.started(job.fingerprint)
         message = job.dispatch
         remaining_ms = max(1, int(in_ms(job.deadline - now)))
         identity = f'{job.origin.daemon}/{job.origin.incarnation}'
@@ -497,6 +541,9 @@
     def _fill(self, upstream: Upstream, now: timedelta) -> None:
         if not upstream.takes_work(now):
             return
+        if upstream.trials:
+            self._try_alone(upstream, now)
+            return
         while upstream.queue and _has_slot(upstream, Priority.waiting, now):
             reserved = not _has_slot(upstream, Priority.internal, now)
             job = upstream.queue.take(reserved=reserved)
@@ -507,11 +554,43 @@
                 continue
             self._start(upstream, job, now)
 
+    def _try_alone(self, upstream: Upstream, now: timedelta) -> None:
+        """Run a suspected request when nothing else runs there.
+
+        Should it crash the upstream again, no innocent request is hit, and
+        the crash proves what caused it.
+        """
+        job = upstream.trials[0]
+        if upstream.running or self._convictions.on_trial(job.fingerprint):
+            return
+        upstream.trials.popleft()
+        verdict = self._convictions.check(job.fingerprint, now)
+        if verdict is Verdict.convicted:
+            self._end(job, _refusal(job, Reason.crashes_upstreams), now)
+            self._fill(upstream, now)
+        else:
+            self._start(upstream, job, now)
+
+    def _note_crash(self, upstream: Upstream, job: Job, now: timedelta) -> None:
+        """Suspect all requests that ran when a connection was reset."""
+        last = upstream.crashed_at
+        if last is not None and now - last < CRASH_WINDOW:
+            return
+        upstream.crashed_at = now
+        hit = [job, *upstream.running.values()]
+        self._crashes.crashed(
+            upstream.service,
+            [each.fingerprint for each in hit],
+            [each.stream for each in hit],
+            now,
+        )
+
     def _release(self, job: Job, upstream: Upstream) -> None:
         if job.call is None:
             return
         self._calls.pop(job.call, None)
         upstream.running.pop(job.call, None)
+        job.call = None
 
     def _end(self, job: Job, message: Answer | Refusal, now: timedelta) -> None:
         self._jobs.pop(job.origin, None)
@@ -547,16 +626,24 @@
             job = upstream.queue.take()
             if job is not None:
                 self._end(job, _refusal(job, reason), now)
+        while upstream.trials:
+            tried = upstream.trials.popleft()
+            self._end(tried, _refusal(tried, reason), now)
 
     def _discard(self, job: Job) -> None:
         upstream = self.upstreams.get(job.dispatch.upstream)
-        if upstream is not None:
+        if upstream is None:
+            return
+        if job.alone:
+            upstream.trials.remove(job)
+        else:
             upstream.queue.discard(job)
 
     def _abort(self, job: Job, reason: Reason, now: timedelta) -> None:
         upstream = self.upstreams[job.dispatch.upstream]
         if job.call is not None:
             self._outbox.emit(AbortCall(job.call))
+            self._convictions.finished(job.fingerprint, answered=False, now=now)
         self._release(job, upstream)
         self._end(job, _unknown(job, reason, ''), now)
         self._fill(upstream, now)
@@ -617,10 +704,13 @@
         deadline=now + ms(message.remaining_ms),
         priority=message.priority,
         size_bytes=len(message.body) + len(message.target),
+        fingerprint=fingerprint(message.method, message.target, message.body),
     )
 
 
 def _has_slot(upstream: Upstream, priority: Priority, now: timedelta) -> bool:
+    if upstream.on_trial:
+        return False
     free = upstream.slots - len(upstream.running)
     if priority is not Priority.internal:
         return free > 0
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -8,6 +8,8 @@
 
 from .answers import Origin
 from .clocks import ZERO
+from .convictions import Convictions
+from .crashes import CrashReports
 from .distribution import Distribution
 from .effects import CloseStream, Effect, Exit, OpenStream, Outbox, Record, Send
 from .entrances import Entrance
@@ -52,6 +54,7 @@
     Pong,
     Refusal,
     Running,
+    Suspects,
 )
 from .paths import Paths
 from .rollouts import Rollout
@@ -90,7 +93,12 @@
         self.own = own
         self.outbox = Outbox()
         self.paths = Paths(self.outbox, rng)
-        self.last_hop = LastHop(own.daemon, self.outbox, Verdicts(TICK))
+        self.crashes = CrashReports(
+            Convictions(rng), self.paths, self.outbox, rng
+        )
+        self.last_hop = LastHop(
+            own.daemon, self.outbox, Verdicts(TICK), self.crashes
+        )
         self.entrance = Entrance(
             own, self.last_hop, self.paths, self.outbox, rng
         )
@@ -150,6 +158,7 @@
             if daemon not in live:
                 self.paths.forget(daemon)
         self.entrance.members_changed(live, changed, now)
+        self.crashes.configure(live, self.entrance.views)
         own = {each.service for each in self.last_hop.upstreams.values()}
         for service in own:
             self._note_peers(service)
@@ -226,6 +235,7 @@
         daemon.entrance.path_opened(path, now)
     daemon.send_all(daemon.members.connected(hello.daemon, now), now)
     daemon.distribution.connected(event.stream)
+    daemon.crashes.connected(event.stream, now)
 
 
 @handle.register
@@ -379,6 +389,13 @@
     daemon.send_all(replies, now)
 
 
+@receive.register
+def _suspects(
+    message: Suspects, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    daemon.crashes.received(message, now)
+
+
 @receive.register(BundleOffer)
 @receive.register(BundleFetch)
 @receive.register(BundleRecord)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -188,3 +188,50 @@
     for exchange, answer in fleet.answers.items():
         if fleet.outcome(exchange) == 'completed':
             assert answer.body == fleet.asked[exchange].tag
+
+
+def test_crashing_request_is_convicted_after_two_crashes() -> None:
+    """A request that crashes upstreams must not take down the service."""
+    fleet = started(6)
+    for upstream in fleet.upstreams:
+        upstream.crash_on = b'poison'
+        upstream.service_ms = 30
+    for turn in range(240):
+        # Entrances earn their retries from ordinary requests.
+        fleet.ask(f'd{turn % 6}', b'warm%d' % turn)
+        fleet.run(5)
+    for turn in range(30):
+        name = f'd{turn % 6}'
+        fleet.ask(name, b'poison', b'/stock/poison')
+        for number in range(3):
+            path = b'/stock/%d-%d' % (turn, number)
+            fleet.ask(name, b'ok%d-%d' % (turn, number), path)
+        fleet.run(40)
+    fleet.run(2500)
+    assert sum(upstream.dead for upstream in fleet.upstreams) <= 2
+    refused = [
+        exchange
+        for exchange, asked in fleet.asked.items()
+        if asked.tag == b'poison'
+        and fleet.reason(exchange) == 'crashes-upstreams'
+    ]
+    assert len(refused) >= 25
+    for exchange, asked in fleet.asked.items():
+        if asked.tag != b'poison':
+            assert fleet.outcome(exchange) == 'completed'
+
+
+def test_restarted_upstream_clears_its_innocent_requests() -> None:
+    """A request hit by somebody's crash must not be refused for it."""
+    fleet = started(4)
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 100
+    exchange, where = _ask_remote(fleet, b'read', b'/stock/shared')
+    node = fleet.nodes[where]
+    for upstream in node.upstreams.values():
+        fleet.crash(node, upstream)
+    fleet.run(1000)
+    assert fleet.outcome(exchange) == 'completed'
+    again = fleet.ask('d0', b'again', b'/stock/shared')
+    fleet.run(500)
+    assert fleet.outcome(again) == 'completed'
