Fix connection limit, silence, flapping and abandoned requests

The connection limit reset established connections, silent connections ended at the idle timeout, flapping changed only with the next request, and a request that was abandoned while it waited for a connection was sent later.

--- a/greengagemux/loadclients.py
+++ b/greengagemux/loadclients.py
@@ -64,6 +64,11 @@
         self.connection: Connection | None = None
         self._done: Done | None = done
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the answer was delivered or is no longer wanted."""
+        return self._done is None
+
     def end(self, answer: Answer | Lost) -> None:
         """Deliver the answer; later calls have no effect."""
         done = self._done
@@ -190,10 +195,13 @@
 
     def freed(self, connection: Connection) -> None:
         """Use a connection whose exchange has ended."""
-        if self._waiting:
-            connection.ask(self._waiting.pop(0))
-        else:
-            self._idle.append(connection)
+        while self._waiting:
+            exchange = self._waiting.pop(0)
+            # An abandoned request must not run after its caller gave up.
+            if not exchange.is_over:
+                connection.ask(exchange)
+                return
+        self._idle.append(connection)
 
     def closed(self, connection: Connection) -> None:
         """Forget a connection."""
--- a/greengagemux_standins/servers.py
+++ b/greengagemux_standins/servers.py
@@ -77,6 +77,8 @@
         """Register the connection with its site."""
         cast('Any', super()).connectionMade()
         self.factory.channels.add(self)
+        if self.factory.over_limit:
+            abort(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Remove the connection from its site."""
@@ -124,15 +126,23 @@
 
 
 class _Site(server.Site):
-    """A site that knows its connections."""
+    """A site that knows its connections and limits their number."""
 
     protocol: Any = Channel
 
-    def __init__(self, respond: Respond, network: Network) -> None:
+    def __init__(
+        self, respond: Respond, network: Network, connection_limit: int
+    ) -> None:
         cast('Any', super()).__init__(
             _Leaf(respond), reactor=network, parsePOSTFormSubmission=False
         )
         self.channels: set[Channel] = set()
+        self._connection_limit = connection_limit
+
+    @property
+    def over_limit(self) -> bool:
+        """Whether more connections are open than are allowed."""
+        return 0 < self._connection_limit < len(self.channels)
 
 
 class HttpServer:
@@ -148,11 +158,13 @@
         port: int = 0,
         connection_limit: int = 0,
     ) -> None:
-        """Serve by ``respond``; a limit of 0 allows any number of callers."""
+        """Serve by ``respond``; a connection above the limit is reset.
+
+        A limit of 0 allows any number.
+        """
         self._network = network
         self._port = port
-        self._site = _Site(respond, network)
-        self._limit = connection_limit
+        self._site = _Site(respond, network, connection_limit)
         self._listener: Any = None
 
     @property
@@ -170,11 +182,6 @@
         """Number of open connections."""
         return len(self._site.channels)
 
-    @property
-    def over_limit(self) -> bool:
-        """Whether more connections are open than are allowed."""
-        return 0 < self._limit < self.connections
-
     def start(self) -> None:
         """Begin to listen; raises ``CannotListenError``."""
         self._listener = self._network.listenTCP(
@@ -196,6 +203,8 @@
         """Make all open connections silent and return their number."""
         for channel in self._site.channels:
             channel.silent = True
+            # The idle timeout would reset the connection after a minute.
+            cast('Any', channel).setTimeout(None)
         return self.connections
 
     def reset(self) -> int:
--- a/greengagemux_standins/upstreams.py
+++ b/greengagemux_standins/upstreams.py
@@ -110,7 +110,6 @@
         self._drain_since: float | None = None
         self._report: dict[str, object] = {}
         self._report_at = float('-inf')
-        self._seen: set[int] = set()
         self.drained: Deferred[None] = Deferred()
         self._announcer: Announcer | None = None
         if settings.admin_address:
@@ -175,7 +174,7 @@
         """Replace the standing faults and take the actions of an order."""
         self._faults = standing(order)
         self._faults_since = self._network.seconds()
-        self._apply_faults()
+        self._flap(self._faults)
         if order.pause_ms:
             self.pool.pause(order.pause_ms)
         if order.silent:
@@ -210,6 +209,15 @@
         self.pool.slow = faults.slow
         self.pool.hang(faults.hang)
 
+    def _flap(self, faults: Faults) -> None:
+        """Apply faults now and at each change of their phase."""
+        if faults is not self._faults:
+            return
+        self._apply_faults()
+        if faults.flap_period_ms:
+            half_s = faults.flap_period_ms / 2 / MS_PER_SECOND
+            self._network.callLater(half_s, self._flap, faults)
+
     def _respond(self, request: servers.Request) -> None:
         path = request.path
         if path == b'/_fault':
@@ -284,9 +292,6 @@
     def _serve_work(self, request: servers.Request) -> None:
         self._apply_faults()
         self._charge_connection(request)
-        if self._server.over_limit:
-            servers.abort(request.channel)
-            return
         body = servers.body_of(request)
         work = _Work(request, _key_of(request, body), self.faults, 0)
         work.dice = self._rng.random()
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -7,7 +7,7 @@
 from fakes_standins import PipeNetwork
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from greengagemux.loadclients import Answer, Connection, Exchange, Lost, Pool
 from greengagemux.loadplans import ArrivalKind, arrivals, parse_plan
@@ -272,6 +272,18 @@
     assert got == [Lost.refused, Lost.connection, Lost.connection]
 
 
+def test_abandoned_request_is_not_sent_later() -> None:
+    """A request may not run after its caller gave up waiting."""
+    pool = Pool('127.0.0.1:1', MemoryReactorClock())
+    given_up = Exchange(b'old', False, bool)
+    pool.ask(given_up)
+    given_up.abandon()
+    pool.ask(Exchange(b'new', False, bool))
+    connection, transport = Connection(pool), _Transport()
+    connection.makeConnection(transport)
+    assert transport.value() == b'new'
+
+
 class _Transport(StringTransport):
     def setTcpNoDelay(self, _enabled: bool) -> None:
         pass
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -222,6 +222,39 @@
     assert new.answer()[0] == 200
 
 
+def test_silence_outlasts_the_idle_timeout() -> None:
+    """A caller that sees a reset would not need to detect the silence."""
+    _, network = _upstream()
+    old = Connection(network)
+    _order(network, silent=True)
+    for _ in range(20):
+        network.advance(60)
+    assert not old.transport.disconnected
+
+
+def test_connection_limit_spares_open_connections() -> None:
+    """A new connection above the limit must not cost the older ones."""
+    _, network = _upstream(connection_limit=2)
+    held = [Connection(network) for _ in range(2)]
+    assert Connection(network).transport.aborted
+    held[0].send('/')
+    network.advance(1)
+    assert held[0].answer()[0] == 200
+
+
+def test_hang_ends_with_its_flapping_phase() -> None:
+    """A phase must change on time, not with the next request."""
+    _, network = _upstream()
+    connection = Connection(network)
+    _order(network, hang=True, flap_period_ms=1000)
+    connection.send('/')
+    network.advance(0.4)
+    assert not connection.raw
+    network.advance(0.15)
+    network.advance(0.15)
+    assert connection.answer()[0] == 200
+
+
 def test_crash_resets_and_stops_listening() -> None:
     """A crash must be visible to all running requests."""
     stand_in, network = _upstream()
