--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -193,6 +193,15 @@
     assert all(map(_is_gone, ids.values()))
 
 
+def test_paused_process_stops_without_a_kill(tmp_path: Path) -> None:
+    """A paused process must get the chance to end by itself."""
+    with Processes(tmp_path) as processes:
+        processes.start('a', WAITING)
+        processes.wait_until('a', processes.log_path('a').read_bytes, LIMIT_MS)
+        processes.pause('a')
+        assert processes.stop(['a']) == []
+
+
 def test_process_that_ends_early_is_reported(tmp_path: Path) -> None:
     """The reason of a failed start must be in the error."""
     with Processes(tmp_path) as processes:
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -180,6 +180,16 @@
     assert not report.added.negative
 
 
+def test_faster_fleet_counts_as_negative() -> None:
+    """A difference with the wrong sign would turn a gain into a loss."""
+    network = PipeNetwork()
+    entrance, direct = _fleet(network, 0.01), _fleet(network, 0.03)
+    report = _run(network, entrances=(entrance,), direct=(direct,))
+    assert report.added is not None
+    assert report.added.negative == report.sent / 2
+    assert report.added.p50_ms < -18
+
+
 @pytest.mark.parametrize('kind', WrongKind)
 def test_wrong_answers_are_found(kind: WrongKind) -> None:
     """Another request's answer or a part of the own one must not pass."""
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -206,6 +206,23 @@
     assert connection.answer()[0] == 200
 
 
+def test_pause_stops_running_work_and_announcements() -> None:
+    """A paused process must not answer, take work or look alive."""
+    stand_in, network = _upstream()
+    running, new, probe = (Connection(network) for _ in range(3))
+    running.send('/')
+    _order(network, pause_ms=200)
+    new.send('/')
+    probe.send('/load')
+    network.advance(0.15)
+    assert not running.raw + new.raw + probe.raw
+    assert stand_in.announcement() is None
+    assert stand_in.ledger.started == 1
+    for _ in range(20):
+        network.advance(0.01)
+    assert running.answer()[0] == new.answer()[0] == probe.answer()[0] == 200
+
+
 def test_silent_connections_stay_silent() -> None:
     """Only connections open at the time of the fault may be affected."""
     _, network = _upstream()
