--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -206,6 +206,23 @@
     assert connection.answer()[0] == 200
 
 
+def test_pause_stops_running_work_and_announcements() -> None:
+    """A paused process must not answer, take work or look alive."""
+    stand_in, network = _upstream()
+    running, new, probe = (Connection(network) for _ in range(3))
+    running.send('/')
+    _order(network, pause_ms=200)
+    new.send('/')
+    probe.send('/load')
+    network.advance(0.15)
+    assert not running.raw + new.raw + probe.raw
+    assert stand_in.announcement() is None
+    assert stand_in.ledger.started == 1
+    for _ in range(20):
+        network.advance(0.01)
+    assert running.answer()[0] == new.answer()[0] == probe.answer()[0] == 200
+
+
 def test_silent_connections_stay_silent() -> None:
     """Only connections open at the time of the fault may be affected."""
     _, network = _upstream()
@@ -222,6 +239,39 @@
     assert new.answer()[0] == 200
 
 
+def test_silence_outlasts_the_idle_timeout() -> None:
+    """A caller that sees a reset would not need to detect the silence."""
+    _, network = _upstream()
+    old = Connection(network)
+    _order(network, silent=True)
+    for _ in range(20):
+        network.advance(60)
+    assert not old.transport.disconnected
+
+
+def test_connection_limit_spares_open_connections() -> None:
+    """A new connection above the limit must not cost the older ones."""
+    _, network = _upstream(connection_limit=2)
+    held = [Connection(network) for _ in range(2)]
+    assert Connection(network).transport.aborted
+    held[0].send('/')
+    network.advance(1)
+    assert held[0].answer()[0] == 200
+
+
+def test_hang_ends_with_its_flapping_phase() -> None:
+    """A phase must change on time, not with the next request."""
+    _, network = _upstream()
+    connection = Connection(network)
+    _order(network, hang=True, flap_period_ms=1000)
+    connection.send('/')
+    network.advance(0.4)
+    assert not connection.raw
+    network.advance(0.15)
+    network.advance(0.15)
+    assert connection.answer()[0] == 200
+
+
 def test_crash_resets_and_stops_listening() -> None:
     """A crash must be visible to all running requests."""
     stand_in, network = _upstream()
