--- a/tests/test_fleets.py
+++ b/tests/test_fleets.py
@@ -20,6 +20,12 @@
 
 DEPLOYMENTS = list(fleets.DEPLOYMENTS.values())
 WAITING = ('-c', 'import signal; print("up", flush=True); signal.pause()')
+#: Without a handler, Linux ends even a paused process by SIGTERM.
+HANDLING = (
+    '-c',
+    'import signal, sys; signal.signal(15, lambda *_: sys.exit(0));'
+    ' print("up", flush=True); signal.pause()',
+)
 LIMIT_MS = 30_000
 
 
@@ -196,7 +202,7 @@
 def test_paused_process_stops_without_a_kill(tmp_path: Path) -> None:
     """A paused process must get the chance to end by itself."""
     with Processes(tmp_path) as processes:
-        processes.start('a', WAITING)
+        processes.start('a', HANDLING)
         processes.wait_until('a', processes.log_path('a').read_bytes, LIMIT_MS)
         processes.pause('a')
         assert processes.stop(['a']) == []
