Show that the fleet tests fail when a rule is taken out

Cause: a green property test proves little if it cannot fail. Change: tests/mutations.py with nine rules; streams that deliver late after a new one was opened; scenarios for superseded streams, restarted last hops and announcements queued during a pause. The check of the incarnation after an inquiry stood twice and is now in one place.

--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -357,11 +357,7 @@
     def _not_seen(
         self, waiting: Waiting, attempt: Attempt, now: timedelta
     ) -> None:
-        path = self._paths.by_daemon.get(attempt.daemon)
         self._drop(waiting, attempt)
-        if path is None or path.incarnation != attempt.incarnation:
-            self._failed(waiting, Reason.connection_lost, now)
-            return
         if not waiting.attempts:
             waiting.reroutes += 1
             self._place(waiting, now)
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -120,8 +120,9 @@
     node: 'Node'
     stream: StreamId
     other: 'Pipe | None' = None
-    open: bool = True
     held: list[Message] = field(default_factory=list)
+    stuck: bool = False
+    ended: bool = False
 
 
 class Node:
@@ -204,6 +205,7 @@
         self.order = 0
         self.starts = 0
         self.cuts: set[tuple[str, str]] = set()
+        self.stuck: list[Pipe] = []
         self.log: list[bytes] = []
         self.log_down = False
         self.lose_append_replies = False
@@ -339,6 +341,24 @@
                 pipe.other.other = None
                 pipe.other = None
 
+    def stick(self, first: str, second: str) -> None:
+        """Hold back what is sent on the open streams; new ones work."""
+        for pipe in self.nodes[first].pipes.values():
+            if pipe.other is not None and pipe.other.node.name == second:
+                pipe.stuck = True
+                self.stuck.append(pipe)
+
+    def release(self) -> None:
+        """Deliver late what was held back on stuck streams."""
+        stuck, self.stuck = self.stuck, []
+        for pipe in stuck:
+            pipe.stuck = False
+            held, pipe.held = pipe.held, []
+            for message in held:
+                self._deliver(pipe, message)
+            if pipe.ended:
+                self._end(pipe, 'closed by peer')
+
     def carry_out(self, node: Node, effect: Effect) -> None:
         """Do what a reducer asked for."""
         if isinstance(effect, Send):
@@ -389,7 +409,8 @@
     def _send(self, pipe: Pipe, message: Message) -> None:
         if pipe.other is None:
             return
-        if (pipe.node.name, pipe.other.node.name) in self.cuts:
+        ends = (pipe.node.name, pipe.other.node.name)
+        if pipe.stuck or ends in self.cuts:
             pipe.held.append(message)
             return
         self._deliver(pipe, message)
@@ -406,6 +427,9 @@
         self.after(LATENCY, arrive)
 
     def _end(self, pipe: Pipe, detail: str) -> None:
+        if pipe.stuck:
+            pipe.ended = True
+            return
         other = pipe.other
         pipe.other = None
         if other is None:
@@ -486,7 +510,7 @@
             return
         told = b'another' if upstream.wrong else tag
         answer = events.UpstreamAnswered(
-            effect.call, upstream.status, ((b'X-Request-Tag', told),), tag
+            effect.call, upstream.status, ((b'X-Request-Tag', told),), told
         )
 
         def finish() -> None:
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -78,6 +78,7 @@
             if node.paused:
                 self.fleet.wake(name)
         self.fleet.heal()
+        self.fleet.release()
         self.advance(4000)
 
     def node(self, place: int) -> str:
@@ -143,6 +144,16 @@
     history.fleet.silence(first, second)
 
 
+def _stick(history: History, step: Step) -> None:
+    first = history.node(step.first)
+    second = history.node(step.second)
+    history.fleet.stick(first, second)
+
+
+def _release(history: History, step: Step) -> None:
+    history.fleet.release()
+
+
 def _log(history: History, step: Step) -> None:
     history.fleet.log_down = step.first % 2 == 0
     history.fleet.lose_append_replies = step.second % 2 == 0
@@ -202,6 +213,8 @@
     'cut': _cut,
     'heal': _heal,
     'silence': _silence,
+    'stick': _stick,
+    'release': _release,
     'log': _log,
     'publish': _publish,
     'sicken': _sicken,
@@ -211,7 +224,13 @@
 }
 
 #: Requests are frequent, so that every fault meets some.
-WEIGHTS = {'ask-reads': 8, 'ask-writes': 10, 'restart': 3, 'heal': 3}
+WEIGHTS = {
+    'ask-reads': 8,
+    'ask-writes': 10,
+    'restart': 3,
+    'heal': 3,
+    'stick': 2,
+}
 
 
 def generated(rng: Random, length: int = 30) -> list[Step]:
--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,155 @@
+"""Shows that the fleet tests fail when a rule is taken out.
+
+Run ``python tests/mutations.py --histories 200``: each mutation is applied to
+a copy of the package, and a history or a scenario must fail.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+ROOT = Path(__file__).parent.parent
+LIMIT_S = 540
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """A rule taken out, by replacing text that occurs once in a module."""
+
+    name: str
+    module: str
+    old: str
+    new: str
+    invariant: str
+
+
+MUTATIONS = (
+    Mutation(
+        'answers that do not echo their request are passed on',
+        'lasthops',
+        'if not echoes(',
+        'if False and not echoes(',
+        'whole_answers',
+    ),
+    Mutation(
+        'a write is retried like a read',
+        'entrances',
+        'if not waiting.idempotent or waiting.retries',
+        'if waiting.retries',
+        'single_writes',
+    ),
+    Mutation(
+        'a lost write is not run after a restart of the last hop',
+        'entrances',
+        'if path.incarnation != attempt.incarnation:',
+        'if False:',
+        'true_not_run',
+    ),
+    Mutation(
+        'an older stream of a peer still brings requests',
+        'lasthops',
+        'return newest is not None and newest[2] == stream',
+        'return True',
+        'true_not_run',
+    ),
+    Mutation(
+        'deadlines are not watched at the entrance',
+        'entrances',
+        'while self._deadlines and self._deadlines[0][0] <= now:',
+        'while False:',
+        'prompt_answers',
+    ),
+    Mutation(
+        'leases are not checked at dispatch',
+        'lasthops',
+        'return self.confirmed and self.expires > now',
+        'return True',
+        'leaving_upstreams',
+    ),
+    Mutation(
+        'leases are trusted after a stall',
+        'lasthops',
+        'if not stalled:',
+        'if True:',
+        'leaving_upstreams',
+    ),
+    Mutation(
+        'a planned stop does not wait for requests',
+        'reducers',
+        'if idle or waited',
+        'if True or waited',
+        'graceful_stops',
+    ),
+    Mutation(
+        'the floor is not kept',
+        'choices',
+        'if counted >= needed:',
+        'if True:',
+        'capacity_floor',
+    ),
+)
+
+
+def _outcome(mutation: Mutation, histories: int) -> str:
+    """Return the first line that shows the failure, or nothing."""
+    with tempfile.TemporaryDirectory() as folder:
+        for part in ('greengagemux', 'tests'):
+            shutil.copytree(ROOT / part, Path(folder, part))
+        path = Path(folder, 'greengagemux', f'{mutation.module}.py')
+        text = path.read_text()
+        if text.count(mutation.old) != 1:
+            raise click.ClickException(f'{mutation.old!r} is not there once')
+        path.write_text(text.replace(mutation.old, mutation.new))
+        done = subprocess.run(
+            (
+                *(
+                    sys.executable,
+                    '-m',
+                    'pytest',
+                    '-q',
+                    '-p',
+                    'no:cacheprovider',
+                ),
+                *('tests/test_fleet.py', 'tests/test_histories.py'),
+                f'--histories={histories}',
+            ),
+            cwd=folder,
+            env={**os.environ, 'PYTHONPATH': folder},
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_S,
+            check=False,
+        )
+    found = [
+        line
+        for line in done.stdout.splitlines()
+        if mutation.invariant in line or line.startswith('FAILED')
+    ]
+    return found[0].strip() if found else ''
+
+
+@click.command()
+@click.option('--histories', type=click.IntRange(1), default=200)
+@click.option('--jobs', type=click.IntRange(1, 8), default=3)
+def main(histories: int, jobs: int) -> None:
+    """Apply each mutation and tell whether the histories notice."""
+    with ThreadPoolExecutor(jobs) as pool:
+        found = pool.map(lambda each: _outcome(each, histories), MUTATIONS)
+        missed = 0
+        for mutation, line in zip(MUTATIONS, found, strict=True):
+            verdict = f'found: {line[:100]}' if line else 'MISSED'
+            missed += not line
+            click.echo(f'{mutation.name} ({mutation.invariant}): {verdict}')
+    click.echo(f'{len(MUTATIONS) - missed} passed, {missed} failed')
+    sys.exit(bool(missed))
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -235,3 +235,49 @@
     again = fleet.ask('d0', b'again', b'/stock/shared')
     fleet.run(500)
     assert fleet.outcome(again) == 'completed'
+
+
+def test_write_lost_with_a_restarted_last_hop_is_unknown() -> None:
+    """A new process knows nothing of what the old one ran."""
+    fleet = started(4)
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 100
+    exchange, where = _ask_remote(fleet, b'write', b'/intake/1')
+    tag = fleet.asked[exchange].tag
+    fleet.kill(where)
+    fleet.nodes[where].start()
+    fleet.run(2500)
+    assert fleet.outcome(exchange) == 'unknown'
+    assert fleet.runs(tag) == 1
+
+
+def test_request_on_a_superseded_stream_does_not_run() -> None:
+    """A late request must not run after "not seen" was said of it."""
+    fleet = started(4)
+    for other in _others(fleet, 'd0'):
+        fleet.stick('d0', other)
+    asked = [fleet.ask('d0', b'w%d' % turn, b'/intake/1') for turn in range(40)]
+    fleet.run(1500)
+    fleet.release()
+    fleet.run(3000)
+    for exchange in asked:
+        assert fleet.outcome(exchange) in {'completed', 'not-run'}
+        expected = int(fleet.outcome(exchange) == 'completed')
+        assert fleet.runs(fleet.asked[exchange].tag) == expected
+
+
+def test_woken_last_hop_does_not_trust_old_announcements() -> None:
+    """Announcements queued during a pause may be older than a drain."""
+    fleet = started(4)
+    fleet.pause('d1')
+    fleet.run(2500)
+    leaving = fleet.nodes['d1'].upstreams['d1-u0']
+    fleet.drain(leaving)
+    held, fleet.nodes['d1'].backlog = fleet.nodes['d1'].backlog, []
+    fleet.run(3500)
+    fleet.nodes['d1'].backlog = held
+    for turn in range(20):
+        fleet.ask('d1', b'r%d' % turn)
+    fleet.wake('d1')
+    fleet.run(2500)
+    assert not leaving.runs
