--- a/greengagemux/chains.py
+++ b/greengagemux/chains.py
@@ -128,14 +128,16 @@
         self.through = -1
         #: The state at ``through`` is known.
         self.anchored = False
-        #: Records before ``through`` were lost before they were judged.
+        #: A record before ``through`` was skipped on the word of a peer.
         self.gap = False
+        #: Newest statement of a truncated log, with records lost after it.
+        self.candidate: Accepted | None = None
         #: Last offset at which the head or a statement of it was seen.
         self.copy_offset = -1
         self.fault = ''
         #: First offset of the records read but not judged, if any.
         self.held_from: int | None = None
-        self._held_to = 0
+        self._held_to = -1
         self._may_skip = True
         self._vouched = False
         self._held: deque[LogRecord] = deque(maxlen=HELD_RECORDS)
@@ -165,8 +167,12 @@
         if read.following <= self.through:
             self.fault = f'the log ends before offset {self.through}'
         decisions = self._connect(start, read, known)
+        reached = self.through + 1 if self.anchored else self._held_to
+        # A late reply that leaves a hole is read again in its place.
+        if start > reached or (start < reached and not self.anchored):
+            return decisions
         for record in read.records:
-            decisions.extend(self._take(record, known))
+            decisions.extend(self._take(record))
         return decisions
 
     def _connect(
@@ -179,7 +185,6 @@
             return []
         if start == 0:
             self._held.clear()
-            self.held_from = None
             self._anchor(None, through=-1)
             return []
         begin = start if self.held_from is None else self.held_from
@@ -187,26 +192,23 @@
             self._anchor(known, known.offset)
             self._vouched = not known.from_log
             return self._release()
-        if self.anchored:
+        if self.anchored and start == read.first:
             self.fault = f'records before offset {start} were lost'
             self.anchored = False
-        if self.held_from is None or start != self._held_to:
+        if start == read.first and start != self._held_to:
             self._held.clear()
             self.held_from = start
             self._held_to = start
         return []
 
-    def _anchor(
-        self,
-        head: Accepted | None,
-        through: int,
-        *,
-        gap: bool = False,
-    ) -> None:
+    def _anchor(self, head: Accepted | None, through: int) -> None:
         self.head = head
         self.through = through
         self.anchored = True
-        self.gap = gap
+        self.held_from = None
+        self._held_to = -1
+        self.candidate = None
+        self.gap = False
         self._vouched = False
         self.copy_offset = head.offset if head else -1
         if head is not None:
@@ -215,18 +217,13 @@
     def _release(self) -> list[Decision]:
         held = tuple(self._held)
         self._held.clear()
-        self.held_from = None
         return [
             self._judge(record)
             for record in held
             if record.offset > self.through
         ]
 
-    def _take(
-        self,
-        record: LogRecord,
-        known: Accepted | None,
-    ) -> list[Decision]:
+    def _take(self, record: LogRecord) -> list[Decision]:
         if self.anchored:
             # A record judged once is not judged again: it could pass now.
             if record.offset <= self.through:
@@ -238,28 +235,25 @@
         self._held_to = record.offset + 1
         if len(self._held) == HELD_RECORDS:
             self.held_from = self._held[0].offset
-        if statement is None or not self._resume(record, statement, known):
+        if statement is None or not self._resume(record, statement):
             return [Decision(record.offset, RecordOutcome.held, digest)]
         return self._release()
 
-    def _resume(
-        self,
-        record: LogRecord,
-        statement: Statement,
-        known: Accepted | None,
-    ) -> bool:
+    def _resume(self, record: LogRecord, statement: Statement) -> bool:
         """Continue a truncated log from a statement."""
         try:
             stated = self._stated(record, statement)
         except FailureError:
             return False
-        begin = (
-            self._held[0].offset if self.held_from is None else self.held_from
-        )
-        gap = statement.through < begin - 1
-        if gap and known is not None and known.version > stated.version:
-            stated = known
-        self._anchor(stated, statement.through, gap=gap)
+        if self.held_from is None or statement.through < self.held_from - 1:
+            # A record between the two may have been accepted.
+            if (
+                self.candidate is None
+                or stated.version > self.candidate.version
+            ):
+                self.candidate = stated
+            return False
+        self._anchor(stated, statement.through)
         return True
 
     def _stated(self, record: LogRecord, statement: Statement) -> Accepted:
--- a/greengagemux/rollouts.py
+++ b/greengagemux/rollouts.py
@@ -231,7 +231,7 @@
             if chain.held_from is None:
                 return None
             stated, through = self._newest, chain.held_from - 1
-        if stated is None:
+        if stated is None or stated.offset > through:
             return None
         statement = Statement(
             stated.payload,
@@ -242,8 +242,9 @@
 
     def _settle(self) -> None:
         """Take over what the log shows."""
-        head, newest = self._chain.head, self._newest
-        if head is None or not self._chain.anchored:
+        chain, newest = self._chain, self._newest
+        head = chain.head if chain.anchored else chain.candidate
+        if head is None:
             return
         higher = newest is None or head.version > newest.version
         same = newest is not None and head.digest == newest.digest
