Free slots of silent writes, sharpen silence, hold in service trouble

Cause of late detection of hung upstreams: silent writes kept the slots, and three silent kept connections with two silent new ones ended just below the limit.

--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -11,7 +11,7 @@
 import math
 import statistics
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from types import MappingProxyType
 
@@ -33,16 +33,16 @@
 #: Share of requests of a healthy upstream that end in each way, at most.
 HEALTHY_SHARES = MappingProxyType(
     {
-        SampleKind.error: 0.01,
+        SampleKind.error: 0.002,
         SampleKind.refused: 0.001,
         SampleKind.reset: 0.004,
         SampleKind.truncated: 0.002,
         SampleKind.wrong: 0.002,
-        SampleKind.silent: 0.004,
+        SampleKind.silent: 0.003,
     }
 )
 #: A kept connection may have gone silent on its own, so it proves little.
-KEPT_SILENT_SHARE = 0.2
+KEPT_SILENT_SHARE = 0.1
 #: Failure shares of the alternative hypotheses.
 FAILURE_SHARES = (0.9, 0.5, 0.2, 0.06)
 #: Slowness of the alternative hypotheses, in half octaves: 2.8 and 8 times.
@@ -52,7 +52,7 @@
 BIN_COUNT = 15
 #: Bounds of the evidence of one service time; outliers prove little.
 SLOW_EVIDENCE_MIN = -2
-SLOW_EVIDENCE_MAX = 2.5
+SLOW_EVIDENCE_MAX = 3.5
 #: Spread of the log service time assumed before enough samples are known.
 PRIOR_SIGMA = 0.6
 PRIOR_COUNT = 50
@@ -61,14 +61,16 @@
 REFRESH_SAMPLES = 64
 #: Weight of one sample in the long-run share of failures.
 FAILURE_GAIN = 1 / 4000
+#: The first samples weigh more, as if this many had come before.
+FAILURE_PRIOR = 200
 #: A learned share of failures is raised by this margin.
 FAILURE_MARGIN = 1.5
 #: Weight of one sample in the long-run service time of a route.
 BASELINE_GAIN = 0.02
 BASELINE_SAMPLES = 30
 #: Share of healthy requests allowed to pass the silence limit.
-SILENT_TAIL = 0.005
-SILENCE_MIN_MS = 150
+SILENT_TAIL = 0.003
+SILENCE_MIN_MS = 250
 SILENCE_UNKNOWN_MS = 2000
 #: Answers of a route over which an entrance takes the median.
 MEDIAN_WINDOW = 96
@@ -235,6 +237,7 @@
         self.slow_scores = _zeros(len(SLOW_SHIFTS))
         self.counts: dict[SampleKind, int] = {}
         self._failure_share = float(0)
+        self._learned = 0
         self._routes: dict[RouteName, _RouteTimes] = {}
 
     def observe(
@@ -253,6 +256,9 @@
         has just started: slowness then proves nothing.
         """
         self.counts[sample.kind] = self.counts.get(sample.kind, 0) + 1
+        if hold and sample.kind is SampleKind.silent:
+            # Stale expected times make silence likely in an overload.
+            sample = replace(sample, fresh=False)
         if not hold or sample.kind is not SampleKind.error:
             self._observe_failure(sample, learn=learn)
         if sample.kind in {SampleKind.success, SampleKind.silent}:
@@ -273,6 +279,12 @@
         self.rates = rates
         self.limit = rates.limit()
 
+    def soften(self, share: float) -> None:
+        """Lower sums above a share of the limit to it."""
+        most = share * self.limit
+        self.failure_scores = [min(each, most) for each in self.failure_scores]
+        self.slow_scores = [min(each, most) for each in self.slow_scores]
+
     def slow_evidence(self, sample: Sample) -> float:
         """Return the largest evidence of slowness in one service time."""
         times = self._times(sample.route)
@@ -299,8 +311,9 @@
     def _observe_failure(self, sample: Sample, *, learn: bool) -> None:
         failed = sample.kind is not SampleKind.success
         if learn:
-            gap = int(failed) - self._failure_share
-            self._failure_share += FAILURE_GAIN * gap
+            self._learned += 1
+            gain = max(FAILURE_GAIN, 1 / (FAILURE_PRIOR + self._learned))
+            self._failure_share += gain * (int(failed) - self._failure_share)
         healthy = self._healthy_share(sample)
         for test, share in enumerate(FAILURE_SHARES):
             ratio = (1 - share) / (1 - healthy)
--- a/greengagemux/trials.py
+++ b/greengagemux/trials.py
@@ -356,6 +356,11 @@
         if call.request.idempotent:
             self._end(call)
             self.after(LATENCY_S, self._again, call.request, call.candidate)
+            return
+        # A silent write must not keep out the requests that would show
+        # whether the upstream or only the connection is silent.
+        call.hop.running -= 1
+        self._serve(call.hop)
 
     def _expire(self, call: _Call) -> None:
         if call.done:
@@ -367,7 +372,7 @@
     def _end(self, call: _Call) -> None:
         call.done = True
         call.hop.calls.remove(call)
-        call.hop.running -= 1
+        call.hop.running -= int(not call.counted or call.request.idempotent)
         self._serve(call.hop)
 
     def _postponed(
--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -30,8 +30,13 @@
 #: Below this share, samples shape the picture of healthy behaviour.
 LEARN_SHARE = 0.25
 #: A service is in trouble as a whole from this share of its other upstreams.
-TROUBLED_SHARE = 1 / 3
+TROUBLED_SHARE = 0.2
 TROUBLED_MIN = 2
+#: Slowness and errors eject only after this time as a suspect, in which
+#: peers' suspicions arrive and show a trouble of the whole service.
+CONFIRM = timedelta(milliseconds=400)
+#: A trouble of the service is assumed to last this long after its last sign.
+TROUBLE_HOLD = timedelta(seconds=10)
 #: Slowness of an upstream that has just started proves nothing.
 SETTLE = timedelta(seconds=30)
 #: First wait before readmission; doubled by each ejection that follows.
@@ -41,8 +46,8 @@
 FLAP_MEMORY = timedelta(minutes=10)
 #: An upstream on probation is assumed to fail this share if still sick.
 PROBATION_SHARE = 0.5
-#: Evidence of sickness that ends probation; about one failure.
-PROBATION_LIMIT = 3
+#: Evidence of sickness that ends probation; about two failures.
+PROBATION_LIMIT = 6
 #: Each earlier ejection asks for as many successes again, up to this factor.
 PROBATION_FACTOR_MAX = 4
 #: Successes on probation for each further request at the same time.
@@ -57,6 +62,8 @@
 STALL_MARGIN = timedelta(milliseconds=50)
 STALLS_KEPT = 8
 
+#: Kinds of samples that an overload of the whole service also produces.
+_SHARED = frozenset((SampleKind.success, SampleKind.error))
 _TIMED = frozenset((SampleKind.success, SampleKind.silent))
 _WEIGHTS = MappingProxyType(
     {
@@ -158,6 +165,7 @@
         self._cases: dict[UpstreamId, _Case] = {}
         self._rates: dict[ServiceName, ErrorRates] = {}
         self._troubled: dict[ServiceName, bool] = {}
+        self._trouble_until: dict[ServiceName, timedelta] = {}
         self._stalls = _Stalls(tick)
 
     def configure(self, service: ServiceName, rates: ErrorRates) -> None:
@@ -229,17 +237,22 @@
         if paused and sample.kind is SampleKind.silent:
             if sample.service_ms < _silence_limit(case, sample):
                 return []
-        troubled = self._troubled.get(case.service, False)
+        troubled = self._in_trouble(case.service, now)
         reading = case.detector.observe(
             sample,
             learn=_may_learn(case) and not troubled,
             hold=troubled,
             settling=now - case.started < SETTLE,
         )
+        shared = sample.kind in _SHARED
         if case.state is UpstreamState.probation:
-            _judge_probation(case, sample, now)
+            if not (troubled and shared):
+                _judge_probation(case, sample, now)
         elif case.state is not UpstreamState.sick:
-            _judge(case, reading, now)
+            if troubled and shared:
+                case.detector.soften(SUSPECT_SHARE)
+                reading = case.detector.reading()
+            _judge(case, reading, now, shared=shared)
         return _changes(case)
 
     def crashed(
@@ -366,7 +379,12 @@
         if case is None:
             return f'{upstream}: not known to this daemon'
         now = self._stalls.seen or case.since
-        return _explain(case, now, self._troubled.get(case.service, False))
+        return _explain(case, now, self._in_trouble(case.service, now))
+
+    def _in_trouble(self, service: ServiceName, now: timedelta) -> bool:
+        if self._troubled.get(service, False):
+            self._trouble_until[service] = now + TROUBLE_HOLD
+        return now < self._trouble_until.get(service, now)
 
     def _without_stalls(
         self,
@@ -391,8 +409,17 @@
     return calm and case.effective() is UpstreamState.serving
 
 
-def _judge(case: _Case, reading: Reading, now: timedelta) -> None:
-    if reading.share >= 1:
+def _judge(
+    case: _Case,
+    reading: Reading,
+    now: timedelta,
+    *,
+    shared: bool,
+) -> None:
+    confirmed = case.state is UpstreamState.suspect and (
+        now - case.since >= CONFIRM
+    )
+    if reading.share >= 1 and (confirmed or not shared):
         case.eject(_severity(case), _evidence(case, reading), now)
     elif reading.share >= SUSPECT_SHARE:
         if case.state is UpstreamState.serving:
