Add homes of keyed writes: records, promises, takeover and handover

Stateful histories over four daemons, a fake log and a fake network check that no key is dispatched twice.

--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -21,6 +21,7 @@
     UpstreamId,
 )
 from .outcomes import Outcome, Reason
+from .promises import KeyRecordsTaken, Promise, PromiseRequest, SlotEpoch
 
 #: Version of the protocol between daemons.
 PROTOCOL_VERSION = 1
@@ -280,14 +281,6 @@
     entries: tuple[Suspect, ...]
 
 
-class Promise(Struct, frozen=True, array_like=True, tag='promise'):
-    """The sender will not take over these slots for ``valid_ms``."""
-
-    slots: tuple[int, ...]
-    epochs: tuple[int, ...]
-    valid_ms: int
-
-
 class KeyRecord(Struct, frozen=True, array_like=True):
     """What the home knows of one idempotency key.
 
@@ -303,13 +296,21 @@
 
 
 class KeyRecords(Struct, frozen=True, array_like=True, tag='keys'):
-    """Key records of a slot, handed over at a planned stop."""
+    """Some of the ``total`` key records of a home that ended.
 
-    slot: int
-    epoch: int
+    ``slot`` names the epoch that ended. The sender itself could not answer
+    for keys without a record for another ``window_ms``.
+    """
+
+    slot: SlotEpoch
+    window_ms: int
+    total: int
     records: tuple[KeyRecord, ...]
 
 
+HomeMessage = PromiseRequest | Promise | KeyRecords | KeyRecordsTaken
+
+
 Message = (
     Hello
     | Ping
@@ -326,6 +327,5 @@
     | BundleFetch
     | BundleRecord
     | Suspects
-    | Promise
-    | KeyRecords
+    | HomeMessage
 )
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,323 @@
+"""Guards against a keyed write that is dispatched twice."""
+
+from collections.abc import Callable
+
+import msgspec
+import pytest
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from greengagemux import assignments, events, homes, writes
+from greengagemux.outcomes import Outcome
+from tests.homefleet import SECOND, SLOT, Fleet, Node
+
+_FAULTS = (
+    'pause',
+    'resume',
+    'restart',
+    'cut_one_way',
+    'cut_log',
+    'heal',
+    'slow',
+    'outage',
+    'delay',
+    'land',
+    'drop',
+    'hand_over',
+    'claim',
+)
+
+_roles = st.sampled_from(['home', 'successor', 'third', 'fourth'])
+_pause_s = st.sampled_from([1, 1, 3, 7, 12, 50])
+
+
+class _Histories(stateful.RuleBasedStateMachine):
+    """Faults in any order; ``Fleet`` checks each dispatch and refusal."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet()
+        self.fleet.assign()
+        self.count = 0
+
+    @stateful.rule(fault=st.sampled_from(_FAULTS), role=_roles, other=_roles)
+    def strike(self, fault: str, role: str, other: str) -> None:
+        getattr(self, f'_{fault}')(role, other)
+        self._run(1)
+
+    @stateful.rule(seconds=_pause_s)
+    def wait(self, seconds: int) -> None:
+        self._run(seconds)
+
+    def _run(self, seconds: int) -> None:
+        """Send new and old keys to all daemons, whatever the home is."""
+        for _ in range(seconds):
+            self.count += 1
+            born = list(self.fleet.born)[-20:]
+            again = self.fleet.rng.sample(born, min(len(born), 3))
+            for key in (f'k{self.count}', *again):
+                for name in self.fleet.nodes:
+                    self.fleet.send(name, key)
+            self.fleet.run(1)
+
+    def _node(self, role: str) -> Node:
+        return self.fleet.nodes[self.fleet.roles()[role]]
+
+    def _pause(self, role: str, _other: str) -> None:
+        self._node(role).paused = True
+
+    def _resume(self, _role: str, _other: str) -> None:
+        for node in self.fleet.nodes.values():
+            node.paused = False
+
+    def _restart(self, role: str, _other: str) -> None:
+        self.fleet.start(self._node(role).holder.daemon)
+
+    def _cut_one_way(self, role: str, other: str) -> None:
+        path = [self._node(end).holder.daemon for end in (role, other)]
+        self.fleet.cuts.add(tuple(path))
+
+    def _cut_log(self, role: str, _other: str) -> None:
+        self._node(role).log_cut = True
+
+    def _heal(self, _role: str, _other: str) -> None:
+        self.fleet.cuts.clear()
+        for node in self.fleet.nodes.values():
+            node.log_cut = False
+
+    def _slow(self, _role: str, _other: str) -> None:
+        self.fleet.slow = not self.fleet.slow
+
+    def _outage(self, _role: str, _other: str) -> None:
+        self.fleet.log.away = not self.fleet.log.away
+
+    def _delay(self, _role: str, _other: str) -> None:
+        self.fleet.log.delayed = not self.fleet.log.delayed
+
+    def _land(self, _role: str, _other: str) -> None:
+        for payload in self.fleet.log.held[:1]:
+            self.fleet.log.land(payload)
+
+    def _drop(self, _role: str, _other: str) -> None:
+        del self.fleet.log.held[:1]
+
+    def _hand_over(self, role: str, other: str) -> None:
+        if 'home' != role != other:
+            old = self._node('home').homes
+            given = self._node(role).holder
+            old.hand_over(SLOT, given, self._node(other).holder)
+
+    def _claim(self, role: str, _other: str) -> None:
+        node = self._node(role)
+        claimed = node.homes.claim(SLOT)
+        if claimed is not None and not node.log_cut:
+            self.fleet.log.append(claimed.payload)
+
+
+def _search(histories: int) -> None:
+    stateful.run_state_machine_as_test(
+        _Histories,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=histories,
+            stateful_step_count=30,
+            database=None,
+        ),
+    )
+
+
+def test_no_key_is_dispatched_twice(request: pytest.FixtureRequest) -> None:
+    """Any order of faults must leave each key with one dispatch at most."""
+    _search(request.config.getoption('--histories'))
+
+
+def _late_takeover() -> None:
+    """Land an old takeover while the home and its successor miss the log.
+
+    The first successor is named again in the meantime, so only the epoch
+    tells its old record from a new one.
+    """
+    fleet = Fleet()
+    fleet.assign()
+    first, second, third = (fleet.nodes[name] for name in ('d0', 'd1', 'd2'))
+    follows = [(0, first, second), (1, first, third), (2, first, second)]
+    for epoch, home, successor in follows[1:]:
+        record = assignments.HomeRecord(
+            *SLOT, epoch, home.holder, home.holder, successor.holder
+        )
+        fleet.log.land(msgspec.msgpack.encode(record))
+        fleet.run(2)
+    late = assignments.HomeRecord(
+        *SLOT, 1, second.holder, second.holder, third.holder
+    )
+    first.log_cut = True
+    fleet.log.land(msgspec.msgpack.encode(late))
+    for turn in range(50):
+        fleet.run(1)
+        for name in ('d1', 'd0'):
+            fleet.send(name, f'k{turn}')
+
+
+def _late_wake() -> None:
+    """Wake a home after another one has served for a while."""
+    fleet = Fleet()
+    fleet.assign()
+    fleet.run(3)
+    fleet.nodes['d0'].paused = True
+    fleet.run(48)
+    for key in 'abc':
+        fleet.send('d0', key)
+        fleet.send('d1', key)
+    fleet.run(4)
+    fleet.nodes['d0'].paused = False
+    fleet.run(5)
+    assert fleet.dispatched == {'a': 1, 'b': 1, 'c': 1}
+
+
+def _lost_home() -> None:
+    """Send keys again after their home was killed."""
+    fleet = Fleet()
+    fleet.assign()
+    for key in 'abc':
+        fleet.send('d0', key)
+    fleet.run(2)
+    fleet.start('d0')
+    fleet.run(15)
+    for key in 'abc':
+        fleet.send('d1', key)
+    fleet.run(5)
+    assert fleet.answers == {'Run': 3, 'Unknown': 3}
+
+
+def test_home_that_wakes_late_refuses() -> None:
+    """Requests in the socket of a paused home must not run again."""
+    _late_wake()
+
+
+def test_keys_of_a_killed_home_are_unknown() -> None:
+    """The next home cannot know what the lost one has run."""
+    _lost_home()
+
+
+def test_late_append_of_an_old_epoch_changes_nothing() -> None:
+    """An append that takes effect late must not make a second home."""
+    _late_takeover()
+
+
+@pytest.mark.parametrize(
+    ('owner', 'check', 'answer', 'history'),
+    [
+        (homes.Homes, '_is_promised', True, _late_wake),
+        (assignments.Table, '_follows', True, _late_takeover),
+        (writes.Home, '_in_window', False, _lost_home),
+    ],
+)
+def test_histories_fail_without_the_check(
+    owner: type,
+    check: str,
+    answer: bool,
+    history: Callable[[], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A test that passes without the check would not guard it."""
+    monkeypatch.setattr(owner, check, lambda *_arguments: answer)
+    with pytest.raises(AssertionError, match='a key'):
+        history()
+
+
+def test_planned_handover_leaves_no_key_unknown() -> None:
+    """A planned stop must not cost callers an answer."""
+    fleet = Fleet()
+    fleet.assign()
+    for turn in range(20):
+        fleet.send('d0', f'k{turn}')
+    fleet.run(5)
+    old = fleet.nodes['d0'].homes
+    given, successor = (fleet.nodes[name].holder for name in ('d2', 'd3'))
+    old.hand_over(SLOT, given, successor)
+    fleet.answers.clear()
+    fleet.run(3)
+    assert not old.handing_over
+    for turn in range(10, 30):
+        fleet.send('d2', f'k{turn}')
+    fleet.run(3)
+    assert set(fleet.dispatched.values()) == {1}
+    assert len(fleet.dispatched) == 30
+    assert not fleet.answers['NotHome']
+
+
+def test_home_continues_without_the_log() -> None:
+    """An outage of the log must not stop writes while both daemons live."""
+    fleet = Fleet()
+    fleet.assign()
+    fleet.log.away = True
+    for turn in range(30):
+        fleet.run(1)
+        fleet.send('d0', f'k{turn}')
+    fleet.run(1)
+    assert fleet.answers == {'Run': 30}
+    assert len(fleet.log.records) == 1
+
+
+def test_lost_home_and_successor_are_replaced_by_a_claim() -> None:
+    """A slot that lost both daemons must be served again."""
+    fleet = Fleet()
+    fleet.assign()
+    fleet.nodes['d0'].paused = True
+    fleet.nodes['d1'].paused = True
+    claimed = fleet.nodes['d2'].homes.claim(SLOT)
+    assert claimed is not None
+    fleet.log.append(claimed.payload)
+    wait = fleet.terms.log_absence + fleet.terms.takeover_window
+    fleet.run(wait / SECOND + 15)
+    fleet.send('d2', 'late')
+    fleet.run(3)
+    assert fleet.dispatched['late'] == 1
+
+
+def test_home_answers_a_claim_by_a_record() -> None:
+    """A claim must not take a slot from daemons that live."""
+    fleet = Fleet()
+    fleet.assign()
+    claimed = fleet.nodes['d2'].homes.claim(SLOT)
+    assert claimed is not None
+    fleet.log.append(claimed.payload)
+    fleet.run(100)
+    assert fleet.roles()['home'] == 'd0'
+
+
+def test_key_with_another_body_is_a_conflict() -> None:
+    """A key used for another request must not replay the wrong answer."""
+    home = writes.Home(writes.Terms(), term=1)
+    assert home.begin('c', 'k', 1, SECOND) == writes.Run(1)
+    assert home.look('c', 'k', 2) == writes.Conflict()
+    assert home.look('c', 'k', 1) == writes.Wait()
+    home.finish('c', 'k', Outcome.not_run)
+    assert home.look('c', 'k', 1) is None
+
+
+def test_records_are_bounded_and_say_so_truthfully(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A full home must refuse new keys and keep the old ones."""
+    monkeypatch.setattr(writes, 'RECORD_LIMIT', 2)
+    home = writes.Home(writes.Terms(), term=1)
+    for key in 'ab':
+        home.begin('c', key, 1, SECOND)
+        home.finish('c', key, Outcome.unknown)
+    assert home.begin('c', 'd', 1, SECOND) == writes.Full()
+    assert home.look('c', 'a', 1) == writes.Unknown()
+    home.expire(SECOND + writes.Terms().retention)
+    assert not len(home)
+
+
+def test_reader_with_a_gap_is_no_home() -> None:
+    """A daemon that missed records of the log must not act on the rest."""
+    own = assignments.Holder('d0', 1)
+    record = assignments.HomeRecord(*SLOT, 0, own, own, own)
+    entry = events.LogRecord(7, msgspec.msgpack.encode(record))
+    late = homes.Homes(own)
+    late.read(7, [entry], SECOND, SECOND)
+    assert not late.holds(SLOT, SECOND)
+    assert late.assign(('s', 1), own) is None
