Measure unknown answers of keyed writes; name a new successor sooner

A home that lost its successor named the next one after 9.5 s, but the old one took over after 5 s, and the slot gave unknown answers for 56 s of a cut.

--- a/greengagemux/homes.py
+++ b/greengagemux/homes.py
@@ -38,6 +38,9 @@
 PROMISE_EVERY = timedelta(seconds=1)
 #: Time after which an append that shows no effect is repeated.
 APPEND_AGAIN = timedelta(seconds=2)
+#: A home names another successor after this time without a promise: before
+#: the silent one may take over, which would cost unknown answers.
+SILENCE = timedelta(seconds=3)
 #: A longer time between two calls counts as a pause of this process.
 PAUSE = timedelta(seconds=1)
 #: How long a new home waits for the records of a planned handover before it
@@ -78,6 +81,8 @@
 
     home: Home
     epoch: int
+    #: Start of the epoch as seen here.
+    since: timedelta
     #: Until when the promise of the successor of this epoch is used.
     promised: timedelta = _NEVER
     #: Epoch for which an own append was sent and may take effect at any time.
@@ -396,6 +401,7 @@
                 self._open(assignment, now)
             else:
                 owned.epoch = record.epoch
+                owned.since = now
                 owned.promised = _NEVER
             return
         if owned is not None:
@@ -415,7 +421,7 @@
         record = assignment.record
         if assignment.previous is None:
             self._owned[record.key] = _Owned(
-                Home(self._terms, record.epoch), record.epoch
+                Home(self._terms, record.epoch), record.epoch, now
             )
             return
         planned = record.writer == assignment.previous
@@ -426,6 +432,7 @@
                 self._awake + self._terms.takeover_window,
             ),
             record.epoch,
+            now,
             source=assignment.previous,
             source_epoch=record.follows,
             source_until=now + HANDOVER_WAIT if planned else _NEVER,
@@ -490,9 +497,8 @@
             return False
         if owned.appended == owned.epoch or found.claim is not None:
             return True
-        # The successor has not answered for some seconds.
-        silent = owned.promised + self._terms.promise_valid
-        return owned.promised != _NEVER and now >= silent
+        promised = owned.promised - self._terms.promise_use
+        return now - max(promised, owned.since) >= SILENCE
 
     def _take_over(
         self,
--- /dev/null
+++ b/greengagemux/outages.py
@@ -0,0 +1,384 @@
+"""Homes on a fake clock, log and network: what faults cost keyed writes.
+
+``Fleet`` counts the dispatches of each key and raises at a second one.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import partial
+
+import click
+
+from . import assignments, clocks, codecs, events, homes, writes
+from .ids import CallerName, DaemonId, Incarnation, LogOffset, ServiceName
+from .messages import HomeMessage
+from .outcomes import Outcome
+
+SLOT: assignments.Slot = (ServiceName('s'), 0)
+SECOND = timedelta(seconds=1)
+_CALLER = CallerName('c')
+_UPSTREAM_S = (0.5, 1, 3)
+_QUEUE_S = (0, 0.2, 2)
+STEP = SECOND / 2
+#: Shortened terms, for histories with many faults.
+TERMS = writes.Terms(
+    key_window=20 * SECOND,
+    under_way=4 * SECOND,
+    promise_valid=5 * SECOND,
+    promise_use=4.5 * SECOND,
+    log_absence=60 * SECOND,
+)
+
+
+class FakeLog:
+    """Append-only log that may be away or apply appends late.
+
+    No append is acknowledged, as if each reply were lost.
+    """
+
+    def __init__(self) -> None:
+        """Start empty and available."""
+        self.records: list[events.LogRecord] = []
+        self.held: list[bytes] = []
+        self.away = False
+        self.delayed = False
+
+    def append(self, payload: bytes) -> None:
+        """Take an append, hold it for later, or lose it."""
+        if self.delayed:
+            self.held.append(payload)
+        elif not self.away:
+            self.land(payload)
+
+    def land(self, payload: bytes) -> None:
+        """Let an append take effect."""
+        offset = LogOffset(len(self.records))
+        self.records.append(events.LogRecord(offset, payload))
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    """A keyed write as it reaches a daemon."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Letter:
+    """An encoded message between daemons."""
+
+    sender: assignments.Holder
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _Work:
+    """A write in the queue, or at its upstream once it has an outcome."""
+
+    due: timedelta
+    key: str
+    term: int
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class Node:
+    """One daemon; a paused one keeps its input for later."""
+
+    homes: homes.Homes
+    holder: assignments.Holder
+    paused: bool = False
+    log_cut: bool = False
+    inbox: list[_Request | _Letter] = field(default_factory=list)
+    work: list[_Work] = field(default_factory=list)
+
+
+class Fleet:
+    """Daemons, callers and the count of dispatches of each key."""
+
+    def __init__(
+        self, count: int = 4, seed: int = 0, terms: writes.Terms = TERMS
+    ) -> None:
+        """Start some daemons that have no home yet."""
+        self.rng = random.Random(seed)
+        self.terms = terms
+        self.now = SECOND
+        self.log = FakeLog()
+        self.cuts: set[tuple[str, str]] = set()
+        self.slow = False
+        self.dispatched: Counter[str] = Counter()
+        self.answers: Counter[str] = Counter()
+        self.latest: dict[str, str] = {}
+        self.born: dict[str, timedelta] = {}
+        self.refused: list[str] = []
+        self._order = itertools.count()
+        self._wire: list[tuple[timedelta, int, str, _Request | _Letter]] = []
+        self.nodes: dict[str, Node] = {}
+        for index in range(count):
+            self.start(f'd{index}')
+
+    def start(self, name: str) -> None:
+        """Start a daemon, or replace it by a new incarnation."""
+        old = self.nodes.get(name)
+        started = Incarnation(old.holder.incarnation + 1 if old else 1)
+        holder = assignments.Holder(DaemonId(name), started)
+        self.nodes[name] = Node(homes.Homes(holder, self.terms), holder)
+
+    def assign(self) -> None:
+        """Make the first two daemons home and successor."""
+        self.run(2)
+        first, second = list(self.nodes.values())[:2]
+        given = first.homes.assign(SLOT, second.holder)
+        if given is not None:
+            self.log.append(given.payload)
+        self.run(3)
+
+    def roles(self) -> dict[str, str]:
+        """Return the daemons by their role according to the log."""
+        table = assignments.Table()
+        table.read(LogOffset(0), self.log.records)
+        found = table.get(SLOT)
+        first: list[str] = []
+        if found is not None:
+            record = found.record
+            first = [record.home.daemon, record.successor.daemon]
+        rest = [name for name in self.nodes if name not in first]
+        names = ('home', 'successor', 'third', 'fourth')
+        return dict(zip(names, (*first, *rest), strict=False))
+
+    def send(self, name: str, key: str) -> None:
+        """Let a caller send a key while it may; a daemon gets it soon."""
+        born = self.born.setdefault(key, self.now)
+        if self.now - born < self.terms.key_window:
+            delay = 2 * SECOND * self.rng.random() if self.slow else clocks.ZERO
+            self._post(delay, name, _Request(key))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(int(seconds * SECOND / STEP)):
+            self.now += STEP
+            while self._wire and self._wire[0][0] <= self.now:
+                due = heapq.heappop(self._wire)
+                self.nodes[due[2]].inbox.append(due[3])
+            for node in self.nodes.values():
+                if not node.paused:
+                    self._turn(node)
+
+    def _turn(self, node: Node) -> None:
+        inbox = node.inbox
+        node.inbox = []
+        for item in inbox:
+            if isinstance(item, _Request):
+                self._begin(node, item.key)
+            else:
+                self._receive(node, item)
+        work = node.work
+        node.work = []
+        for step in work:
+            self._work(node, step)
+        if not (self.log.away or node.log_cut):
+            node.homes.read(LogOffset(0), self.log.records, self.now, self.now)
+        self._emit(node, node.homes.tick(self.now, self._candidates))
+
+    def _receive(self, node: Node, letter: _Letter) -> None:
+        message = codecs.decode(letter.payload, letter.sender.daemon)
+        if isinstance(message, HomeMessage):
+            got = node.homes.receive(message, letter.sender, self.now)
+            self._emit(node, got)
+
+    def _work(self, node: Node, step: _Work) -> None:
+        if step.due > self.now:
+            node.work.append(step)
+        elif step.outcome is None:
+            self._dispatch(node, step)
+        else:
+            node.homes.finish(SLOT, step.term, _CALLER, step.key, step.outcome)
+
+    def _candidates(self, _slot: assignments.Slot) -> list[assignments.Holder]:
+        return [node.holder for node in self.nodes.values()]
+
+    def _begin(self, node: Node, key: str) -> None:
+        decision = node.homes.begin(SLOT, _CALLER, key, 1, self.now)
+        self.answers[type(decision).__name__] += 1
+        self.latest[key] = type(decision).__name__
+        if isinstance(decision, writes.Run):
+            self._check_unused(key, 'begins again')
+            due = self.now + SECOND * self.rng.choice(_QUEUE_S)
+            node.work.append(_Work(due, key, decision.term))
+
+    def _dispatch(self, node: Node, step: _Work) -> None:
+        key = step.key
+        if not node.homes.dispatch(SLOT, step.term, self.now):
+            self._check_unused(key, 'is called not run')
+            self.refused.append(key)
+            node.homes.finish(SLOT, step.term, _CALLER, key, Outcome.not_run)
+            return
+        self._check_unused(key, 'is dispatched again')
+        self.dispatched[key] += 1
+        outcome = self.rng.choice((Outcome.completed, Outcome.unknown))
+        due = self.now + SECOND * self.rng.choice(_UPSTREAM_S)
+        node.work.append(_Work(due, key, step.term, outcome))
+
+    def _check_unused(self, key: str, fault: str) -> None:
+        if self.dispatched[key]:
+            raise AssertionError(f'a key that ran {fault}: {key}')
+
+    def _emit(self, node: Node, outputs: list[homes.Output]) -> None:
+        for output in outputs:
+            if isinstance(output, homes.Sent):
+                self._deliver(node, output)
+            elif not node.log_cut:
+                self.log.append(output.payload)
+
+    def _deliver(self, node: Node, sent: homes.Sent) -> None:
+        if (node.holder.daemon, sent.daemon) in self.cuts:
+            return
+        letter = _Letter(node.holder, codecs.encode(sent.message))
+        for copy in (letter, letter) if self.slow else (letter,):
+            delay = 3 * SECOND * self.rng.random() if self.slow else STEP
+            self._post(delay, sent.daemon, copy)
+
+    def _post(
+        self, delay: timedelta, target: str, item: _Request | _Letter
+    ) -> None:
+        due = (self.now + delay, next(self._order), target, item)
+        heapq.heappush(self._wire, due)
+
+
+def _isolate(fleet: Fleet, name: str) -> None:
+    """Cut a daemon from its peers and from the log."""
+    fleet.nodes[name].log_cut = True
+    for other in fleet.nodes:
+        fleet.cuts |= {(name, other), (other, name)}
+
+
+def _heal(fleet: Fleet) -> None:
+    fleet.cuts.clear()
+    fleet.log.away = False
+    for node in fleet.nodes.values():
+        node.log_cut = False
+        node.paused = False
+
+
+def _planned_stop(fleet: Fleet) -> None:
+    old = fleet.nodes['d0'].homes
+    old.hand_over(SLOT, fleet.nodes['d2'].holder, fleet.nodes['d3'].holder)
+
+
+def _kill_home(fleet: Fleet) -> None:
+    fleet.start('d0')
+
+
+def _kill_successor(fleet: Fleet) -> None:
+    fleet.start('d1')
+
+
+def _pause_home(fleet: Fleet) -> None:
+    fleet.nodes['d0'].paused = True
+
+
+def _cut_pair(fleet: Fleet) -> None:
+    fleet.cuts |= {('d0', 'd1'), ('d1', 'd0')}
+
+
+def _log_away(fleet: Fleet) -> None:
+    fleet.log.away = True
+
+
+def _log_away_and_kill(fleet: Fleet) -> None:
+    fleet.log.away = True
+    fleet.start('d0')
+
+
+_Strike = Callable[[Fleet], None]
+#: Name, fault and seconds until all is healed.
+FAULTS: tuple[tuple[str, _Strike, int], ...] = (
+    ('none', _heal, 1),
+    ('planned stop of the home', _planned_stop, 1),
+    ('home killed', _kill_home, 1),
+    ('successor killed', _kill_successor, 1),
+    ('home paused 3 s', _pause_home, 3),
+    ('home paused 30 s', _pause_home, 30),
+    ('home and successor cut 60 s', _cut_pair, 60),
+    ('home cut from all 60 s', partial(_isolate, name='d0'), 60),
+    ('log away 600 s', _log_away, 600),
+    ('log away 300 s, home killed', _log_away_and_kill, 300),
+)
+CALM_S = 60
+LENGTH_S = 1500
+#: A caller repeats a key this often, until its window ends.
+REPEAT_S = 5
+_ENDED = frozenset(('Run', 'Wait', 'Replay'))
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """What one fault did to the keys of its slot, one new key a second.
+
+    ``unknown_pct`` and ``unserved_pct`` are shares of the keys whose last
+    answer was unknown, or was none or "not home"; ``stopped_s`` is the
+    longest time without a new key being accepted.
+    """
+
+    fault: str
+    keys: int
+    unknown_pct: float
+    unserved_pct: float
+    stopped_s: int
+
+
+def measure(fault: str, strike: _Strike, healed_s: int) -> Share:
+    """Run one fault with the terms of production."""
+    fleet = Fleet(terms=writes.Terms())
+    fleet.assign()
+    stopped = 0
+    longest = 0
+    for second in range(LENGTH_S):
+        if second == CALM_S:
+            strike(fleet)
+        if second == CALM_S + healed_s:
+            _heal(fleet)
+        before = fleet.answers['Run']
+        _send_keys(fleet, second)
+        stopped = 0 if fleet.answers['Run'] > before else stopped + 1
+        longest = max(longest, stopped)
+    keys = len(fleet.born)
+    last = Counter(fleet.latest.get(key, 'none') for key in fleet.born)
+    ended = sum(last[name] for name in _ENDED)
+    unserved = keys - ended - last['Unknown']
+    return Share(
+        fault,
+        keys,
+        100 * last['Unknown'] / keys,
+        100 * unserved / keys,
+        longest,
+    )
+
+
+def _send_keys(fleet: Fleet, second: int) -> None:
+    """Send a new key and repeat those without a good answer."""
+    home = fleet.roles()['home']
+    fleet.send(home, f'k{second}')
+    for age in range(REPEAT_S, second, REPEAT_S):
+        key = f'k{second - age}'
+        if fleet.latest.get(key) not in _ENDED:
+            fleet.send(home, key)
+    fleet.run(1)
+
+
+@click.command()
+def writes_command() -> None:
+    """Measure the share of unknown answers under each fault."""
+    for fault, strike, healed_s in FAULTS:
+        share = measure(fault, strike, healed_s)
+        click.echo(
+            f'{share.fault:30} keys {share.keys}'
+            f' unknown {share.unknown_pct:.1f}%'
+            f' unserved {share.unserved_pct:.1f}%'
+            f' longest stop {share.stopped_s} s'
+        )
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from greengagemux import assignments, events, homes, writes
+from greengagemux.outages import SECOND, SLOT, Fleet, Node
 from greengagemux.outcomes import Outcome
-from tests.homefleet import SECOND, SLOT, Fleet, Node
 
 _FAULTS = (
     'pause',
