--- a/greengagemux/assignments.py
+++ b/greengagemux/assignments.py
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Assignment:
-    """Record in force, the home before it, and the first claim since."""
+    """Record in force, the home before it, and the last claim since."""
 
     record: HomeRecord
     previous: Holder | None = None
@@ -159,7 +159,7 @@
     def _claim(self, record: ClaimRecord) -> None:
         key = (record.service, record.slot)
         current = self._slots.get(key)
-        if current is None or current.claim is not None:
+        if current is None:
             return
         if current.record.epoch == record.follows:
             self._slots[key] = Assignment(
--- a/greengagemux/homes.py
+++ b/greengagemux/homes.py
@@ -256,10 +256,11 @@
         """Return a claim, for a slot whose home and successor are gone.
 
         This daemon takes over when neither has written for longer than a
-        home goes on without the log.
+        home goes on without the log. It replaces the claim of another
+        daemon, which may have been lost too.
         """
         found = self.table.get(slot)
-        if found is None or found.claim is not None:
+        if found is None or found.claim == self._own:
             return None
         claim = ClaimRecord(*slot, found.record.epoch, self._own)
         return Append(msgspec.msgpack.encode(claim))
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -266,9 +266,12 @@
     fleet.assign()
     fleet.nodes['d0'].paused = True
     fleet.nodes['d1'].paused = True
-    claimed = fleet.nodes['d2'].homes.claim(SLOT)
-    assert claimed is not None
-    fleet.log.append(claimed.payload)
+    for name in ('d3', 'd2'):
+        claimed = fleet.nodes[name].homes.claim(SLOT)
+        assert claimed is not None
+        fleet.log.append(claimed.payload)
+        fleet.run(1)
+        fleet.nodes['d3'].paused = True
     wait = fleet.terms.log_absence + fleet.terms.takeover_window
     fleet.run(wait / SECOND + 15)
     fleet.send('d2', 'late')
