Measure admission under overload on a fake clock

An expired running request refills its slot from the queue, which may end another expired request of the same pass; LastHop.tick then ended it twice and raised ValueError. Found by the experiment; such requests are skipped now.

--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -536,6 +536,9 @@
         yield from late
 
     def _end_late(self, job: Job, now: timedelta) -> None:
+        if job.origin not in self._jobs:
+            # Ended when the abort of an earlier one refilled its slot.
+            return
         if job.call is None:
             self._discard(job)
             self._end(job, _refusal(job, Reason.deadline), now)
--- /dev/null
+++ b/greengagemux/overloads.py
@@ -0,0 +1,350 @@
+"""Experiments with overload on a fake clock, with the real reducers."""
+
+import json
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from functools import partial
+from hashlib import sha256
+from statistics import fmean
+from types import MappingProxyType
+from typing import Any, Final
+
+import click
+
+from .bundles import Bundle, parse
+from .clocks import ms
+from .ids import ServiceName
+from .overloadworlds import Ask, Layout, World, quantile
+
+LAYOUTS: Final = MappingProxyType(
+    {
+        'dispatch': Layout(),
+        'ledger': Layout(
+            upstreams=23, slots=4, service=ServiceName('ledger')
+        ),
+    }
+)
+WARM_UP: Final = ms(2000)
+#: Requests that arrived in the measured time may end in this time.
+COOL_DOWN: Final = ms(2500)
+BODY_LIMIT_BYTES: Final = 65_536
+
+_TEXT: Final = """
+[bundle]
+version = 1
+follows = 0
+[service {service}]
+floor_pct = 70
+[route waiting]
+service = {service}
+prefix = /waiting/
+methods = GET
+idempotent = yes
+priority = waiting
+[route routine]
+service = {service}
+prefix = /routine/
+methods = GET
+idempotent = yes
+[route internal]
+service = {service}
+prefix = /internal/
+methods = GET
+idempotent = yes
+priority = internal
+[route bulk]
+service = {service}
+prefix = /bulk/
+methods = GET
+idempotent = yes
+priority = internal
+[team alpha]
+max_in_flight = 100000
+[team beta]
+max_in_flight = 100000
+"""
+_CALLER: Final = """
+[caller {name}]
+token_sha256 = {token}
+priority = waiting
+max_in_flight = 100000
+routes = waiting, routine, internal, bulk
+team = {team}
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Requests of one account; ``share`` is of the service's capacity."""
+
+    account: str
+    route: str
+    share: float
+    team: str = 'alpha'
+    body_bytes: int = 0
+    far_only: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Load on a service; ``fault`` strikes all upstreams after warm-up.
+
+    Callers that are refused with a ``Retry-After`` send again, after this
+    time, up to ``repeats`` times.
+    """
+
+    sources: tuple[Source, ...]
+    fault: str = ''
+    repeats: int = 0
+    far: int = 0
+    note: str = ''
+
+
+def _people(share: float = 0.5) -> Source:
+    return Source('counter', 'waiting', share)
+
+
+SCENARIOS: Final[Mapping[str, Scenario]] = MappingProxyType(
+    {
+        'people': Scenario((_people(),)),
+        'people-internal': Scenario(
+            (_people(), Source('checks', 'internal', 3, 'beta'))
+        ),
+        'internal': Scenario((Source('checks', 'internal', 3),)),
+        'routine': Scenario((Source('office', 'routine', 3),)),
+        'waiting': Scenario((_people(3),)),
+        'mix': Scenario(
+            (
+                _people(1),
+                Source('office', 'routine', 1),
+                Source('checks', 'internal', 1),
+            )
+        ),
+        'account': Scenario(
+            (
+                Source('greedy', 'routine', 3),
+                Source('sibling', 'routine', 0.3),
+                Source('other-team', 'routine', 0.3, 'beta'),
+            )
+        ),
+        'repeats': Scenario(
+            (_people(), Source('checks', 'internal', 1.5, 'beta')), repeats=3
+        ),
+        'outage-refuse': Scenario(
+            (_people(), Source('office', 'routine', 0.5)), fault='refuse'
+        ),
+        'outage-hang': Scenario(
+            (_people(), Source('office', 'routine', 0.5)), fault='hang'
+        ),
+    }
+)
+
+
+@dataclass(slots=True)
+class Trial:
+    """One scenario with one seed."""
+
+    layout: Layout
+    scenario: Scenario
+    seed: int
+    duration: timedelta
+    first: dict[int, int] = field(default_factory=dict)
+
+    def run(self) -> dict[str, Any]:
+        """Return what was measured."""
+        layout = replace(self.layout, far=self.scenario.far)
+        bundle = bundle_of(layout.service, self.scenario.sources)
+        world = World(layout, bundle, self.seed)
+        if self.scenario.repeats:
+            world.on_response = partial(self._repeat, world, {})
+        for source in self.scenario.sources:
+            self._arrivals(world, source)()
+        world.run(WARM_UP)
+        for upstream in world.upstreams:
+            upstream.fault = self.scenario.fault
+            upstream.attempts = 0
+        world.run(self.duration)
+        attempts = sum(each.attempts for each in world.upstreams)
+        found = _measure(world, WARM_UP, WARM_UP + self.duration)
+        found['attempts'] = attempts
+        world.run(COOL_DOWN)
+        found['sources'] = {
+            source.account: _measure_source(world, source, self.duration)
+            for source in self.scenario.sources
+        }
+        requests = sum(each['requests'] for each in found['sources'].values())
+        found['requests'] = requests
+        found['attempts_per_request'] = attempts / max(1, requests)
+        found['reasons'] = _reasons(world.asks)
+        return found
+
+    def _arrivals(self, world: World, source: Source) -> Callable[[], None]:
+        rate_per_s = world.layout.capacity_per_s() * source.share
+        hosts = world.hosts
+        if source.far_only:
+            hosts = hosts[len(hosts) - world.layout.far :]
+        request = _request(source)
+
+        def arrive() -> None:
+            host = hosts[int(world.rng.random() * len(hosts))]
+            world.ask(host, source.account, request)
+            if world.now < WARM_UP + self.duration:
+                world.after(ms(world.rng.expovariate(rate_per_s) * 1000), arrive)
+
+        return arrive
+
+    def _repeat(
+        self, world: World, tries: dict[int, int], number: int, ask: Ask
+    ) -> None:
+        made = tries.pop(number, 0)
+        if not ask.retry_after_s or made >= self.scenario.repeats:
+            return
+
+        def send() -> None:
+            host = world.hosts[int(world.rng.random() * len(world.hosts))]
+            again = len(world.asks)
+            tries[again] = made + 1
+            sources = {each.account: each for each in self.scenario.sources}
+            world.ask(host, ask.stream, _request(sources[ask.stream]))
+
+        world.after(ms(ask.retry_after_s * 1000), send)
+
+
+def bundle_of(service: ServiceName, sources: Iterable[Source]) -> Bundle:
+    """Return a bundle with the routes and accounts of the experiment."""
+    text = _TEXT.format(service=service)
+    for source in sources:
+        token = sha256(source.account.encode()).hexdigest()
+        text += _CALLER.format(
+            name=source.account, token=token, team=source.team
+        )
+    return parse(text, 'experiment')
+
+
+def _request(source: Source) -> tuple[bytes, str, bytes]:
+    path = f'/{source.route}/'.encode()
+    return path, source.account, b'\0' * source.body_bytes
+
+
+def _measure(
+    world: World, start: timedelta, end: timedelta
+) -> dict[str, Any]:
+    served = {ask.call for ask in world.asks if ask.call >= 0}
+    runs = [run for run in world.runs if start <= run.ended < end]
+    used_ms = sum(run.slot_ms for run in runs)
+    useful_ms = sum(run.slot_ms for run in runs if run.call in served)
+    slots = world.layout.upstreams * world.layout.slots
+    available_ms = slots * (end - start) / ms(1)
+    return {
+        'goodput': useful_ms / available_ms,
+        'wasted': 1 - useful_ms / used_ms if used_ms else 0,
+        'states': Counter(
+            each.state.value
+            for host in world.hosts
+            for each in host.last_hop.upstreams.values()
+        ),
+    }
+
+
+def _measure_source(
+    world: World, source: Source, duration: timedelta
+) -> dict[str, Any]:
+    asked = [
+        ask
+        for ask in world.asks
+        if ask.stream == source.account
+        and WARM_UP <= ask.asked < WARM_UP + duration
+    ]
+    added = [ask.added_ms() for ask in asked if ask.status == 200]
+    outcomes = Counter(
+        f'{ask.outcome} {ask.reason}'.strip() for ask in asked
+    )
+    return {
+        'requests': len(asked),
+        'completed': len(added) / max(1, len(asked)),
+        'of_capacity': len(added)
+        / (world.layout.capacity_per_s() * duration.total_seconds()),
+        'added_p50_ms': quantile(added, 0.5),
+        'added_p99_ms': quantile(added, 0.99),
+        'outcomes': dict(outcomes.most_common()),
+    }
+
+
+def _reasons(asks: Iterable[Ask]) -> dict[str, int]:
+    counts = Counter(ask.reason or ask.outcome for ask in asks)
+    return dict(counts.most_common())
+
+
+def _spread(samples: Iterable[float], digits: int) -> str:
+    known = [each for each in samples if not math.isnan(each)]
+    if not known:
+        return '-'
+    low, high = min(known), max(known)
+    return f'{fmean(known):.{digits}f} ({low:.{digits}f}-{high:.{digits}f})'
+
+
+def _lines(name: str, trials: list[dict[str, Any]]) -> Iterable[str]:
+    goodput = _spread((100 * each['goodput'] for each in trials), 1)
+    wasted = _spread((100 * each['wasted'] for each in trials), 1)
+    tries = _spread((each['attempts_per_request'] for each in trials), 3)
+    yield (
+        f'{name}: goodput {goodput}% of capacity, wasted {wasted}%, '
+        f'attempts/request {tries}'
+    )
+    for account in trials[0]['sources']:
+        found = [each['sources'][account] for each in trials]
+        served = _spread((100 * each['completed'] for each in found), 1)
+        share = _spread((each['of_capacity'] for each in found), 2)
+        middle = _spread((each['added_p50_ms'] for each in found), 1)
+        tail = _spread((each['added_p99_ms'] for each in found), 1)
+        total: Counter[str] = Counter()
+        for one in found:
+            total.update(one['outcomes'])
+        yield (
+            f'  {account:10} completed {served}% = {share} of capacity, '
+            f'added ms p50 {middle} p99 {tail}'
+        )
+        yield f'  {"":10} {dict(total.most_common())}'
+
+
+@click.command()
+@click.option(
+    '--service',
+    type=click.Choice(tuple(LAYOUTS)),
+    default='dispatch',
+    show_default=True,
+)
+@click.option(
+    '--scenario',
+    'names',
+    type=click.Choice(tuple(SCENARIOS)),
+    multiple=True,
+    help='May be repeated; all by default.',
+)
+@click.option('--seeds', type=click.IntRange(1, 100), default=3)
+@click.option('--seconds', type=click.IntRange(1, 600), default=6)
+@click.option('--json', 'as_json', is_flag=True, help='As JSON.')
+def overload(
+    service: str,
+    names: tuple[str, ...],
+    seeds: int,
+    seconds: int,
+    as_json: bool,
+) -> None:
+    """Measure admission under overload on a fake clock."""
+    report: dict[str, list[dict[str, Any]]] = {}
+    for name in names or SCENARIOS:
+        report[name] = [
+            Trial(
+                LAYOUTS[service], SCENARIOS[name], seed, ms(seconds * 1000)
+            ).run()
+            for seed in range(1, seeds + 1)
+        ]
+        if not as_json:
+            for line in _lines(name, report[name]):
+                click.echo(line)
+    if as_json:
+        click.echo(json.dumps(report, indent=2))
--- /dev/null
+++ b/greengagemux/overloadworlds.py
@@ -0,0 +1,485 @@
+"""Discrete-event loop for overload experiments on a fake clock.
+
+Real entrances and last hops are joined by streams that only add latency;
+upstreams are fakes with a log-normal service time. Membership, the log and
+the sockets are left out.
+"""
+
+import heapq
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+from typing import Final
+
+from .answers import Origin
+from .bundles import Bundle
+from .clocks import ZERO, ms, in_ms
+from .effects import AbortCall, CallUpstream, Effect, Outbox, Respond, Send
+from .entrances import Entrance
+from .events import (
+    Announced,
+    CallerRequest,
+    CallFault,
+    StreamOpened,
+    UpstreamAnswered,
+    UpstreamFailed,
+)
+from .headers import OUTCOME, REASON, get
+from .ids import (
+    CallId,
+    DaemonId,
+    DataCentre,
+    ExchangeId,
+    Incarnation,
+    Region,
+    ServiceName,
+    StreamId,
+    UpstreamId,
+)
+from .lasthops import LastHop
+from .messages import (
+    PROTOCOL_VERSION,
+    Answer,
+    Cancel,
+    Dispatch,
+    Hello,
+    MemberRecord,
+    Message,
+    UpstreamState,
+)
+from .outcomes import Failure, Step
+from .paths import Paths
+from .reducers import TICK
+from .verdicts import Verdicts
+
+#: One-way latency between daemons of a region and of two regions.
+NEAR_LATENCY: Final = ms(1)
+FAR_LATENCY: Final = ms(8)
+#: Bytes of a message besides its bodies.
+MESSAGE_OVERHEAD_BYTES: Final = 250
+ANNOUNCE_EVERY: Final = ms(1000)
+#: A refused connection is noticed after this long.
+REFUSED_AFTER: Final = ms(0.2)
+FIRST_INCARNATION: Final = Incarnation(1)
+NEAR_REGION: Final = Region('near')
+FAR_REGION: Final = Region('far')
+_SERVED: Final = 200
+_BITS: Final = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Size of a world; each upstream is beside a daemon of its own.
+
+    ``entrances`` counts the daemons, ``far`` those of them that are in the
+    region without upstreams.
+    """
+
+    upstreams: int = 8
+    slots: int = 3
+    entrances: int = 40
+    far: int = 0
+    service_ms: float = 40
+    sigma: float = 0.5
+    answer_bytes: int = 2000
+    link_kbit_s: int = 30_000
+    service: ServiceName = ServiceName('dispatch')
+
+    def capacity_per_s(self) -> float:
+        """Return the requests a second that all slots can serve."""
+        return self.upstreams * self.slots / self.service_ms * 1000
+
+
+@dataclass(slots=True)
+class Run:
+    """One call as it ran on an upstream, by its number."""
+
+    call: int
+    ended: timedelta
+    slot_ms: float
+    finished: bool
+
+
+@dataclass(slots=True)
+class Ask:
+    """One request of a caller, with its answer."""
+
+    stream: str
+    asked: timedelta
+    responded: timedelta | None = None
+    outcome: str = ''
+    reason: str = ''
+    status: int = 0
+    retry_after_s: int = 0
+    service_ms: float = 0
+    call: int = -1
+
+    def added_ms(self) -> float:
+        """Return the time that was added to the service time."""
+        if self.responded is None:
+            return math.inf
+        return in_ms(self.responded - self.asked) - self.service_ms
+
+
+@dataclass(slots=True)
+class _Call:
+    exchange: int
+    started: timedelta
+    service_ms: float
+    number: int
+
+
+@dataclass(slots=True)
+class Upstream:
+    """A fake upstream; ``fault`` is ``refuse``, ``hang`` or empty."""
+
+    name: str
+    slots: int
+    fault: str = ''
+    running: dict[CallId, _Call] = field(default_factory=dict)
+    attempts: int = 0
+    most_running: int = 0
+
+
+class Host:
+    """One daemon: an entrance and a last hop."""
+
+    def __init__(self, world: 'World', number: int) -> None:
+        """Start without upstreams, bundle or peers."""
+        layout = world.layout
+        self.number = number
+        self.outbox = Outbox()
+        region = NEAR_REGION
+        if number >= layout.entrances - layout.far:
+            region = FAR_REGION
+        self.record = MemberRecord(
+            daemon=DaemonId(f'd{number}'),
+            incarnation=FIRST_INCARNATION,
+            sequence=1,
+            data_centre=DataCentre(f'{region}-a'),
+            region=region,
+            peer_address=f'd{number}',
+        )
+        rng = Random(f'{world.seed}/{number}')
+        self.paths = Paths(self.outbox, rng)
+        self.last_hop = LastHop(
+            self.record.daemon, self.outbox, Verdicts(TICK)
+        )
+        self.entrance = Entrance(
+            self.record, self.last_hop, self.paths, self.outbox, rng
+        )
+        self.upstream: Upstream | None = None
+
+
+class World:
+    """Daemons, upstreams and the clock."""
+
+    def __init__(self, layout: Layout, bundle: Bundle, seed: int) -> None:
+        """Build all daemons with open streams and announced upstreams."""
+        self.layout = layout
+        self.seed = seed
+        self.rng = Random(seed)
+        self.now = ZERO
+        self.asks: list[Ask] = []
+        self.runs: list[Run] = []
+        self.far_bytes = 0
+        self.on_response: Callable[[int, Ask], None] | None = None
+        self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
+        self._order = 0
+        self._link_free = {NEAR_REGION: ZERO, FAR_REGION: ZERO}
+        self._calls = 0
+        self._streams: dict[StreamId, tuple[Host, Host]] = {}
+        self.hosts = [Host(self, each) for each in range(layout.entrances)]
+        self.upstreams: list[Upstream] = []
+        for host in self.hosts:
+            host.last_hop.configure(bundle.services)
+            host.entrance.configure(bundle)
+        self._start_upstreams()
+        self._share_members()
+        for turn, ticking in enumerate(self.hosts):
+            self.after(TICK * turn / layout.entrances, self._ticker(ticking))
+
+    def after(self, delay: timedelta, work: Callable[[], None]) -> None:
+        """Do something later."""
+        self._order += 1
+        entry = (self.now + delay, self._order, work)
+        heapq.heappush(self._events, entry)
+
+    def run(self, duration: timedelta) -> None:
+        """Let time pass."""
+        end = self.now + duration
+        while self._events and self._events[0][0] <= end:
+            due, _order, work = heapq.heappop(self._events)
+            self.now = due
+            work()
+        self.now = end
+
+    def ask(
+        self, host: Host, stream: str, request: tuple[bytes, str, bytes]
+    ) -> int:
+        """Send a caller's request: path, token and body."""
+        path, token, body = request
+        number = len(self.asks)
+        self.asks.append(Ask(stream, self.now))
+        host.entrance.request(
+            CallerRequest(
+                ExchangeId(number),
+                b'GET',
+                b'%s%d' % (path, number),
+                ((b'Authorization', f'Bearer {token}'.encode()),),
+                body,
+            ),
+            self.now,
+        )
+        self._flush(host)
+        return number
+
+    def _start_upstreams(self) -> None:
+        for host in self.hosts[: self.layout.upstreams]:
+            name = f'u{host.number}'
+            host.upstream = Upstream(name, self.layout.slots)
+            self.upstreams.append(host.upstream)
+            self._announcer(host)()
+
+    def _announcer(self, host: Host) -> Callable[[], None]:
+        def announce() -> None:
+            upstream = host.upstream
+            if upstream is None:
+                return
+            host.last_hop.announce(
+                Announced(
+                    UpstreamId(upstream.name),
+                    self.layout.service,
+                    upstream.name,
+                    upstream.slots,
+                    UpstreamState.serving,
+                ),
+                self.now,
+            )
+            self._flush(host)
+            self.after(ANNOUNCE_EVERY, announce)
+
+        return announce
+
+    def _ticker(self, host: Host) -> Callable[[], None]:
+        def tick() -> None:
+            host.last_hop.tick(self.now)
+            host.entrance.tick(self.now)
+            self._flush(host)
+            self.after(TICK, tick)
+
+        return tick
+
+    def _share_members(self) -> None:
+        members = {host.record.daemon: host.record for host in self.hosts}
+        for owner in self.hosts[: self.layout.upstreams]:
+            members[owner.record.daemon] = self._record(owner)
+        for host in self.hosts:
+            host.entrance.members_changed(members, members, self.now)
+            host.outbox.drain()
+        for opener in self.hosts:
+            for peer in self.hosts[: self.layout.upstreams]:
+                if peer is not opener:
+                    self._join(opener, peer)
+
+    def _record(self, host: Host) -> MemberRecord:
+        own = host.record
+        return MemberRecord(
+            daemon=own.daemon,
+            incarnation=own.incarnation,
+            sequence=own.sequence,
+            data_centre=own.data_centre,
+            region=own.region,
+            peer_address=own.peer_address,
+            upstreams=host.last_hop.records(),
+        )
+
+    def _join(self, opener: Host, peer: Host) -> None:
+        stream = StreamId(len(self._streams) + 1)
+        self._streams[stream] = (opener, peer)
+        event = StreamOpened(
+            stream, _hello(peer, stream), True, peer.record.peer_address
+        )
+        path = opener.paths.opened(event, self.now)
+        if path is not None:
+            opener.entrance.path_opened(path, self.now)
+        peer.last_hop.stream_opened(
+            stream, opener.record.daemon, FIRST_INCARNATION, stream
+        )
+
+    def _flush(self, host: Host) -> None:
+        replies = host.last_hop.local_replies
+        while replies:
+            host.entrance.reply(host.record.daemon, replies.pop(0), self.now)
+        if host.last_hop.changed:
+            host.last_hop.changed = False
+            self._spread(host)
+        for effect in host.outbox.drain():
+            self._carry_out(host, effect)
+
+    def _spread(self, host: Host) -> None:
+        """Announce changed upstreams to all daemons after a latency."""
+        if not self._streams:
+            return
+        members = {host.record.daemon: self._record(host)}
+
+        def arrive() -> None:
+            for each in self.hosts:
+                each.entrance.members_changed(members, members, self.now)
+                self._note_peers(each)
+                self._flush(each)
+
+        self.after(FAR_LATENCY, arrive)
+
+    def _note_peers(self, host: Host) -> None:
+        view = host.entrance.views[self.layout.service]
+        states = [
+            candidate.state
+            for candidate in view.candidates.values()
+            if candidate.daemon != host.record.daemon
+        ]
+        host.last_hop.verdicts.note_peers(self.layout.service, states)
+
+    def _carry_out(self, host: Host, effect: Effect) -> None:
+        if isinstance(effect, Send):
+            self._send(host, effect)
+        elif isinstance(effect, CallUpstream):
+            self._call(host, effect)
+        elif isinstance(effect, AbortCall):
+            self._abort(host, effect.call)
+        elif isinstance(effect, Respond):
+            self._respond(effect)
+
+    def _send(self, host: Host, effect: Send) -> None:
+        opener, peer = self._streams[effect.stream]
+        target = peer if host is opener else opener
+        message = effect.message
+        delay = self._delay(host, target, message)
+
+        def arrive() -> None:
+            self._receive(target, host, effect.stream, message)
+            self._flush(target)
+
+        self.after(delay, arrive)
+
+    def _delay(self, host: Host, target: Host, message: Message) -> timedelta:
+        region = host.record.region
+        if region == target.record.region:
+            return NEAR_LATENCY
+        size = MESSAGE_OVERHEAD_BYTES
+        size += len(getattr(message, 'body', b''))
+        self.far_bytes += size
+        start = max(self._link_free[region], self.now)
+        free = start + ms(size * _BITS / self.layout.link_kbit_s)
+        self._link_free[region] = free
+        return free - self.now + FAR_LATENCY
+
+    def _receive(
+        self, host: Host, sender: Host, stream: StreamId, message: Message
+    ) -> None:
+        daemon = sender.record.daemon
+        if isinstance(message, Dispatch):
+            origin = Origin(daemon, FIRST_INCARNATION, message.request)
+            host.last_hop.dispatch(origin, stream, message, self.now)
+        elif isinstance(message, Cancel):
+            origin = Origin(daemon, FIRST_INCARNATION, message.request)
+            host.last_hop.cancel(origin, self.now)
+        else:
+            host.entrance.reply(daemon, message, self.now)
+
+    def _call(self, host: Host, effect: CallUpstream) -> None:
+        upstream = host.upstream
+        if upstream is None:
+            return
+        upstream.attempts += 1
+        if upstream.fault == 'refuse':
+            self.after(REFUSED_AFTER, self._refuser(host, effect.call))
+            return
+        service_ms = self._draw_ms()
+        self._calls += 1
+        exchange = int(effect.target.rpartition(b'/')[2])
+        call = _Call(exchange, self.now, service_ms, self._calls)
+        upstream.running[effect.call] = call
+        running = len(upstream.running)
+        upstream.most_running = max(upstream.most_running, running)
+        if upstream.fault != 'hang':
+            self.after(ms(service_ms), self._finisher(host, effect.call))
+
+    def _draw_ms(self) -> float:
+        layout = self.layout
+        centre = math.log(layout.service_ms) - layout.sigma**2 / 2
+        return self.rng.lognormvariate(centre, layout.sigma)
+
+    def _refuser(self, host: Host, call: CallId) -> Callable[[], None]:
+        def refuse() -> None:
+            failure = Failure(Step.call, 'upstream', 'connection refused')
+            host.last_hop.failed(
+                UpstreamFailed(call, CallFault.refused, False, failure),
+                self.now,
+            )
+            self._flush(host)
+
+        return refuse
+
+    def _finisher(self, host: Host, call: CallId) -> Callable[[], None]:
+        def finish() -> None:
+            upstream = host.upstream
+            ended = upstream.running.pop(call, None) if upstream else None
+            if ended is None:
+                return
+            self._note_run(ended, finished=True)
+            marks = b'%d %f' % (ended.number, ended.service_ms)
+            body = marks.ljust(self.layout.answer_bytes)
+            host.last_hop.answered(
+                UpstreamAnswered(call, _SERVED, (), body), self.now
+            )
+            self._flush(host)
+
+        return finish
+
+    def _abort(self, host: Host, call: CallId) -> None:
+        upstream = host.upstream
+        ended = upstream.running.pop(call, None) if upstream else None
+        if ended is not None:
+            self._note_run(ended, finished=False)
+
+    def _note_run(self, call: _Call, *, finished: bool) -> None:
+        slot_ms = in_ms(self.now - call.started)
+        run = Run(call.number, self.now, slot_ms, finished)
+        self.runs.append(run)
+
+    def _respond(self, effect: Respond) -> None:
+        ask = self.asks[effect.exchange]
+        ask.responded = self.now
+        ask.status = effect.status
+        ask.outcome = (get(effect.headers, OUTCOME.lower()) or b'').decode()
+        ask.reason = (get(effect.headers, REASON.lower()) or b'').decode()
+        ask.retry_after_s = int(get(effect.headers, b'retry-after') or 0)
+        if effect.status == _SERVED:
+            number, service_ms = effect.body.split()
+            ask.call = int(number)
+            ask.service_ms = float(service_ms)
+        if self.on_response is not None:
+            self.on_response(effect.exchange, ask)
+
+
+def _hello(host: Host, stream: StreamId) -> Hello:
+    own = host.record
+    return Hello(
+        PROTOCOL_VERSION,
+        own.daemon,
+        own.data_centre,
+        own.region,
+        own.incarnation,
+        stream,
+    )
+
+
+def quantile(samples: Sequence[float], share: float) -> float:
+    """Return a quantile by rank; ``nan`` without samples."""
+    if not samples:
+        return math.nan
+    ordered = sorted(samples)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
