Report queue length per class, reserve no slot

Cause: with 3 times overload by internal queries, people waited 397 ms at p99 (56 ms without the queries) at 80.0% goodput: entrances compared upstreams by queues full of internal requests, and the reserved slot of three stood idle. Ruled out: shorter queues alone (limit 6: p99 109 ms, limit 12: 171 ms); no reserve alone (p99 260 ms, goodput 98.4%). Change: loads carry the queue ahead of each class; the reserve is 0.

--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -3,9 +3,16 @@
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
+from .admissions import RANK
 from .choices import Candidate, Nearness, UsableView
 from .ids import DaemonId, ServiceName, UpstreamId
-from .messages import MemberRecord, UpstreamRecord, UpstreamState
+from .messages import (
+    Load,
+    MemberRecord,
+    Priority,
+    UpstreamRecord,
+    UpstreamState,
+)
 from .paths import Path, Paths, PathState
 
 
@@ -17,6 +24,8 @@
         self.views: dict[ServiceName, UsableView] = {}
         self._own = own
         self._paths = paths
+        self._ahead: dict[UpstreamId, tuple[int, ...]] = {}
+        self._shown: dict[ServiceName, Priority] = {}
 
     def view(self, service: ServiceName) -> UsableView:
         """Return the candidates of a service."""
@@ -26,6 +35,29 @@
             self.views[service] = view
         return view
 
+    def view_of(
+        self, service: ServiceName, priority: Priority
+    ) -> UsableView:
+        """Return the candidates with the queues that a class would meet.
+
+        A full queue of internal requests says nothing of how long a person
+        would wait. The queues are rewritten only when the class changes.
+        """
+        view = self.view(service)
+        if self._shown.get(service) is not priority:
+            self._shown[service] = priority
+            for candidate in view.candidates.values():
+                self._show(candidate, priority)
+        return view
+
+    def report(self, candidate: Candidate, load: Load) -> None:
+        """Take over the load that came with an answer or a refusal."""
+        candidate.report(load)
+        self._ahead[candidate.upstream] = load.ahead
+        shown = self._shown.get(candidate.service)
+        if shown is not None:
+            self._show(candidate, shown)
+
     def members_changed(
         self,
         members: Mapping[DaemonId, MemberRecord],
@@ -64,6 +96,11 @@
                 return True
         return False
 
+    def _show(self, candidate: Candidate, priority: Priority) -> None:
+        ahead = self._ahead.get(candidate.upstream)
+        if ahead:
+            candidate.queued = ahead[RANK[priority]]
+
     def _list_upstreams(
         self, record: MemberRecord, listed: set[UpstreamId], now: timedelta
     ) -> None:
@@ -112,6 +149,7 @@
             ]
             for upstream in stale:
                 view.drop(upstream)
+                self._ahead.pop(upstream, None)
             dropped.update(stale)
         return dropped
 
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -197,7 +197,9 @@
                 self._retry(slow, now)
 
     def _place(self, waiting: Waiting, now: timedelta) -> None:
-        view = self._candidates.view(waiting.route.service)
+        view = self._candidates.view_of(
+            waiting.route.service, waiting.priority
+        )
         pick = choose(
             view.current(),
             self._rng,
@@ -302,7 +304,7 @@
         now: timedelta,
     ) -> None:
         self._drop(waiting, attempt)
-        attempt.candidate.report(message.load)
+        self._candidates.report(attempt.candidate, message.load)
         if not _is_whole(message):
             self._outbox.emit(
                 Record('answer-damaged', {'peer': attempt.daemon})
@@ -331,7 +333,7 @@
     ) -> None:
         self._drop(waiting, attempt)
         if message.load is not None:
-            attempt.candidate.report(message.load)
+            self._candidates.report(attempt.candidate, message.load)
         waiting.last_reason = message.reason
         if message.outcome is Outcome.not_run:
             self._reroute(waiting, message, now)
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -55,7 +55,7 @@
 #: Service time assumed before the first answer of an upstream.
 INITIAL_SERVICE_MS = 10.0
 #: Share of slots that internal requests may not take while others arrive.
-RESERVED_SLOTS = 1
+RESERVED_SLOTS = 0
 #: Internal requests may use all slots when no other arrived for this long.
 RESERVE_TIMEOUT = timedelta(seconds=1)
 #: Added to a request that was refused because of load.
@@ -573,6 +573,7 @@
         slots=upstream.slots,
         service_ms=upstream.service_ms,
         state=upstream.state,
+        ahead=tuple(map(upstream.queue.ahead, Priority)),
     )
 
 
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -48,13 +48,18 @@
 
 
 class Load(Struct, frozen=True, array_like=True):
-    """Load of one upstream, reported with each answer."""
+    """Load of one upstream, reported with each answer.
+
+    ``ahead`` holds, for each class from the most urgent, how many queued
+    requests would run before a new one of that class.
+    """
 
     in_flight: int
     queued: int
     slots: int
     service_ms: float
     state: UpstreamState
+    ahead: tuple[int, ...] = ()
 
 
 class UpstreamRecord(Struct, frozen=True, array_like=True):
