Interrupt internal requests for people who wait too long

Cause: a slot of three becomes free every 13 ms only, so people queue behind running internal requests. Starvation turns count only dispatches that passed over a lower class. A refusal after a call that was given up is unknown, not not-run: the same fault existed for the second call of a request whose connection went silent.

--- a/greengagemux/admissions.py
+++ b/greengagemux/admissions.py
@@ -8,7 +8,8 @@
 
 from .messages import Priority
 
-#: One dispatch in this many goes to the oldest request of a lower class.
+#: After this many dispatches less one that passed over a lower class, one
+#: goes to the oldest request of the lower classes.
 STARVATION_TURN = 20
 
 _ORDER = (Priority.waiting, Priority.routine, Priority.internal)
@@ -36,7 +37,7 @@
         self.limit = limit
         self.limit_bytes = limit_bytes
         self._size_bytes = 0
-        self._turn = 0
+        self._passed_over = 0
         self._lanes: tuple[deque[Item], ...] = tuple(deque() for _ in _ORDER)
 
     def __len__(self) -> int:
@@ -66,25 +67,33 @@
             refused.append(self._drop_newest())
         return refused
 
-    def take(self, *, reserved: bool = False) -> Item | None:
-        """Remove and return the request to run next.
-
-        With ``reserved`` an internal request is returned only on the turn
-        that prevents starvation.
-        """
-        starved = (self._turn + 1) % STARVATION_TURN == 0
-        lanes = self._lanes[:-1] if reserved and not starved else self._lanes
-        filled = [lane for lane in lanes if lane]
+    def take(self) -> Item | None:
+        """Remove and return the request to run next."""
+        filled = [lane for lane in self._lanes if lane]
         if not filled:
             return None
-        self._turn += 1
         lane = filled[0]
-        if starved:
-            lane = min(filled[1:] or filled, key=_oldest)
+        if len(filled) == 1:
+            self._passed_over = 0
+        elif self._passed_over + 1 >= STARVATION_TURN:
+            lane = min(filled[1:], key=_oldest)
+            self._passed_over = 0
+        else:
+            self._passed_over += 1
         item = lane.popleft()
         self._size_bytes -= item.size_bytes
         return item
 
+    def put_back(self, item: Item) -> None:
+        """Queue an item first in its class again; it is never refused."""
+        self._lanes[RANK[item.priority]].appendleft(item)
+        self._size_bytes += item.size_bytes
+
+    def first(self, priority: Priority) -> Item | None:
+        """Return the request of a class that has waited longest."""
+        lane = self._lanes[RANK[priority]]
+        return lane[0] if lane else None
+
     def discard(self, item: Item) -> None:
         """Remove a request that no longer waits for a slot."""
         self._lanes[RANK[item.priority]].remove(item)
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 
 import xxhash
-
+from msgspec import structs
 
 from .admissions import Queue
 from .answers import FinishedJobs, Origin
@@ -44,6 +44,7 @@
     UpstreamState,
 )
 from .outcomes import Outcome, Reason
+from .retries import Budget
 from .verdicts import StateChange, Verdicts
 
 #: An upstream that stops announcing itself is gone after this long.
@@ -54,10 +55,11 @@
 SERVICE_TIME_WEIGHT = 0.1
 #: Service time assumed before the first answer of an upstream.
 INITIAL_SERVICE_MS = 10.0
-#: Share of slots that internal requests may not take while others arrive.
-RESERVED_SLOTS = 0
-#: Internal requests may use all slots when no other arrived for this long.
-RESERVE_TIMEOUT = timedelta(seconds=1)
+#: A person who waits this long interrupts an internal request that may run
+#: again; most slots become free earlier by themselves.
+PREEMPT_AFTER = timedelta(milliseconds=1000)
+#: Interruptions as a share of started requests: bounds the work done twice.
+PREEMPTION_SHARE = 0.1
 #: Added to a request that was refused because of load.
 RETRY_AFTER_MS = 1000
 
@@ -79,6 +81,7 @@
     started: timedelta = ZERO
     fresh: bool = False
     silent: bool = False
+    interrupted: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -95,7 +98,9 @@
     state: UpstreamState
     running: dict[CallId, Job] = field(default_factory=dict)
     service_ms: float = INITIAL_SERVICE_MS
-    urgent_at: timedelta | None = None
+    preemptions: Budget = field(
+        default_factory=lambda: Budget(PREEMPTION_SHARE)
+    )
 
 
 class LastHop:
@@ -304,6 +309,7 @@
             self._end_late(job, now)
         for waiting in self.upstreams.values():
             self._fill(waiting, now)
+            self._preempt(waiting, now)
         self._finished.trim(now)
 
     def _add(self, event: Announced, now: timedelta) -> None:
@@ -388,6 +394,7 @@
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
         job.fresh = True
+        job.interrupted = True
         self._start(upstream, job, now)
 
     def _expire(self, upstream: Upstream, now: timedelta) -> None:
@@ -420,9 +427,7 @@
 
     def _admit(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         self._jobs[job.origin] = job
-        if job.priority is not Priority.internal:
-            upstream.urgent_at = now
-        if not upstream.queue and _has_slot(upstream, job.priority, now):
+        if not upstream.queue and _has_slot(upstream):
             self._start(upstream, job, now)
             return
         if _expected_wait_ms(upstream, job) > in_ms(job.deadline - now):
@@ -430,6 +435,7 @@
             return
         for refused in upstream.queue.offer(job):
             self._end(refused, _overloaded(refused, upstream), now)
+        self._preempt(upstream, now)
 
     def _start(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         call = CallId(self._next_call)
@@ -437,6 +443,7 @@
         job.call = call
         job.started = now
         upstream.running[call] = job
+        upstream.preemptions.earn()
         self._calls[call] = job
         message = job.dispatch
         remaining_ms = max(1, int(in_ms(job.deadline - now)))
@@ -467,9 +474,8 @@
         )
 
     def _fill(self, upstream: Upstream, now: timedelta) -> None:
-        while upstream.queue and _has_slot(upstream, Priority.waiting, now):
-            reserved = not _has_slot(upstream, Priority.internal, now)
-            job = upstream.queue.take(reserved=reserved)
+        while upstream.queue and _has_slot(upstream):
+            job = upstream.queue.take()
             if job is None:
                 return
             if job.deadline <= now:
@@ -477,6 +483,27 @@
                 continue
             self._start(upstream, job, now)
 
+    def _preempt(self, upstream: Upstream, now: timedelta) -> None:
+        """Interrupt an internal request for a person who waits too long.
+
+        The one that started last is interrupted, because it loses the least
+        work, and at most once.
+        """
+        first = upstream.queue.first(Priority.waiting)
+        if first is None or now - first.arrived < PREEMPT_AFTER:
+            return
+        running = filter(_interruptible, reversed(upstream.running.values()))
+        job = next(running, None)
+        if job is None or job.call is None or not upstream.preemptions.spend():
+            return
+        self._outbox.emit(AbortCall(job.call))
+        self._release(job, upstream)
+        job.call = None
+        job.interrupted = True
+        upstream.queue.put_back(job)
+        upstream.queue.discard(first)
+        self._start(upstream, first, now)
+
     def _release(self, job: Job, upstream: Upstream) -> None:
         if job.call is None:
             return
@@ -485,6 +512,9 @@
 
     def _end(self, job: Job, message: Answer | Refusal, now: timedelta) -> None:
         self._jobs.pop(job.origin, None)
+        if job.interrupted and isinstance(message, Refusal):
+            # The call that was given up may have run.
+            message = structs.replace(message, outcome=Outcome.unknown)
         if job.origin.daemon == self._own:
             self.local_replies.append(message)
             return
@@ -591,14 +621,14 @@
     )
 
 
-def _has_slot(upstream: Upstream, priority: Priority, now: timedelta) -> bool:
-    free = upstream.slots - len(upstream.running)
-    if priority is not Priority.internal:
-        return free > 0
-    urgent_at = upstream.urgent_at
-    if urgent_at is None or urgent_at + RESERVE_TIMEOUT <= now:
-        return free > 0
-    return free > min(RESERVED_SLOTS, upstream.slots - 1)
+def _has_slot(upstream: Upstream) -> bool:
+    return len(upstream.running) < upstream.slots
+
+
+def _interruptible(job: Job) -> bool:
+    if job.priority is not Priority.internal or job.interrupted:
+        return False
+    return job.dispatch.idempotent and not job.silent
 
 
 def _expected_wait_ms(upstream: Upstream, job: Job) -> float:
