--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -55,9 +55,12 @@
 SERVICE_TIME_WEIGHT = 0.1
 #: Service time assumed before the first answer of an upstream.
 INITIAL_SERVICE_MS = 10.0
-#: A person who waits this long interrupts an internal request that may run
-#: again; most slots become free earlier by themselves.
-PREEMPT_AFTER = timedelta(milliseconds=1000)
+#: A person interrupts an internal request that has run for less than this
+#: share of the mean service time, because little work is lost.
+CHEAP_SHARE = 0.125
+#: A person who has waited for this share of the mean service time interrupts
+#: any; most slots become free earlier by themselves.
+PREEMPT_SHARE = 0.7
 #: Interruptions as a share of started requests: bounds the work done twice.
 PREEMPTION_SHARE = 0.1
 #: Added to a request that was refused because of load.
@@ -490,11 +493,18 @@
         work, and at most once.
         """
         first = upstream.queue.first(Priority.waiting)
-        if first is None or now - first.arrived < PREEMPT_AFTER:
+        if first is None:
             return
         running = filter(_interruptible, reversed(upstream.running.values()))
         job = next(running, None)
-        if job is None or job.call is None or not upstream.preemptions.spend():
+        if job is None or job.call is None:
+            return
+        lost_ms = in_ms(now - job.started)
+        waited_ms = in_ms(now - first.arrived)
+        cheap = lost_ms <= CHEAP_SHARE * upstream.service_ms
+        if not cheap and waited_ms < PREEMPT_SHARE * upstream.service_ms:
+            return
+        if not upstream.preemptions.spend():
             return
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
