Share queues fairly among teams and accounts of a class

Cause: one account with 3 times the capacity left 30.0% and 28.4% of the requests of a sibling and of another team (each 0.3 of capacity). Change: start-time fair queueing in two levels, by expected service time; a full queue drops the newest request of the account that holds most.

--- a/greengagemux/admissions.py
+++ b/greengagemux/admissions.py
@@ -1,11 +1,10 @@
-"""Admission of requests to an upstream: queue by priority and deadline."""
+"""Admission of requests to an upstream: queue by priority and fair share."""
 
-from collections import deque
 from collections.abc import Iterator
-from datetime import timedelta
 from types import MappingProxyType
 from typing import Generic, Protocol, TypeVar
 
+from .fairness import Lane, Sharing
 from .messages import Priority
 
 #: After this many dispatches less one that passed over a lower class, one
@@ -18,12 +17,10 @@
 )
 
 
-class Queued(Protocol):
+class Queued(Sharing, Protocol):
     """What the queue needs to know of a request."""
 
     priority: Priority
-    size_bytes: int
-    arrived: timedelta
 
 
 Item = TypeVar('Item', bound=Queued)
@@ -38,7 +35,7 @@
         self.limit_bytes = limit_bytes
         self._size_bytes = 0
         self._passed_over = 0
-        self._lanes: tuple[deque[Item], ...] = tuple(deque() for _ in _ORDER)
+        self._lanes: tuple[Lane[Item], ...] = tuple(Lane() for _ in _ORDER)
 
     def __len__(self) -> int:
         """Return the number of requests that wait."""
@@ -57,14 +54,14 @@
     def offer(self, item: Item) -> list[Item]:
         """Add a request and return those that must be refused for it.
 
-        The refused requests are the newest of the least urgent class; the
-        list holds ``item`` itself when nothing less urgent waits.
+        They are of the least urgent class, the newest of the account that
+        holds most there; the list may hold ``item`` itself.
         """
-        self._lanes[RANK[item.priority]].append(item)
+        self._lanes[RANK[item.priority]].add(item)
         self._size_bytes += item.size_bytes
         refused: list[Item] = []
         while self._over():
-            refused.append(self._drop_newest())
+            refused.append(self._drop())
         return refused
 
     def take(self) -> Item | None:
@@ -76,27 +73,27 @@
         if len(filled) == 1:
             self._passed_over = 0
         elif self._passed_over + 1 >= STARVATION_TURN:
-            lane = min(filled[1:], key=_oldest)
+            lane = min(filled[1:], key=lambda each: each.oldest().arrived)
             self._passed_over = 0
         else:
             self._passed_over += 1
-        item = lane.popleft()
+        item = lane.take()
         self._size_bytes -= item.size_bytes
         return item
 
     def put_back(self, item: Item) -> None:
-        """Queue an item first in its class again; it is never refused."""
-        self._lanes[RANK[item.priority]].appendleft(item)
+        """Queue an item before others of its account; it is never refused."""
+        self._lanes[RANK[item.priority]].put_back(item)
         self._size_bytes += item.size_bytes
 
-    def first(self, priority: Priority) -> Item | None:
+    def oldest(self, priority: Priority) -> Item | None:
         """Return the request of a class that has waited longest."""
         lane = self._lanes[RANK[priority]]
-        return lane[0] if lane else None
+        return lane.oldest() if lane else None
 
     def discard(self, item: Item) -> None:
         """Remove a request that no longer waits for a slot."""
-        self._lanes[RANK[item.priority]].remove(item)
+        self._lanes[RANK[item.priority]].discard(item)
         self._size_bytes -= item.size_bytes
 
     def _over(self) -> bool:
@@ -104,12 +101,8 @@
             return True
         return self._size_bytes > self.limit_bytes
 
-    def _drop_newest(self) -> Item:
+    def _drop(self) -> Item:
         lane = next(lane for lane in reversed(self._lanes) if lane)
-        item = lane.pop()
+        item = lane.drop()
         self._size_bytes -= item.size_bytes
         return item
-
-
-def _oldest(lane: deque[Item]) -> timedelta:
-    return lane[0].arrived
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -272,6 +272,7 @@
             expected_ms=expected_ms,
             forced=pick.forced,
             echo=route.echo_header,
+            team=waiting.caller.team or '',
         )
 
     def _send_local(self, waiting: Waiting, pick: Pick, now: timedelta) -> None:
--- /dev/null
+++ b/greengagemux/fairness.py
@@ -0,0 +1,184 @@
+"""Fair order of requests of one class among teams and accounts.
+
+Start-time fair queueing in two levels: among teams, and among the accounts
+of a team. A share is measured in expected service time, so that an account
+with slow requests gets no more of the slots than one with fast ones.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Final, Generic, Protocol, TypeVar
+
+#: Cost of a request whose service time is not known.
+UNKNOWN_COST_MS: Final = 10.0
+
+
+class Sharing(Protocol):
+    """What a lane needs to know of a request.
+
+    An account without a team is a team of its own.
+    """
+
+    arrived: timedelta
+    size_bytes: int
+
+    @property
+    def account(self) -> str:
+        """Account of the caller."""
+
+    @property
+    def team(self) -> str:
+        """Team of the account."""
+
+    @property
+    def cost_ms(self) -> float:
+        """Expected service time; 0 when it is not known."""
+
+
+Item = TypeVar('Item', bound=Sharing)
+
+
+@dataclass(slots=True)
+class _Share(Generic[Item]):
+    """Requests of an account, or the accounts of a team.
+
+    ``start_ms`` is the virtual time at which the next request may start.
+    """
+
+    start_ms: float
+    count: int = 0
+    size_bytes: int = 0
+    queue: deque[Item] = field(default_factory=deque)
+    accounts: 'dict[str, _Share[Item]]' = field(default_factory=dict)
+    clock_ms: float = 0
+
+    def add(self, item: Item, step: int) -> None:
+        self.count += step
+        self.size_bytes += step * item.size_bytes
+
+
+class Lane(Generic[Item]):
+    """Requests of one class that wait for a slot."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._root: _Share[Item] = _Share(0)
+
+    def __len__(self) -> int:
+        """Return the number of requests."""
+        return self._root.count
+
+    def __iter__(self) -> Iterator[Item]:
+        """Iterate over the requests, team by team."""
+        for team in self._root.accounts.values():
+            for account in team.accounts.values():
+                yield from account.queue
+
+    def add(self, item: Item) -> None:
+        """Add a request behind the others of its account."""
+        self._account(item).queue.append(item)
+        self._count(item, 1)
+
+    def put_back(self, item: Item) -> None:
+        """Add a request before the others of its account."""
+        self._account(item).queue.appendleft(item)
+        self._count(item, 1)
+
+    def take(self) -> Item:
+        """Remove the request to run next; raises ``ValueError`` if empty."""
+        team = _earliest(self._root)
+        account = _earliest(team)
+        item = account.queue[0]
+        cost_ms = item.cost_ms or UNKNOWN_COST_MS
+        for parent, share in ((self._root, team), (team, account)):
+            parent.clock_ms = max(parent.clock_ms, share.start_ms)
+            share.start_ms += cost_ms
+        account.queue.popleft()
+        self._count(item, -1)
+        _forget_idle(self._root)
+        _forget_idle(team)
+        return item
+
+    def discard(self, item: Item) -> None:
+        """Remove a request; raises ``ValueError`` if it does not wait."""
+        self._account(item).queue.remove(item)
+        self._count(item, -1)
+
+    def drop(self) -> Item:
+        """Remove the newest request of the account that holds most.
+
+        The team that holds most is looked for first. Raises ``ValueError``
+        when the lane is empty.
+        """
+        team = _largest(self._root)
+        item = _largest(team).queue.pop()
+        self._count(item, -1)
+        return item
+
+    def oldest(self) -> Item:
+        """Return the request that arrived first."""
+        heads = [
+            account.queue[0]
+            for team in self._root.accounts.values()
+            for account in team.accounts.values()
+            if account.queue
+        ]
+        return min(heads, key=_arrived)
+
+    def _account(self, item: Item) -> _Share[Item]:
+        return _child(_child(self._root, item.team), item.account)
+
+    def _count(self, item: Item, step: int) -> None:
+        team = self._root.accounts[item.team]
+        for share in (self._root, team, team.accounts[item.account]):
+            share.add(item, step)
+
+
+def _child(parent: _Share[Item], name: str) -> _Share[Item]:
+    share = parent.accounts.get(name)
+    if share is None:
+        share = _Share(parent.clock_ms)
+        parent.accounts[name] = share
+    elif not share.count:
+        # An account that was idle gets no credit for it.
+        share.start_ms = max(share.start_ms, parent.clock_ms)
+    return share
+
+
+def _forget_idle(parent: _Share[Item]) -> None:
+    """Forget idle shares that are not ahead: thousands of accounts exist."""
+    idle = [
+        name
+        for name, share in parent.accounts.items()
+        if not share.count and share.start_ms <= parent.clock_ms
+    ]
+    for name in idle:
+        parent.accounts.pop(name)
+    if not parent.count:
+        parent.accounts.clear()
+
+
+def _filled(parent: _Share[Item]) -> list[_Share[Item]]:
+    return [share for share in parent.accounts.values() if share.count]
+
+
+def _earliest(parent: _Share[Item]) -> _Share[Item]:
+    return min(_filled(parent), key=_start_ms)
+
+
+def _largest(parent: _Share[Item]) -> _Share[Item]:
+    return max(_filled(parent), key=_held)
+
+
+def _start_ms(share: _Share[Item]) -> float:
+    return share.start_ms
+
+
+def _held(share: _Share[Item]) -> tuple[int, int]:
+    return share.count, share.size_bytes
+
+
+def _arrived(item: Sharing) -> timedelta:
+    return item.arrived
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -86,6 +86,21 @@
     silent: bool = False
     interrupted: bool = False
 
+    @property
+    def account(self) -> str:
+        """Account of the caller."""
+        return self.dispatch.caller
+
+    @property
+    def team(self) -> str:
+        """Team of the account, or the account itself without one."""
+        return self.dispatch.team or f'account {self.dispatch.caller}'
+
+    @property
+    def cost_ms(self) -> float:
+        """Expected service time; 0 when it is not known."""
+        return self.dispatch.expected_ms
+
 
 @dataclass(slots=True, eq=False)
 class Upstream:
@@ -492,7 +507,7 @@
         The one that started last is interrupted, because it loses the least
         work, and at most once.
         """
-        first = upstream.queue.first(Priority.waiting)
+        first = upstream.queue.oldest(Priority.waiting)
         if first is None:
             return
         running = filter(_interruptible, reversed(upstream.running.values()))
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -125,6 +125,7 @@
     ``expected_ms`` is the median service time of the route over other
     upstreams, or 0 when it is not known. ``echo`` names, in lower case, the
     header of the request that a right answer repeats; empty for none.
+    ``team`` is the team of the caller; empty for none.
     """
 
     request: RequestId
@@ -144,6 +145,7 @@
     expected_ms: float = 0
     forced: bool = False
     echo: str = ''
+    team: str = ''
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
