--- a/greengagemux/admissions.py
+++ b/greengagemux/admissions.py
@@ -1,14 +1,14 @@
-"""Admission of requests to an upstream: queue by priority and deadline."""
+"""Admission of requests to an upstream: queue by priority and fair share."""
 
-from collections import deque
 from collections.abc import Iterator
-from datetime import timedelta
 from types import MappingProxyType
 from typing import Generic, Protocol, TypeVar
 
+from .fairness import Lane, Sharing
 from .messages import Priority
 
-#: One dispatch in this many goes to the oldest request of a lower class.
+#: After this many dispatches less one that passed over a lower class, one
+#: goes to the oldest request of the lower classes.
 STARVATION_TURN = 20
 
 _ORDER = (Priority.waiting, Priority.routine, Priority.internal)
@@ -17,12 +17,10 @@
 )
 
 
-class Queued(Protocol):
+class Queued(Sharing, Protocol):
     """What the queue needs to know of a request."""
 
     priority: Priority
-    size_bytes: int
-    arrived: timedelta
 
 
 Item = TypeVar('Item', bound=Queued)
@@ -36,8 +34,8 @@
         self.limit = limit
         self.limit_bytes = limit_bytes
         self._size_bytes = 0
-        self._turn = 0
-        self._lanes: tuple[deque[Item], ...] = tuple(deque() for _ in _ORDER)
+        self._passed_over = 0
+        self._lanes: tuple[Lane[Item], ...] = tuple(Lane() for _ in _ORDER)
 
     def __len__(self) -> int:
         """Return the number of requests that wait."""
@@ -56,38 +54,46 @@
     def offer(self, item: Item) -> list[Item]:
         """Add a request and return those that must be refused for it.
 
-        The refused requests are the newest of the least urgent class; the
-        list holds ``item`` itself when nothing less urgent waits.
+        They are of the least urgent class, the newest of the account that
+        holds most there; the list may hold ``item`` itself.
         """
-        self._lanes[RANK[item.priority]].append(item)
+        self._lanes[RANK[item.priority]].add(item)
         self._size_bytes += item.size_bytes
         refused: list[Item] = []
         while self._over():
-            refused.append(self._drop_newest())
+            refused.append(self._drop())
         return refused
 
-    def take(self, *, reserved: bool = False) -> Item | None:
-        """Remove and return the request to run next.
-
-        With ``reserved`` an internal request is returned only on the turn
-        that prevents starvation.
-        """
-        starved = (self._turn + 1) % STARVATION_TURN == 0
-        lanes = self._lanes[:-1] if reserved and not starved else self._lanes
-        filled = [lane for lane in lanes if lane]
+    def take(self) -> Item | None:
+        """Remove and return the request to run next."""
+        filled = [lane for lane in self._lanes if lane]
         if not filled:
             return None
-        self._turn += 1
         lane = filled[0]
-        if starved:
-            lane = min(filled[1:] or filled, key=_oldest)
-        item = lane.popleft()
+        if len(filled) == 1:
+            self._passed_over = 0
+        elif self._passed_over + 1 >= STARVATION_TURN:
+            lane = min(filled[1:], key=lambda each: each.oldest().arrived)
+            self._passed_over = 0
+        else:
+            self._passed_over += 1
+        item = lane.take()
         self._size_bytes -= item.size_bytes
         return item
 
+    def put_back(self, item: Item) -> None:
+        """Queue an item before others of its account; it is never refused."""
+        self._lanes[RANK[item.priority]].put_back(item)
+        self._size_bytes += item.size_bytes
+
+    def oldest(self, priority: Priority) -> Item | None:
+        """Return the request of a class that has waited longest."""
+        lane = self._lanes[RANK[priority]]
+        return lane.oldest() if lane else None
+
     def discard(self, item: Item) -> None:
         """Remove a request that no longer waits for a slot."""
-        self._lanes[RANK[item.priority]].remove(item)
+        self._lanes[RANK[item.priority]].discard(item)
         self._size_bytes -= item.size_bytes
 
     def _over(self) -> bool:
@@ -95,12 +101,8 @@
             return True
         return self._size_bytes > self.limit_bytes
 
-    def _drop_newest(self) -> Item:
+    def _drop(self) -> Item:
         lane = next(lane for lane in reversed(self._lanes) if lane)
-        item = lane.pop()
+        item = lane.drop()
         self._size_bytes -= item.size_bytes
         return item
-
-
-def _oldest(lane: deque[Item]) -> timedelta:
-    return lane[0].arrived
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 
 import xxhash
+from msgspec import structs
 
 from .admissions import Queue
 from .answers import FinishedJobs, Origin
@@ -23,12 +24,12 @@
     Record,
     Send,
 )
+from .epochs import StreamEpochs
 from .events import Announced, CallFault, UpstreamAnswered, UpstreamFailed
 from .headers import echoes
 from .ids import (
     CallId,
     DaemonId,
-    Incarnation,
     ServiceName,
     StreamId,
     UpstreamId,
@@ -47,6 +48,7 @@
     UpstreamState,
 )
 from .outcomes import Outcome, Reason
+from .retries import Budget
 from .verdicts import StateChange, Verdicts
 
 #: An upstream that stops announcing itself is gone after this long.
@@ -62,10 +64,14 @@
 SERVICE_TIME_WEIGHT = 0.1
 #: Service time assumed before the first answer of an upstream.
 INITIAL_SERVICE_MS = 10.0
-#: Share of slots that internal requests may not take while others arrive.
-RESERVED_SLOTS = 1
-#: Internal requests may use all slots when no other arrived for this long.
-RESERVE_TIMEOUT = timedelta(seconds=1)
+#: A person interrupts an internal request that has run for less than this
+#: share of the mean service time, because little work is lost.
+CHEAP_SHARE = 0.125
+#: A person who has waited for this share of the mean service time interrupts
+#: any; most slots become free earlier by themselves.
+PREEMPT_SHARE = 0.7
+#: Interruptions as a share of started requests: bounds the work done twice.
+PREEMPTION_SHARE = 0.1
 #: Added to a request that was refused because of load.
 RETRY_AFTER_MS = 1000
 
@@ -90,6 +96,22 @@
     started: timedelta = ZERO
     fresh: bool = False
     silent: bool = False
+    interrupted: bool = False
+
+    @property
+    def account(self) -> str:
+        """Account of the caller."""
+        return self.dispatch.caller
+
+    @property
+    def team(self) -> str:
+        """Team of the account, or the account itself without one."""
+        return self.dispatch.team or f'account {self.dispatch.caller}'
+
+    @property
+    def cost_ms(self) -> float:
+        """Expected service time; 0 when it is not known."""
+        return self.dispatch.expected_ms
 
 
 @dataclass(slots=True, eq=False)
@@ -106,11 +128,14 @@
     state: UpstreamState
     running: dict[CallId, Job] = field(default_factory=dict)
     service_ms: float = INITIAL_SERVICE_MS
-    urgent_at: timedelta | None = None
     confirmed: bool = True
     crashed_at: timedelta | None = None
     trials: deque[Job] = field(default_factory=deque)
 
+    preemptions: Budget = field(
+        default_factory=lambda: Budget(PREEMPTION_SHARE)
+    )
+
     @property
     def on_trial(self) -> bool:
         """Whether a suspected request waits to run or runs alone."""
@@ -146,7 +171,8 @@
         self._calls: dict[CallId, Job] = {}
         self._finished = FinishedJobs()
         self._next_call = 1
-        self._newest: dict[DaemonId, tuple[Incarnation, int, StreamId]] = {}
+        #: Which streams of peers may bring requests.
+        self.epochs = StreamEpochs()
         self._seen_at: timedelta | None = None
         self._backlog_until = ZERO
         #: Replies to requests of this daemon's own entrance.
@@ -209,18 +235,6 @@
         for upstream in self.upstreams.values():
             upstream.confirmed = False
 
-    def stream_opened(
-        self, stream: StreamId, daemon: DaemonId, incarnation: int, number: int
-    ) -> None:
-        """Accept dispatches of a peer on its newest stream only.
-
-        A stream that went silent may still deliver a request whose caller
-        was already told that it was not run.
-        """
-        known = self._newest.get(daemon)
-        if known is None or (incarnation, number) > known[:2]:
-            self._newest[daemon] = (Incarnation(incarnation), number, stream)
-
     def dispatch(
         self,
         origin: Origin,
@@ -229,7 +243,9 @@
         now: timedelta,
     ) -> None:
         """Admit a request: run it, queue it or refuse it."""
-        if stream is not None and not self._is_newest(origin, stream):
+        if stream is not None and not self.epochs.is_newest(
+            origin.daemon, stream
+        ):
             self._outbox.emit(
                 Record('dispatch-superseded', {'peer': origin.daemon})
             )
@@ -370,6 +386,7 @@
             self._end_late(job, now)
         for waiting in self.upstreams.values():
             self._fill(waiting, now)
+            self._preempt(waiting, now)
         self._finished.trim(now)
 
     def _add(self, event: Announced, now: timedelta) -> None:
@@ -455,6 +472,7 @@
         self._release(job, upstream)
         self._convictions.finished(job.fingerprint, answered=False, now=now)
         job.fresh = True
+        job.interrupted = True
         self._start(upstream, job, now)
 
     def _expire(self, upstream: Upstream, now: timedelta) -> None:
@@ -481,19 +499,13 @@
             )
         )
 
-    def _is_newest(self, origin: Origin, stream: StreamId) -> bool:
-        newest = self._newest.get(origin.daemon)
-        return newest is not None and newest[2] == stream
-
     def _admit(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         self._jobs[job.origin] = job
-        if job.priority is not Priority.internal:
-            upstream.urgent_at = now
         if job.alone:
             upstream.trials.append(job)
             self._fill(upstream, now)
             return
-        if not upstream.queue and _has_slot(upstream, job.priority, now):
+        if not upstream.queue and _has_slot(upstream):
             self._start(upstream, job, now)
             return
         if _expected_wait_ms(upstream, job) > in_ms(job.deadline - now):
@@ -501,6 +513,7 @@
             return
         for refused in upstream.queue.offer(job):
             self._end(refused, _overloaded(refused, upstream), now)
+        self._preempt(upstream, now)
 
     def _start(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         call = CallId(self._next_call)
@@ -508,6 +521,7 @@
         job.call = call
         job.started = now
         upstream.running[call] = job
+        upstream.preemptions.earn()
         self._calls[call] = job
         self._convictions.started(job.fingerprint)
         message = job.dispatch
@@ -544,9 +558,8 @@
         if upstream.trials:
             self._try_alone(upstream, now)
             return
-        while upstream.queue and _has_slot(upstream, Priority.waiting, now):
-            reserved = not _has_slot(upstream, Priority.internal, now)
-            job = upstream.queue.take(reserved=reserved)
+        while upstream.queue and _has_slot(upstream):
+            job = upstream.queue.take()
             if job is None:
                 return
             if job.deadline <= now:
@@ -585,6 +598,34 @@
             now,
         )
 
+    def _preempt(self, upstream: Upstream, now: timedelta) -> None:
+        """Interrupt an internal request for a person who waits too long.
+
+        The one that started last is interrupted, because it loses the least
+        work, and at most once.
+        """
+        first = upstream.queue.oldest(Priority.waiting)
+        if first is None:
+            return
+        running = filter(_interruptible, reversed(upstream.running.values()))
+        job = next(running, None)
+        if job is None or job.call is None:
+            return
+        lost_ms = in_ms(now - job.started)
+        waited_ms = in_ms(now - first.arrived)
+        cheap = lost_ms <= CHEAP_SHARE * upstream.service_ms
+        if not cheap and waited_ms < PREEMPT_SHARE * upstream.service_ms:
+            return
+        if not upstream.preemptions.spend():
+            return
+        self._outbox.emit(AbortCall(job.call))
+        self._release(job, upstream)
+        self._convictions.finished(job.fingerprint, answered=False, now=now)
+        job.interrupted = True
+        upstream.queue.put_back(job)
+        upstream.queue.discard(first)
+        self._start(upstream, first, now)
+
     def _release(self, job: Job, upstream: Upstream) -> None:
         if job.call is None:
             return
@@ -594,6 +635,9 @@
 
     def _end(self, job: Job, message: Answer | Refusal, now: timedelta) -> None:
         self._jobs.pop(job.origin, None)
+        if job.interrupted and isinstance(message, Refusal):
+            # The call that was given up may have run.
+            message = structs.replace(message, outcome=Outcome.unknown)
         if job.origin.daemon == self._own:
             self.local_replies.append(message)
             return
@@ -655,6 +699,8 @@
     def _end_late(self, job: Job, now: timedelta) -> None:
         if job.origin not in self._jobs:
             # Ended meanwhile, when the end of another one freed a slot.
+
+            # Ended when the abort of an earlier one refilled its slot.
             return
         if job.call is None:
             self._discard(job)
@@ -690,6 +736,7 @@
         slots=upstream.slots,
         service_ms=upstream.service_ms,
         state=upstream.state,
+        ahead=tuple(map(upstream.queue.ahead, Priority)),
     )
 
 
@@ -708,16 +755,16 @@
     )
 
 
-def _has_slot(upstream: Upstream, priority: Priority, now: timedelta) -> bool:
+def _has_slot(upstream: Upstream) -> bool:
     if upstream.on_trial:
         return False
-    free = upstream.slots - len(upstream.running)
-    if priority is not Priority.internal:
-        return free > 0
-    urgent_at = upstream.urgent_at
-    if urgent_at is None or urgent_at + RESERVE_TIMEOUT <= now:
-        return free > 0
-    return free > min(RESERVED_SLOTS, upstream.slots - 1)
+    return len(upstream.running) < upstream.slots
+
+
+def _interruptible(job: Job) -> bool:
+    if job.priority is not Priority.internal or job.interrupted:
+        return False
+    return job.dispatch.idempotent and not job.silent
 
 
 def _expected_wait_ms(upstream: Upstream, job: Job) -> float:
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -49,13 +49,18 @@
 
 
 class Load(Struct, frozen=True, array_like=True):
-    """Load of one upstream, reported with each answer."""
+    """Load of one upstream, reported with each answer.
+
+    ``ahead`` holds, for each class from the most urgent, how many queued
+    requests would run before a new one of that class.
+    """
 
     in_flight: int
     queued: int
     slots: int
     service_ms: float
     state: UpstreamState
+    ahead: tuple[int, ...] = ()
 
 
 class UpstreamRecord(Struct, frozen=True, array_like=True):
@@ -121,6 +126,7 @@
     ``expected_ms`` is the median service time of the route over other
     upstreams, or 0 when it is not known. ``echo`` names, in lower case, the
     header of the request that a right answer repeats; empty for none.
+    ``team`` is the team of the caller; empty for none.
     """
 
     request: RequestId
@@ -140,6 +146,7 @@
     expected_ms: float = 0
     forced: bool = False
     echo: str = ''
+    team: str = ''
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -228,7 +228,7 @@
     path = daemon.paths.opened(event, now)
     if not event.outbound:
         daemon.incarnations[event.stream] = hello.incarnation
-        daemon.last_hop.stream_opened(
+        daemon.last_hop.epochs.opened(
             event.stream, hello.daemon, hello.incarnation, hello.number
         )
     if path is not None:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -54,8 +54,8 @@
     ),
     Mutation(
         'an older stream of a peer still brings requests',
-        'lasthops',
-        'return newest is not None and newest[2] == stream',
+        'epochs',
+        'return newest is not None and newest.stream == stream',
         'return True',
         'true_not_run',
     ),
