Throttle refused accounts at the entrance, place people by fresh load

Change: entrances send 1.5 requests for each accepted one by service, account and class; two offers while queues are full; Retry-After drawn from a range that grows with the overload; retries are marked and each upstream accepts 9% of first calls, saving up 4; a person's request is refused (busy) rather than queued behind another person's, twice at most.

--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -1,7 +1,7 @@
 """Lifecycle of requests at the entrance."""
 
 import heapq
-from collections.abc import Iterable, Mapping
+from collections.abc import Hashable, Iterable, Mapping
 from datetime import timedelta
 from random import Random
 
@@ -33,6 +33,7 @@
     MemberRecord,
     Message,
     NotSeen,
+    Priority,
     Refusal,
     Running,
 )
@@ -40,9 +41,15 @@
 from .paths import Path, Paths, PathState
 from .requests import Attempt, Waiting, completion, refusal
 from .retries import Budget
+from .throttles import Throttles
 
 #: Upstreams a request is offered to before its refusal is passed on.
 REROUTE_LIMIT = 4
+#: The same while they refuse for their load: two full queues are evidence
+#: enough, and each offer costs the fleet a message and a refusal.
+OVERLOADED_LIMIT = 2
+#: Times that a person's request is offered elsewhere instead of queued.
+MOVE_LIMIT = 2
 #: Attempts of an idempotent request, the first one included.
 ATTEMPT_LIMIT = 3
 #: A second attempt starts when the first is older than this multiple of the
@@ -76,6 +83,7 @@
         self._candidates = Candidates(own, paths)
         self._budgets: dict[ServiceName, Budget] = {}
         self._baselines = Baselines()
+        self._throttles = Throttles(rng)
         self._waiting: dict[ExchangeId, Waiting] = {}
         self._attempts: dict[RequestId, Waiting] = {}
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
@@ -115,9 +123,7 @@
         """Accept a request of a caller, or refuse it at once."""
         admitted = self._accounts.admit(event)
         if isinstance(admitted, Reason):
-            self._outbox.emit(
-                refusal(event.exchange, Outcome.not_run, admitted)
-            )
+            self._refuse(event, admitted)
             return
         caller = admitted.caller
         route = admitted.route
@@ -134,6 +140,10 @@
             arrived=now,
             deadline=now + ms(limit_ms),
         )
+        key = throttle_key(waiting)
+        if not self._throttles.admit(key, now):
+            self._refuse(event, Reason.overloaded, key)
+            return
         self._waiting[event.exchange] = waiting
         heapq.heappush(self._deadlines, (waiting.deadline, event.exchange))
         self._accounts.count(caller, 1)
@@ -196,6 +206,19 @@
             if slow.idempotent and self._is_slow(slow, now):
                 self._retry(slow, now)
 
+    def _refuse(
+        self, event: CallerRequest, reason: Reason, key: Hashable = None
+    ) -> None:
+        """Answer a request that was not accepted."""
+        self._outbox.emit(
+            refusal(
+                event.exchange,
+                Outcome.not_run,
+                reason,
+                retry_after_ms=self._throttles.retry_after_ms(key),
+            )
+        )
+
     def _place(self, waiting: Waiting, now: timedelta) -> None:
         view = self._candidates.view_of(
             waiting.route.service, waiting.priority
@@ -232,6 +255,9 @@
     def _no_candidate(self, waiting: Waiting) -> None:
         if waiting.attempts:
             return
+        if _movable(waiting) and waiting.moves:
+            self._move(waiting, now)
+            return
         if not waiting.reroutes and not waiting.may_have_run:
             # Upstreams behind paths that are still opening may come up
             # before the deadline.
@@ -273,6 +299,8 @@
             forced=pick.forced,
             echo=route.echo_header,
             team=waiting.caller.team or '',
+            retry=waiting.retried,
+            movable=_movable(waiting),
         )
 
     def _send_local(self, waiting: Waiting, pick: Pick, now: timedelta) -> None:
@@ -305,6 +333,7 @@
         now: timedelta,
     ) -> None:
         self._drop(waiting, attempt)
+        self._throttles.accepted(throttle_key(waiting), now)
         self._candidates.report(attempt.candidate, message.load)
         if not _is_whole(message):
             self._outbox.emit(
@@ -335,12 +364,28 @@
         self._drop(waiting, attempt)
         if message.load is not None:
             self._candidates.report(attempt.candidate, message.load)
+        if message.reason is Reason.busy:
+            self._move(waiting, now)
+            return
+        if message.reason is Reason.retry_budget:
+            if not waiting.attempts:
+                self._conclude(waiting, waiting.last_reason)
+            return
         waiting.last_reason = message.reason
         if message.outcome is Outcome.not_run:
             self._reroute(waiting, message, now)
             return
         self._failed(waiting, message.reason, now)
 
+    def _move(self, waiting: Waiting, now: timedelta) -> None:
+        """Place a person's request again, with the load just learned."""
+        waiting.moves += 1
+        if waiting.attempts:
+            return
+        if waiting.moves >= MOVE_LIMIT:
+            waiting.excluded.clear()
+        self._place(waiting, now)
+
     def _reroute(
         self, waiting: Waiting, message: Refusal, now: timedelta
     ) -> None:
@@ -348,8 +393,18 @@
             return
         waiting.reroutes += 1
         final = message.reason is Reason.crashes_upstreams
-        if final or waiting.reroutes >= REROUTE_LIMIT:
-            self._conclude(waiting, message.reason, message.retry_after_ms)
+        if message.reason is Reason.upstream_failed:
+            # The upstream refused the connection: another call is a retry.
+            waiting.called = True
+            budget = self._budgets[waiting.route.service]
+            final = not budget.spend()
+        limit = REROUTE_LIMIT
+        if message.reason is Reason.overloaded:
+            limit = OVERLOADED_LIMIT
+        else:
+            self._throttles.accepted(throttle_key(waiting), now)
+        if final or waiting.reroutes >= limit:
+            self._conclude(waiting, message.reason)
             return
         self._place(waiting, now)
 
@@ -441,9 +496,7 @@
         if path is not None and attempt.stream is not None:
             path.waiting -= 1
 
-    def _conclude(
-        self, waiting: Waiting, reason: Reason, retry_after_ms: int = 0
-    ) -> None:
+    def _conclude(self, waiting: Waiting, reason: Reason) -> None:
         if waiting.fallback is not None:
             self._respond(
                 waiting, completion(waiting.exchange, waiting.fallback)
@@ -468,7 +521,9 @@
                 waiting.exchange,
                 outcome,
                 reason,
-                retry_after_ms=retry_after_ms,
+                retry_after_ms=self._throttles.retry_after_ms(
+                    throttle_key(waiting)
+                ),
             ),
         )
 
@@ -482,6 +537,16 @@
         self._accounts.count(waiting.caller, -1)
 
 
+def throttle_key(waiting: Waiting) -> Hashable:
+    """Return what refusals for load are counted by."""
+    return waiting.route.service, waiting.caller.name, waiting.priority
+
+
+def _movable(waiting: Waiting) -> bool:
+    urgent = waiting.priority is Priority.waiting
+    return urgent and waiting.moves < MOVE_LIMIT
+
+
 def _deadline_ms(event: CallerRequest, route: Route) -> int:
     asked = headers.get(event.headers, headers.DEADLINE)
     if asked is None or not asked.isdigit():
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -10,7 +10,7 @@
 
 from .admissions import Queue
 from .answers import FinishedJobs, Origin
-from .bundles import Service
+from .bundles import RETRIES_PCT, Service
 from .clocks import ZERO, ms, in_ms
 from .detectors import ErrorRates, Sample, SampleKind
 from .effects import (
@@ -61,6 +61,12 @@
 #: A person who has waited for this share of the mean service time interrupts
 #: any; most slots become free earlier by themselves.
 PREEMPT_SHARE = 0.7
+#: Part of the permitted retries that an upstream receives steadily; the rest
+#: covers retries saved up before an outage.
+STEADY_RETRIES = 0.9
+#: Retries saved up for one upstream; its detector needs three calls on new
+#: connections to tell that the upstream hangs.
+SAVED_RETRIES = 4
 #: Interruptions as a share of started requests: bounds the work done twice.
 PREEMPTION_SHARE = 0.1
 #: Added to a request that was refused because of load.
@@ -116,6 +122,7 @@
     state: UpstreamState
     running: dict[CallId, Job] = field(default_factory=dict)
     service_ms: float = INITIAL_SERVICE_MS
+    retries: Budget = field(default_factory=lambda: Budget(0))
     preemptions: Budget = field(
         default_factory=lambda: Budget(PREEMPTION_SHARE)
     )
@@ -133,6 +140,7 @@
         #: Health of the upstreams beside this daemon.
         self.verdicts = verdicts
         self._services: Mapping[ServiceName, Service] = {}
+        self._retry_share = STEADY_RETRIES * RETRIES_PCT / 100
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self._jobs: dict[Origin, Job] = {}
         self._calls: dict[CallId, Job] = {}
@@ -144,14 +152,20 @@
         #: Whether upstream records changed since they were last announced.
         self.changed = False
 
-    def configure(self, services: Mapping[ServiceName, Service]) -> None:
+    def configure(
+        self,
+        services: Mapping[ServiceName, Service],
+        retries_pct: float = RETRIES_PCT,
+    ) -> None:
         """Apply the services of a new bundle."""
         self._services = services
+        self._retry_share = STEADY_RETRIES * retries_pct / 100
         for name, service in services.items():
             rates = ErrorRates(service.false_alarm, service.miss)
             self.verdicts.configure(name, rates)
         for upstream in self.upstreams.values():
             self._bound_queue(upstream)
+            upstream.retries.share = self._retry_share
 
     @property
     def busy(self) -> bool:
@@ -222,6 +236,9 @@
             idempotent=message.idempotent,
             forced=message.forced,
         )
+        if admitted and not self._may_call(upstream, message):
+            self._refuse(origin, stream, Reason.retry_budget, upstream)
+            return
         if not admitted:
             draining = upstream.state is UpstreamState.draining
             reason = Reason.draining if draining else Reason.sick
@@ -330,6 +347,17 @@
             self._preempt(waiting, now)
         self._finished.trim(now)
 
+    def _may_call(self, upstream: Upstream, message: Dispatch) -> bool:
+        """Count a first call, or take a retry from the budget.
+
+        All entrances share this budget, so that the share of retries an
+        upstream receives does not depend on how many entrances there are.
+        """
+        if message.retry:
+            return upstream.retries.spend()
+        upstream.retries.earn()
+        return True
+
     def _add(self, event: Announced, now: timedelta) -> None:
         old = self.upstreams.get(event.upstream)
         if old is not None:
@@ -343,6 +371,7 @@
             expires=now + ANNOUNCE_LEASE,
             queue=Queue(0, 0),
             state=event.state,
+            retries=Budget(self._retry_share, saved_limit=SAVED_RETRIES),
         )
         self._bound_queue(upstream)
         self.upstreams[event.upstream] = upstream
@@ -409,6 +438,8 @@
         job.silent = True
         if not job.dispatch.idempotent or job.fresh or job.call is None:
             return
+        if not upstream.retries.spend():
+            return
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
         job.fresh = True
@@ -444,6 +475,9 @@
         return newest is not None and newest[2] == stream
 
     def _admit(self, upstream: Upstream, job: Job, now: timedelta) -> None:
+        if job.dispatch.movable and upstream.queue.ahead(job.priority):
+            self._refuse(job.origin, job.stream, Reason.busy, upstream)
+            return
         self._jobs[job.origin] = job
         if not upstream.queue and _has_slot(upstream):
             self._start(upstream, job, now)
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -125,7 +125,9 @@
     ``expected_ms`` is the median service time of the route over other
     upstreams, or 0 when it is not known. ``echo`` names, in lower case, the
     header of the request that a right answer repeats; empty for none.
-    ``team`` is the team of the caller; empty for none.
+    ``team`` is the team of the caller; empty for none. ``retry`` marks a
+    request that another upstream may have run or has refused. A ``movable``
+    request is refused rather than queued behind others of its class.
     """
 
     request: RequestId
@@ -146,6 +148,8 @@
     forced: bool = False
     echo: str = ''
     team: str = ''
+    retry: bool = False
+    movable: bool = False
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- a/greengagemux/outcomes.py
+++ b/greengagemux/outcomes.py
@@ -37,6 +37,8 @@
     no_home = 'no-home'
     stopping = 'stopping'
     late = 'late'
+    busy = 'busy'
+    retry_budget = 'retry-budget'
 
 
 class Step(Enum):
--- a/greengagemux/overloads.py
+++ b/greengagemux/overloads.py
@@ -166,10 +166,12 @@
         for upstream in world.upstreams:
             upstream.fault = self.scenario.fault
             upstream.attempts = 0
+        world.offers = 0
         world.run(self.duration)
         attempts = sum(each.attempts for each in world.upstreams)
         found = _measure(world, WARM_UP, WARM_UP + self.duration)
         found['attempts'] = attempts
+        found['offers'] = world.offers
         world.run(COOL_DOWN)
         found['sources'] = {
             source.account: _measure_source(world, source, self.duration)
@@ -177,6 +179,7 @@
         }
         requests = sum(each['requests'] for each in found['sources'].values())
         found['requests'] = requests
+        found['offers_per_request'] = found['offers'] / max(1, requests)
         found['attempts_per_request'] = attempts / max(1, requests)
         found['reasons'] = _reasons(world.asks)
         return found
@@ -290,9 +293,10 @@
     goodput = _spread((100 * each['goodput'] for each in trials), 1)
     wasted = _spread((100 * each['wasted'] for each in trials), 1)
     tries = _spread((each['attempts_per_request'] for each in trials), 3)
+    offers = _spread((each['offers_per_request'] for each in trials), 2)
     yield (
         f'{name}: goodput {goodput}% of capacity, wasted {wasted}%, '
-        f'attempts/request {tries}'
+        f'attempts/request {tries}, offers/request {offers}'
     )
     for account in trials[0]['sources']:
         found = [each['sources'][account] for each in trials]
--- a/greengagemux/overloadworlds.py
+++ b/greengagemux/overloadworlds.py
@@ -185,6 +185,7 @@
         self.asks: list[Ask] = []
         self.runs: list[Run] = []
         self.far_bytes = 0
+        self.offers = 0
         self.on_response: Callable[[int, Ask], None] | None = None
         self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
         self._order = 0
@@ -194,7 +195,7 @@
         self.hosts = [Host(self, each) for each in range(layout.entrances)]
         self.upstreams: list[Upstream] = []
         for host in self.hosts:
-            host.last_hop.configure(bundle.services)
+            host.last_hop.configure(bundle.services, bundle.retries_pct)
             host.entrance.configure(bundle)
         self._start_upstreams()
         self._share_members()
@@ -381,6 +382,7 @@
     ) -> None:
         daemon = sender.record.daemon
         if isinstance(message, Dispatch):
+            self.offers += 1
             origin = Origin(daemon, FIRST_INCARNATION, message.request)
             host.last_hop.dispatch(origin, stream, message, self.now)
         elif isinstance(message, Cancel):
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -139,7 +139,7 @@
             self._members_changed(changed, now)
         bundle = self.distribution.take_change()
         if bundle is not None:
-            last_hop.configure(bundle.services)
+            last_hop.configure(bundle.services, bundle.retries_pct)
             self.entrance.configure(bundle)
 
     def _members_changed(
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -79,11 +79,18 @@
     excluded: set[UpstreamId] = field(default_factory=set)
     reroutes: int = 0
     retries: int = 0
+    moves: int = 0
     may_have_run: bool = False
+    called: bool = False
     last_reason: Reason = Reason.no_upstream
     fallback: Answer | None = None
     done: bool = False
 
+    @property
+    def retried(self) -> bool:
+        """Whether an upstream has been called for it before."""
+        return self.may_have_run or self.called or bool(self.retries)
+
     @property
     def idempotent(self) -> bool:
         """Whether the request may run more than once."""
@@ -110,6 +117,8 @@
     status = status_of(outcome, reason)
     if status in _RETRY_STATUSES:
         retry_after_ms = max(retry_after_ms, RETRY_AFTER_MS)
+    else:
+        retry_after_ms = 0
     content = {
         'outcome': outcome.value,
         'reason': reason.value,
--- a/greengagemux/retries.py
+++ b/greengagemux/retries.py
@@ -10,18 +10,20 @@
 
 @dataclass(slots=True)
 class Budget:
-    """Retries of one service at one entrance, as a share of its requests.
+    """Retries as a share of the requests that were counted.
 
-    Each entrance earns from its own requests alone, so the share holds for
-    the fleet without any exchange.
+    An entrance keeps one for each service, a last hop one for each upstream.
+    Only the latter bounds the load of an upstream: 650 entrances have saved
+    up 650 times as much.
     """
 
     share: float
     saved: float = INITIAL_RETRIES
+    saved_limit: float = SAVED_LIMIT
 
     def earn(self) -> None:
         """Add the share of one first attempt."""
-        self.saved = min(SAVED_LIMIT, self.saved + self.share)
+        self.saved = min(self.saved_limit, self.saved + self.share)
 
     def spend(self) -> bool:
         """Take one retry and return whether there was one."""
