Run keyed writes at the home of their slot

Cause: the homes of key slots existed, but no request used them. Ruled out: an extra message for forwarded writes; a dispatch without an upstream carries all a home needs. Reading homes through the readers of a data centre only; a home must have read the log itself to rely on promises. Change: keyed.KeyedWrites joins homes with the log, the members and the entrance; attempts.Attempts holds dispatches; the caller is answered at its deadline while the record of its key waits for the result.

--- a/greengagemux/accounts.py
+++ b/greengagemux/accounts.py
@@ -5,6 +5,7 @@
 
 from .bundles import Bundle, Caller, Route
 from .events import CallerRequest
+from .ids import RouteName
 from .messages import Priority
 from .outcomes import Reason
 from .routes import RouteTable, permitted, priority
@@ -52,6 +53,10 @@
             return Reason.caller_limit
         return Admitted(caller, route, priority(caller, route))
 
+    def route(self, name: RouteName) -> Route | None:
+        """Return a route of the bundle in force."""
+        return self._bundle.routes.get(name) if self._bundle else None
+
     def count(self, caller: Caller, step: int) -> None:
         """Add requests in flight of a caller and its team."""
         self._add(caller.name, step)
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -10,36 +10,42 @@
 from . import headers
 from .accounts import Accounts
 from .answers import Origin
+from .attempts import Attempts
 from .baselines import Baselines
-from .bundles import Bundle, Route
+from .bundles import Bundle, Caller, Route
 from .candidates import Candidates
 from .choices import Pick, UsableView, choose
-from .clocks import in_ms, ms
-from .effects import Outbox, Record, Respond, Send
+from .clocks import ms
+from .effects import Outbox, Record, Send
 from .events import CallerGone, CallerRequest
 from .ids import (
-    CallerName,
     DaemonId,
     ExchangeId,
     RequestId,
     ServiceName,
+    StreamId,
 )
-from .lasthops import LastHop
+from .keyed import KeyedWrites
+from .lasthops import WRITE_GRACE, LastHop
 from .messages import (
     Answer,
-    Cancel,
     Dispatch,
-    Inquire,
     MemberRecord,
     Message,
     NotSeen,
-    Priority,
     Refusal,
     Running,
 )
 from .outcomes import Outcome, Reason
 from .paths import Path, Paths, PathState
-from .requests import Attempt, Waiting, completion, refusal
+from .requests import (
+    MOVE_LIMIT,
+    Attempt,
+    Ticket,
+    Waiting,
+    completion,
+    refusal,
+)
 from .retries import Budget
 from .throttles import Throttles
 
@@ -48,8 +54,6 @@
 #: The same while they refuse for their load: two full queues are evidence
 #: enough, and each offer costs the fleet a message and a refusal.
 OVERLOADED_LIMIT = 2
-#: Times that a person's request is offered elsewhere instead of queued.
-MOVE_LIMIT = 2
 #: Attempts of an idempotent request, the first one included.
 ATTEMPT_LIMIT = 3
 #: A second attempt starts when the first is older than this multiple of the
@@ -59,7 +63,14 @@
 #: Without an expected service time a second attempt waits this long.
 HEDGE_UNKNOWN_AFTER = timedelta(seconds=1)
 
+#: A keyed write that passed its deadline is awaited beyond the time for
+#: which the last hop lets it run on.
+RECORD_MARGIN = timedelta(seconds=1)
+
 _HTTP_ERROR = 500
+_NOT_RUN_REASONS = frozenset(
+    (Reason.key_conflict, Reason.overloaded, Reason.bad_request)
+)
 
 
 class Entrance:
@@ -72,6 +83,7 @@
         paths: Paths,
         outbox: Outbox,
         rng: Random,
+        keyed: KeyedWrites,
     ) -> None:
         """Start without a bundle; every request is refused until one is."""
         self._own = own
@@ -79,15 +91,17 @@
         self._paths = paths
         self._outbox = outbox
         self._rng = rng
+        self._keyed = keyed
         self._accounts = Accounts()
         self._candidates = Candidates(own, paths)
         self._budgets: dict[ServiceName, Budget] = {}
         self._baselines = Baselines()
         self._throttles = Throttles(rng)
         self._waiting: dict[ExchangeId, Waiting] = {}
-        self._attempts: dict[RequestId, Waiting] = {}
+        self._attempts = Attempts(own, last_hop, paths, outbox, self._baselines)
+        self._origins: dict[Origin, Waiting] = {}
+        self._asked_home = 0
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
-        self._next_request = 1
 
     @property
     def busy(self) -> bool:
@@ -139,6 +153,7 @@
             priority=admitted.priority,
             arrived=now,
             deadline=now + ms(limit_ms),
+            key=_key_of(event, route),
         )
         key = throttle_key(waiting)
         if not self._throttles.admit(key, now):
@@ -148,19 +163,73 @@
         heapq.heappush(self._deadlines, (waiting.deadline, event.exchange))
         self._accounts.count(caller, 1)
         self._budgets[route.service].earn()
-        self._place(waiting, now)
+        self._begin(waiting, now)
+
+    def by_home(
+        self,
+        origin: Origin,
+        stream: StreamId,
+        message: Dispatch,
+        now: timedelta,
+    ) -> None:
+        """Run a keyed write for another entrance, as the home of its key."""
+        if origin in self._origins:
+            return
+        route = self._accounts.route(message.route)
+        if route is None:
+            self._last_hop.answer_for(
+                origin,
+                stream,
+                Refusal(origin.request, Reason.no_route, Outcome.not_run),
+                now,
+            )
+            return
+        self._asked_home += 1
+        waiting = Waiting(
+            exchange=ExchangeId(-self._asked_home),
+            route=route,
+            caller=Caller(message.caller),
+            method=message.method,
+            target=message.target,
+            headers=message.headers,
+            body=message.body,
+            priority=message.priority,
+            arrived=now,
+            deadline=now + ms(message.remaining_ms),
+            key=message.key,
+            origin=origin,
+            reply_stream=stream,
+        )
+        self._origins[origin] = waiting
+        self._waiting[waiting.exchange] = waiting
+        heapq.heappush(self._deadlines, (waiting.deadline, waiting.exchange))
+        self._begin(waiting, now)
+
+    def inquire(self, origin: Origin, stream: StreamId) -> bool:
+        """Tell whether a write runs here for another entrance."""
+        waiting = self._origins.get(origin)
+        if waiting is None:
+            return False
+        waiting.reply_stream = stream
+        self._outbox.emit(Send(stream, Running(origin.request)))
+        return True
 
     def gone(self, event: CallerGone, now: timedelta) -> None:
         """Cancel the request of a caller that closed its connection."""
         waiting = self._waiting.get(event.exchange)
-        if waiting is not None:
-            self._cancel_attempts(waiting, now)
-            self._finish(waiting)
+        if waiting is None:
+            return
+        if waiting.ticket is not None:
+            # The result belongs to the record of the key.
+            waiting.answered = True
+            return
+        self._attempts.cancel(waiting, now)
+        self._finish(waiting)
 
     def reply(self, daemon: DaemonId, message: Message, now: timedelta) -> None:
         """Take a reply of a last hop; one that matches nothing is dropped."""
         request = getattr(message, 'request', None)
-        waiting = self._attempts.get(request) if request else None
+        waiting = self._attempts.find(request) if request else None
         if waiting is None or request is None:
             self._outbox.emit(Record('reply-discarded', {'peer': daemon}))
             return
@@ -184,7 +253,7 @@
             for attempt in tuple(waiting.attempts.values()):
                 if attempt.lost and attempt.daemon == path.daemon:
                     self._reattach(waiting, attempt, path, now)
-            if not waiting.attempts and not waiting.done:
+            if not (waiting.attempts or waiting.done or waiting.forwarded):
                 self._place(waiting, now)
 
     def path_lost(self, path: Path, now: timedelta) -> None:
@@ -219,7 +288,28 @@
             )
         )
 
+    def _begin(self, waiting: Waiting, now: timedelta) -> None:
+        if not waiting.key:
+            self._place(waiting, now)
+            return
+        begun = self._keyed.begin(waiting, now)
+        if isinstance(begun, Ticket):
+            waiting.ticket = begun
+            self._place(waiting, now)
+        elif isinstance(begun, Path):
+            waiting.forwarded = True
+            self._attempts.forward(waiting, begun, waiting.key, now)
+        elif isinstance(begun, Reason):
+            waiting.may_have_run = begun not in _NOT_RUN_REASONS
+            self._conclude(waiting, begun)
+        else:
+            self._end(waiting, begun)
+
     def _place(self, waiting: Waiting, now: timedelta) -> None:
+        ticket = waiting.ticket
+        if ticket is not None and not self._keyed.may_run(ticket, now):
+            self._conclude(waiting, Reason.no_home)
+            return
         view = self._candidates.view_of(waiting.route.service, waiting.priority)
         pick = choose(
             view.current(),
@@ -228,16 +318,16 @@
             idempotent=waiting.idempotent,
         )
         if pick is None:
-            self._no_candidate(waiting)
+            self._no_candidate(waiting, now)
             return
         if pick.candidate.daemon == self._own.daemon:
-            self._send_local(waiting, pick, now)
+            self._attempts.send_local(waiting, pick, now)
             return
-        path = self._paths.by_daemon.get(pick.candidate.daemon)
-        if path is None or path.stream is None:
+        path = self._paths.ready(pick.candidate.daemon)
+        if path is None:
             self._exclude_unopened(waiting, pick, now)
             return
-        self._send(waiting, pick, path, now)
+        self._attempts.send(waiting, pick, path, now)
 
     def _exclude_unopened(
         self, waiting: Waiting, pick: Pick, now: timedelta
@@ -250,10 +340,10 @@
         waiting.excluded.add(pick.candidate.upstream)
         self._place(waiting, now)
 
-    def _no_candidate(self, waiting: Waiting) -> None:
+    def _no_candidate(self, waiting: Waiting, now: timedelta) -> None:
         if waiting.attempts:
             return
-        if _movable(waiting) and waiting.moves:
+        if waiting.movable and waiting.moves:
             self._move(waiting, now)
             return
         if not waiting.reroutes and not waiting.may_have_run:
@@ -264,69 +354,6 @@
                 return
         self._conclude(waiting, waiting.last_reason)
 
-    def _attempt(
-        self, waiting: Waiting, pick: Pick, now: timedelta
-    ) -> tuple[Attempt, Dispatch]:
-        candidate = pick.candidate
-        request = RequestId(self._next_request)
-        self._next_request += 1
-        expected_ms = self._baselines.expected_ms(
-            waiting.route.name, candidate.upstream
-        )
-        attempt = Attempt(request, candidate, pick.forced, now, expected_ms)
-        waiting.attempts[request] = attempt
-        waiting.excluded.add(candidate.upstream)
-        self._attempts[request] = waiting
-        candidate.outstanding += 1
-        route = waiting.route
-        return attempt, Dispatch(
-            request=request,
-            upstream=candidate.upstream,
-            service=route.service,
-            route=route.name,
-            method=waiting.method,
-            target=waiting.target,
-            headers=waiting.headers,
-            body=waiting.body,
-            remaining_ms=max(1, int(in_ms(waiting.deadline - now))),
-            answer_limit_bytes=route.answer_limit_bytes,
-            priority=waiting.priority,
-            caller=CallerName(waiting.caller.name),
-            idempotent=waiting.idempotent,
-            expected_ms=expected_ms,
-            forced=pick.forced,
-            echo=route.echo_header,
-            team=waiting.caller.team or '',
-            retry=waiting.retried,
-            movable=_movable(waiting),
-        )
-
-    def _send_local(self, waiting: Waiting, pick: Pick, now: timedelta) -> None:
-        attempt, message = self._attempt(waiting, pick, now)
-        self._last_hop.dispatch(self._origin(attempt), None, message, now)
-
-    def _send(
-        self, waiting: Waiting, pick: Pick, path: Path, now: timedelta
-    ) -> None:
-        if path.stream is None:
-            return
-        attempt, message = self._attempt(waiting, pick, now)
-        attempt.stream = path.stream
-        attempt.incarnation = path.incarnation
-        path.waiting += 1
-        path.used_at = now
-        if path.waiting == 1:
-            # Silence is measured from the moment an answer is expected.
-            path.received_at = now
-        hint = self._last_hop.hint(message, now)
-        if hint.entries:
-            # On the same stream, the hint arrives before the request.
-            self._outbox.emit(Send(path.stream, hint))
-        self._outbox.emit(Send(path.stream, message))
-
-    def _origin(self, attempt: Attempt) -> Origin:
-        return Origin(self._own.daemon, self._own.incarnation, attempt.request)
-
     def _answer(
         self,
         waiting: Waiting,
@@ -334,7 +361,7 @@
         message: Answer,
         now: timedelta,
     ) -> None:
-        self._drop(waiting, attempt)
+        self._attempts.drop(waiting, attempt)
         self._throttles.accepted(throttle_key(waiting), now)
         self._candidates.report(attempt.candidate, message.load)
         if not _is_whole(message):
@@ -343,9 +370,12 @@
             )
             self._failed(waiting, Reason.connection_lost, now)
             return
-        self._baselines.add(
-            waiting.route.name, attempt.candidate.upstream, message.service_ms
-        )
+        if not waiting.forwarded:
+            self._baselines.add(
+                waiting.route.name,
+                attempt.candidate.upstream,
+                message.service_ms,
+            )
         if message.status >= _HTTP_ERROR and waiting.idempotent:
             waiting.fallback = message
             if waiting.attempts:
@@ -353,8 +383,8 @@
             if self._may_retry(waiting):
                 self._retry_spent(waiting, now)
                 return
-        self._cancel_attempts(waiting, now)
-        self._respond(waiting, completion(waiting.exchange, message))
+        self._attempts.cancel(waiting, now)
+        self._end(waiting, message)
 
     def _refused(
         self,
@@ -363,7 +393,7 @@
         message: Refusal,
         now: timedelta,
     ) -> None:
-        self._drop(waiting, attempt)
+        self._attempts.drop(waiting, attempt)
         if message.load is not None:
             self._candidates.report(attempt.candidate, message.load)
         if message.reason is Reason.busy:
@@ -374,6 +404,10 @@
                 self._conclude(waiting, waiting.last_reason)
             return
         waiting.last_reason = message.reason
+        if waiting.forwarded:
+            waiting.may_have_run = message.outcome is not Outcome.not_run
+            self._conclude(waiting, message.reason)
+            return
         if message.outcome is Outcome.not_run:
             self._reroute(waiting, message, now)
             return
@@ -413,8 +447,10 @@
     def _not_seen(
         self, waiting: Waiting, attempt: Attempt, now: timedelta
     ) -> None:
-        self._drop(waiting, attempt)
-        if not waiting.attempts:
+        self._attempts.drop(waiting, attempt)
+        if waiting.forwarded:
+            self._begin(waiting, now)
+        elif not waiting.attempts:
             waiting.reroutes += 1
             self._place(waiting, now)
 
@@ -436,7 +472,7 @@
         attempt.lost = True
         dead = path.state is PathState.failed and path.refused
         if dead:
-            self._drop(waiting, attempt)
+            self._attempts.drop(waiting, attempt)
             self._failed(waiting, Reason.connection_lost, now)
         elif not known and self._may_retry(waiting):
             self._retry_spent(waiting, now)
@@ -445,13 +481,10 @@
         self, waiting: Waiting, attempt: Attempt, path: Path, now: timedelta
     ) -> None:
         if path.incarnation != attempt.incarnation:
-            self._drop(waiting, attempt)
+            self._attempts.drop(waiting, attempt)
             self._failed(waiting, Reason.connection_lost, now)
             return
-        if path.stream is None:
-            return
-        attempt.stream = path.stream
-        self._outbox.emit(Send(path.stream, Inquire(attempt.request)))
+        self._attempts.reattach(attempt, path)
 
     def _is_slow(self, waiting: Waiting, now: timedelta) -> bool:
         if len(waiting.attempts) != 1 or waiting.retries >= ATTEMPT_LIMIT - 1:
@@ -475,30 +508,30 @@
     def _expire(self, waiting: Waiting, now: timedelta) -> None:
         if waiting.attempts:
             waiting.may_have_run = True
-        self._cancel_attempts(waiting, now)
+        if waiting.ticket is not None and waiting.attempts:
+            self._await_record(waiting)
+            return
+        self._attempts.cancel(waiting, now)
         self._conclude(waiting, Reason.deadline)
 
-    def _cancel_attempts(self, waiting: Waiting, now: timedelta) -> None:
-        for attempt in tuple(waiting.attempts.values()):
-            self._drop(waiting, attempt)
-            if attempt.daemon == self._own.daemon:
-                self._last_hop.cancel(self._origin(attempt), now)
-            elif attempt.stream is not None:
-                self._outbox.emit(Send(attempt.stream, Cancel(attempt.request)))
-
-    def _drop(self, waiting: Waiting, attempt: Attempt) -> None:
-        waiting.attempts.pop(attempt.request, None)
-        self._attempts.pop(attempt.request, None)
-        attempt.candidate.outstanding -= 1
-        path = self._paths.by_daemon.get(attempt.daemon)
-        if path is not None and attempt.stream is not None:
-            path.waiting -= 1
+    def _await_record(self, waiting: Waiting) -> None:
+        """Answer the caller, and wait on for the record of the key."""
+        if waiting.deadline_passed:
+            self._conclude(waiting, Reason.deadline)
+            return
+        if not waiting.answered:
+            self._reply(
+                waiting,
+                Refusal(RequestId(0), Reason.deadline, Outcome.unknown),
+            )
+        waiting.answered = True
+        waiting.deadline_passed = True
+        until = waiting.deadline + WRITE_GRACE + RECORD_MARGIN
+        heapq.heappush(self._deadlines, (until, waiting.exchange))
 
     def _conclude(self, waiting: Waiting, reason: Reason) -> None:
         if waiting.fallback is not None:
-            self._respond(
-                waiting, completion(waiting.exchange, waiting.fallback)
-            )
+            self._end(waiting, waiting.fallback)
             return
         outcome = Outcome.not_run
         if waiting.may_have_run:
@@ -513,26 +546,51 @@
                 },
             )
         )
-        self._respond(
+        self._end(
             waiting,
-            refusal(
-                waiting.exchange,
-                outcome,
+            Refusal(
+                RequestId(0),
                 reason,
-                retry_after_ms=self._throttles.retry_after_ms(
-                    throttle_key(waiting)
-                ),
+                outcome,
+                self._throttles.retry_after_ms(throttle_key(waiting)),
             ),
         )
 
-    def _respond(self, waiting: Waiting, effect: Respond) -> None:
-        self._outbox.emit(effect)
+    def _end(self, waiting: Waiting, message: Answer | Refusal) -> None:
+        """Record the result of a request and reply to who asked."""
+        if waiting.ticket is not None:
+            self._keyed.finish(waiting, message)
+        if not waiting.answered:
+            self._reply(waiting, message)
         self._finish(waiting)
 
+    def _reply(self, waiting: Waiting, message: Answer | Refusal) -> None:
+        if waiting.origin is not None:
+            self._last_hop.answer_for(
+                waiting.origin,
+                waiting.reply_stream,
+                message,
+                waiting.deadline,
+            )
+        elif isinstance(message, Answer):
+            self._outbox.emit(completion(waiting.exchange, message))
+        else:
+            self._outbox.emit(
+                refusal(
+                    waiting.exchange,
+                    message.outcome,
+                    message.reason,
+                    retry_after_ms=message.retry_after_ms,
+                )
+            )
+
     def _finish(self, waiting: Waiting) -> None:
         waiting.done = True
         self._waiting.pop(waiting.exchange, None)
-        self._accounts.count(waiting.caller, -1)
+        if waiting.origin is None:
+            self._accounts.count(waiting.caller, -1)
+            return
+        self._origins.pop(waiting.origin, None)
 
 
 def throttle_key(waiting: Waiting) -> Hashable:
@@ -540,11 +598,6 @@
     return waiting.route.service, waiting.caller.name, waiting.priority
 
 
-def _movable(waiting: Waiting) -> bool:
-    urgent = waiting.priority is Priority.waiting
-    return urgent and waiting.moves < MOVE_LIMIT
-
-
 def _deadline_ms(event: CallerRequest, route: Route) -> int:
     asked = headers.get(event.headers, headers.DEADLINE)
     if asked is None or not asked.isdigit():
@@ -552,6 +605,13 @@
     return max(1, min(route.deadline_ms, int(asked)))
 
 
+def _key_of(event: CallerRequest, route: Route) -> str:
+    if route.idempotent:
+        return ''
+    key = headers.get(event.headers, headers.IDEMPOTENCY_KEY)
+    return key.decode('latin-1') if key else ''
+
+
 def _is_whole(message: Answer) -> bool:
     if len(message.body) != message.length:
         return False
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -257,14 +257,7 @@
         now: timedelta,
     ) -> None:
         """Admit a request: run it, queue it or refuse it."""
-        if stream is not None and not self.epochs.is_newest(
-            origin.daemon, stream
-        ):
-            self._outbox.emit(
-                Record('dispatch-superseded', {'peer': origin.daemon})
-            )
-            return
-        if origin in self._jobs or origin in self._finished:
+        if not self.accepts(origin, stream):
             return
         upstream = self.upstreams.get(message.upstream)
         if upstream is None or not upstream.takes_work(now):
@@ -299,6 +292,30 @@
         subject = fingerprint(message.method, message.target, message.body)
         return self._convictions.hint(subject, now)
 
+    def accepts(self, origin: Origin, stream: StreamId | None) -> bool:
+        """Return whether a request is new and its stream not superseded."""
+        if origin in self._jobs or origin in self._finished:
+            return False
+        if stream is None or self.epochs.is_newest(origin.daemon, stream):
+            return True
+        self._outbox.emit(
+            Record('dispatch-superseded', {'peer': origin.daemon})
+        )
+        return False
+
+    def answer_for(
+        self,
+        origin: Origin,
+        stream: StreamId | None,
+        message: Answer | Refusal,
+        until: timedelta,
+    ) -> None:
+        """Reply to a write that this daemon ran as the home of its key."""
+        reply = structs.replace(message, request=origin.request)
+        if stream is not None:
+            self._outbox.emit(Send(stream, reply))
+        self._finished.keep(origin, reply, until)
+
     def cancel(self, origin: Origin, now: timedelta) -> None:
         """Stop a request whose caller no longer waits.
 
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -326,6 +326,17 @@
     records: tuple[KeyRecord, ...]
 
 
+class HomesWanted(Struct, frozen=True, array_like=True, tag='want-homes'):
+    """Asks for the table of homes; records of the log were lost."""
+
+
+class HomesSnapshot(Struct, frozen=True, array_like=True, tag='homes'):
+    """The table of homes before log offset ``following``, packed."""
+
+    following: int
+    table: bytes
+
+
 HomeMessage = PromiseRequest | Promise | KeyRecords | KeyRecordsTaken
 
 
@@ -346,4 +357,6 @@
     | BundleRecord
     | Suspects
     | HomeMessage
+    | HomesWanted
+    | HomesSnapshot
 )
--- a/greengagemux/overloadworlds.py
+++ b/greengagemux/overloadworlds.py
@@ -40,6 +40,7 @@
     StreamId,
     UpstreamId,
 )
+from .keyed import KeyedWrites
 from .lasthops import LastHop
 from .messages import (
     PROTOCOL_VERSION,
@@ -171,7 +172,12 @@
             self.record.daemon, self.outbox, Verdicts(TICK), crashes
         )
         self.entrance = Entrance(
-            self.record, self.last_hop, self.paths, self.outbox, rng
+            self.record,
+            self.last_hop,
+            self.paths,
+            self.outbox,
+            rng,
+            KeyedWrites(self.record, self.paths, self.outbox),
         )
         self.upstream: Upstream | None = None
 
--- a/greengagemux/paths.py
+++ b/greengagemux/paths.py
@@ -68,6 +68,11 @@
         self._inbound_stream: dict[DaemonId, StreamId] = {}
         self._nonce = 0
 
+    def ready(self, daemon: DaemonId) -> Path | None:
+        """Return the path to a peer if its stream is open."""
+        path = self.by_daemon.get(daemon)
+        return path if path is not None and path.stream is not None else None
+
     def want(self, daemon: DaemonId, address: str, now: timedelta) -> Path:
         """Return the path to a peer and open it when it is not open."""
         path = self.by_daemon.get(daemon)
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -7,6 +7,8 @@
 from random import Random
 
 from .answers import Origin
+from .assignments import Holder
+from .attempts import is_by_home
 from .clocks import ZERO
 from .convictions import Convictions
 from .crashes import CrashReports
@@ -32,6 +34,7 @@
 )
 from .gossips import Directed
 from .ids import DaemonId, Incarnation, ServiceName, StreamId
+from .keyed import KeyedWrites
 from .lasthops import LastHop
 from .members import Members
 from .messages import (
@@ -41,7 +44,11 @@
     BundleRecord,
     Cancel,
     Dispatch,
+    HomeMessage,
+    HomesSnapshot,
+    HomesWanted,
     Inquire,
+    KeyRecords,
     MemberBeats,
     MemberDeltas,
     MemberDigest,
@@ -57,6 +64,7 @@
     Suspects,
 )
 from .paths import Paths
+from .promises import KeyRecordsTaken, Promise, PromiseRequest
 from .rollouts import Rollout
 from .verdicts import Verdicts
 
@@ -99,14 +107,16 @@
         self.last_hop = LastHop(
             own.daemon, self.outbox, Verdicts(TICK), self.crashes
         )
+        self.keyed = KeyedWrites(own, self.paths, self.outbox)
         self.entrance = Entrance(
-            own, self.last_hop, self.paths, self.outbox, rng
+            own, self.last_hop, self.paths, self.outbox, rng, self.keyed
         )
         self.members = Members(own, rng)
         self.distribution = Distribution(
             own, rollout, self.paths, self.outbox, rng
         )
         self.incarnations: dict[StreamId, Incarnation] = {}
+        self.inbound: set[StreamId] = set()
         self.stopping_since: timedelta | None = None
         self.seeds_due = ZERO
         self.paths_due = ZERO
@@ -149,6 +159,7 @@
         if bundle is not None:
             last_hop.configure(bundle.services, bundle.retries_pct)
             self.entrance.configure(bundle)
+            self.keyed.configure(bundle.services)
 
     def _members_changed(
         self, changed: Iterable[DaemonId], now: timedelta
@@ -159,6 +170,7 @@
                 self.paths.forget(daemon)
         self.entrance.members_changed(live, changed, now)
         self.crashes.configure(live, self.entrance.views)
+        self.keyed.members_changed(live)
         own = {each.service for each in self.last_hop.upstreams.values()}
         for service in own:
             self._note_peers(service)
@@ -195,6 +207,7 @@
     daemon.entrance.tick(now)
     daemon.send_all(daemon.members.tick(now), now)
     daemon.distribution.tick(daemon.members.live(), now)
+    daemon.keyed.tick(now)
     if now >= daemon.paths_due:
         daemon.paths_due = now + PATH_CHECK_EVERY
         for path in daemon.paths.tick(now):
@@ -226,8 +239,9 @@
         daemon.outbox.emit(CloseStream(event.stream))
         return
     path = daemon.paths.opened(event, now)
+    daemon.incarnations[event.stream] = hello.incarnation
     if not event.outbound:
-        daemon.incarnations[event.stream] = hello.incarnation
+        daemon.inbound.add(event.stream)
         daemon.last_hop.epochs.opened(
             event.stream, hello.daemon, hello.incarnation, hello.number
         )
@@ -236,11 +250,13 @@
     daemon.send_all(daemon.members.connected(hello.daemon, now), now)
     daemon.distribution.connected(event.stream)
     daemon.crashes.connected(event.stream, now)
+    daemon.keyed.connected(event.stream)
 
 
 @handle.register
 def _stream_closed(event: StreamClosed, daemon: Daemon, now: timedelta) -> None:
     daemon.incarnations.pop(event.stream, None)
+    daemon.inbound.discard(event.stream)
     path = daemon.paths.closed(event.stream, now)
     if path is not None:
         daemon.entrance.path_lost(path, now)
@@ -290,6 +306,7 @@
     event: LogRead | LogAppended | LogFailed, daemon: Daemon, now: timedelta
 ) -> None:
     daemon.distribution.log_event(event, daemon.members.live(), now)
+    daemon.keyed.log_event(event, now)
 
 
 @handle.register
@@ -300,6 +317,7 @@
         return
     daemon.stopping_since = now
     daemon.members.set_own(daemon.last_hop.records(), True, now)
+    daemon.keyed.stop()
     daemon.outbox.emit(Record('stopping'))
 
 
@@ -324,8 +342,13 @@
     message: Dispatch, daemon: Daemon, sender: Sender, now: timedelta
 ) -> None:
     origin = _origin(daemon, sender, message)
-    if origin is not None:
-        daemon.last_hop.dispatch(origin, sender.stream, message, now)
+    if origin is None:
+        return
+    if is_by_home(message):
+        if daemon.last_hop.accepts(origin, sender.stream):
+            daemon.entrance.by_home(origin, sender.stream, message, now)
+        return
+    daemon.last_hop.dispatch(origin, sender.stream, message, now)
 
 
 @receive.register
@@ -342,8 +365,9 @@
     message: Inquire, daemon: Daemon, sender: Sender, now: timedelta
 ) -> None:
     origin = _origin(daemon, sender, message)
-    if origin is not None:
-        daemon.last_hop.inquire(origin, sender.stream, now)
+    if origin is None or daemon.entrance.inquire(origin, sender.stream):
+        return
+    daemon.last_hop.inquire(origin, sender.stream, now)
 
 
 @receive.register(Answer)
@@ -396,6 +420,33 @@
     daemon.crashes.received(message, now)
 
 
+@receive.register(PromiseRequest)
+@receive.register(Promise)
+@receive.register(KeyRecords)
+@receive.register(KeyRecordsTaken)
+def _home_message(
+    message: HomeMessage, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    incarnation = daemon.incarnations.get(sender.stream)
+    if incarnation is not None:
+        holder = Holder(sender.daemon, incarnation)
+        daemon.keyed.receive(message, holder, now)
+
+
+@receive.register
+def _homes_wanted(
+    message: HomesWanted, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    daemon.keyed.wanted(sender.stream)
+
+
+@receive.register
+def _homes_snapshot(
+    message: HomesSnapshot, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    daemon.keyed.snapshot(message)
+
+
 @receive.register(BundleOffer)
 @receive.register(BundleFetch)
 @receive.register(BundleRecord)
@@ -414,7 +465,7 @@
     daemon: Daemon, sender: Sender, message: Dispatch | Cancel | Inquire
 ) -> Origin | None:
     incarnation = daemon.incarnations.get(sender.stream)
-    if incarnation is None:
+    if incarnation is None or sender.stream not in daemon.inbound:
         # Requests come only on streams that the peer opened.
         return None
     return Origin(sender.daemon, incarnation, message.request)
@@ -432,7 +483,8 @@
     waited = now - since
     if waited < STOP_NOTICE:
         return
-    idle = not daemon.entrance.busy and not daemon.last_hop.busy
+    busy = daemon.entrance.busy or daemon.last_hop.busy
+    idle = not busy and not daemon.keyed.busy
     if idle or waited >= daemon.identity.stop_limit:
         daemon.outbox.emit(Record('stopped', {'idle': idle}))
         daemon.outbox.emit(Exit())
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -6,6 +6,8 @@
 from types import MappingProxyType
 
 from . import headers
+from .answers import Origin
+from .assignments import Slot
 from .bundles import Caller, Route
 from .choices import Candidate
 from .effects import Respond
@@ -23,6 +25,9 @@
 #: Seconds are rounded up, so a caller retries after one second at least.
 RETRY_AFTER_MS = 1000
 
+#: Times that a person's request is offered elsewhere instead of queued.
+MOVE_LIMIT = 2
+
 _STATUSES = MappingProxyType(
     {
         Reason.bad_request: 400,
@@ -31,14 +36,19 @@
         Reason.method_not_allowed: 405,
         Reason.body_too_large: 413,
         Reason.key_conflict: 409,
-        Reason.key_in_progress: 409,
         Reason.caller_limit: 429,
         Reason.crashes_upstreams: 422,
     }
 )
 _NOT_RUN_STATUS = 503
 _LOST_STATUS = 502
-_LATE_STATUS = 504
+_UNKNOWN_STATUSES = MappingProxyType(
+    {
+        Reason.deadline: 504,
+        Reason.key_in_progress: 409,
+        Reason.no_home: 503,
+    }
+)
 _RETRY_STATUSES = frozenset((429, 503))
 
 
@@ -61,6 +71,14 @@
         return self.candidate.daemon
 
 
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Right to run a keyed write in one term of its home."""
+
+    slot: Slot
+    term: int
+
+
 @dataclass(slots=True, eq=False)
 class Waiting:
     """A caller's request from its arrival to its answer."""
@@ -85,6 +103,24 @@
     last_reason: Reason = Reason.no_upstream
     fallback: Answer | None = None
     done: bool = False
+    #: Idempotency key; empty for requests without one.
+    key: str = ''
+    #: Right to run a keyed write, while this daemon is its home.
+    ticket: Ticket | None = None
+    #: Where the reply goes if another entrance asked this home.
+    origin: Origin | None = None
+    reply_stream: StreamId | None = None
+    #: The home of the key runs it; this entrance only waits for the reply.
+    forwarded: bool = False
+    #: The caller was answered; the result is still awaited for the record.
+    answered: bool = False
+    deadline_passed: bool = False
+
+    @property
+    def movable(self) -> bool:
+        """Whether it is offered elsewhere instead of queued."""
+        urgent = self.priority is Priority.waiting
+        return urgent and self.moves < MOVE_LIMIT
 
     @property
     def retried(self) -> bool:
@@ -101,9 +137,7 @@
     """Return the HTTP status of an answer made by the fleet itself."""
     if outcome is Outcome.not_run:
         return _STATUSES.get(reason, _NOT_RUN_STATUS)
-    if reason is Reason.deadline:
-        return _LATE_STATUS
-    return _LOST_STATUS
+    return _UNKNOWN_STATUSES.get(reason, _LOST_STATUS)
 
 
 def refusal(
