--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -49,7 +49,7 @@
 #: enough, and each offer costs the fleet a message and a refusal.
 OVERLOADED_LIMIT = 2
 #: Times that a person's request is offered elsewhere instead of queued.
-MOVE_LIMIT = 2
+MOVE_LIMIT = 3
 #: Attempts of an idempotent request, the first one included.
 ATTEMPT_LIMIT = 3
 #: A second attempt starts when the first is older than this multiple of the
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -57,18 +57,21 @@
 INITIAL_SERVICE_MS = 10.0
 #: A person interrupts an internal request that has run for less than this
 #: share of the mean service time, because little work is lost.
-CHEAP_SHARE = 0.125
+CHEAP_SHARE = 0.2
 #: A person who has waited for this share of the mean service time interrupts
 #: any; most slots become free earlier by themselves.
-PREEMPT_SHARE = 0.7
+PREEMPT_SHARE = 0.6
 #: Part of the permitted retries that an upstream receives steadily; the rest
 #: covers retries saved up before an outage.
 STEADY_RETRIES = 0.9
 #: Retries saved up for one upstream; its detector needs three calls on new
 #: connections to tell that the upstream hangs.
 SAVED_RETRIES = 4
-#: Interruptions as a share of started requests: bounds the work done twice.
-PREEMPTION_SHARE = 0.1
+#: Calls of one request that may be given up; then it runs to its end.
+GIVEN_UP_LIMIT = 3
+#: Work lost to interruptions as a share of started work: goodput under
+#: overload must stay at 95% of capacity.
+LOST_SHARE = 0.04
 #: Added to a request that was refused because of load.
 RETRY_AFTER_MS = 1000
 
@@ -90,7 +93,7 @@
     started: timedelta = ZERO
     fresh: bool = False
     silent: bool = False
-    interrupted: bool = False
+    given_up: int = 0
 
     @property
     def account(self) -> str:
@@ -124,7 +127,7 @@
     service_ms: float = INITIAL_SERVICE_MS
     retries: Budget = field(default_factory=lambda: Budget(0))
     preemptions: Budget = field(
-        default_factory=lambda: Budget(PREEMPTION_SHARE)
+        default_factory=lambda: Budget(LOST_SHARE)
     )
 
 
@@ -246,6 +249,8 @@
             return
         job = _job(origin, stream, message, now)
         self._admit(upstream, job, now)
+        # Ticks alone are too far apart for the wait of a person.
+        self._preempt(upstream, now)
 
     def cancel(self, origin: Origin, now: timedelta) -> None:
         """Stop a request whose caller no longer waits.
@@ -443,7 +448,7 @@
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
         job.fresh = True
-        job.interrupted = True
+        job.given_up += 1
         self._start(upstream, job, now)
 
     def _expire(self, upstream: Upstream, now: timedelta) -> None:
@@ -487,7 +492,6 @@
             return
         for refused in upstream.queue.offer(job):
             self._end(refused, _overloaded(refused, upstream), now)
-        self._preempt(upstream, now)
 
     def _start(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         call = CallId(self._next_call)
@@ -539,7 +543,7 @@
         """Interrupt an internal request for a person who waits too long.
 
         The one that started last is interrupted, because it loses the least
-        work, and at most once.
+        work.
         """
         first = upstream.queue.oldest(Priority.waiting)
         if first is None:
@@ -553,12 +557,12 @@
         cheap = lost_ms <= CHEAP_SHARE * upstream.service_ms
         if not cheap and waited_ms < PREEMPT_SHARE * upstream.service_ms:
             return
-        if not upstream.preemptions.spend():
+        if not upstream.preemptions.spend(lost_ms / upstream.service_ms):
             return
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
         job.call = None
-        job.interrupted = True
+        job.given_up += 1
         upstream.queue.put_back(job)
         upstream.queue.discard(first)
         self._start(upstream, first, now)
@@ -571,7 +575,7 @@
 
     def _end(self, job: Job, message: Answer | Refusal, now: timedelta) -> None:
         self._jobs.pop(job.origin, None)
-        if job.interrupted and isinstance(message, Refusal):
+        if job.given_up and isinstance(message, Refusal):
             # The call that was given up may have run.
             message = structs.replace(message, outcome=Outcome.unknown)
         if job.origin.daemon == self._own:
@@ -685,7 +689,9 @@
 
 
 def _interruptible(job: Job) -> bool:
-    if job.priority is not Priority.internal or job.interrupted:
+    if job.priority is not Priority.internal:
+        return False
+    if job.given_up >= GIVEN_UP_LIMIT:
         return False
     return job.dispatch.idempotent and not job.silent
 
--- a/greengagemux/retries.py
+++ b/greengagemux/retries.py
@@ -25,9 +25,9 @@
         """Add the share of one first attempt."""
         self.saved = min(self.saved_limit, self.saved + self.share)
 
-    def spend(self) -> bool:
-        """Take one retry and return whether there was one."""
-        if self.saved < 1:
+    def spend(self, amount: float = 1) -> bool:
+        """Take an amount, one retry by default, if that much is saved."""
+        if self.saved < amount:
             return False
-        self.saved -= 1
+        self.saved -= amount
         return True
