--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -437,6 +437,7 @@
         limit = REROUTE_LIMIT
         if message.reason is Reason.overloaded:
             limit = OVERLOADED_LIMIT
+            self._throttles.refused(throttle_key(waiting), now)
         else:
             self._throttles.accepted(throttle_key(waiting), now)
         if final or waiting.reroutes >= limit:
@@ -589,8 +590,8 @@
         self._waiting.pop(waiting.exchange, None)
         if waiting.origin is None:
             self._accounts.count(waiting.caller, -1)
-            return
-        self._origins.pop(waiting.origin, None)
+        if waiting.origin in self._origins:
+            self._origins.pop(waiting.origin)
 
 
 def throttle_key(waiting: Waiting) -> Hashable:
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -66,18 +66,21 @@
 INITIAL_SERVICE_MS = 10.0
 #: A person interrupts an internal request that has run for less than this
 #: share of the mean service time, because little work is lost.
-CHEAP_SHARE = 0.125
+CHEAP_SHARE = 0.2
 #: A person who has waited for this share of the mean service time interrupts
 #: any; most slots become free earlier by themselves.
-PREEMPT_SHARE = 0.7
+PREEMPT_SHARE = 0.6
 #: Part of the permitted retries that an upstream receives steadily; the rest
 #: covers retries saved up before an outage.
 STEADY_RETRIES = 0.9
 #: Retries saved up for one upstream; its detector needs three calls on new
 #: connections to tell that the upstream hangs.
 SAVED_RETRIES = 4
-#: Interruptions as a share of started requests: bounds the work done twice.
-PREEMPTION_SHARE = 0.1
+#: Calls of one request that may be given up; then it runs to its end.
+GIVEN_UP_LIMIT = 3
+#: Work lost to interruptions as a share of started work: goodput under
+#: overload must stay at 95% of capacity.
+LOST_SHARE = 0.04
 #: Added to a request that was refused because of load.
 RETRY_AFTER_MS = 1000
 
@@ -102,7 +105,7 @@
     started: timedelta = ZERO
     fresh: bool = False
     silent: bool = False
-    interrupted: bool = False
+    given_up: int = 0
 
     @property
     def account(self) -> str:
@@ -139,9 +142,7 @@
     crashed_at: timedelta | None = None
     trials: deque[Job] = field(default_factory=deque)
 
-    preemptions: Budget = field(
-        default_factory=lambda: Budget(PREEMPTION_SHARE)
-    )
+    preemptions: Budget = field(default_factory=lambda: Budget(LOST_SHARE))
 
     @property
     def on_trial(self) -> bool:
@@ -286,6 +287,8 @@
             return
         job.alone = verdict is Verdict.suspect
         self._admit(upstream, job, now)
+        # Ticks alone are too far apart for the wait of a person.
+        self._preempt(upstream, now)
 
     def hint(self, message: Dispatch, now: timedelta) -> Suspects:
         """Return what is known of a request that another daemon will run."""
@@ -520,7 +523,7 @@
         self._release(job, upstream)
         self._convictions.finished(job.fingerprint, answered=False, now=now)
         job.fresh = True
-        job.interrupted = True
+        job.given_up += 1
         self._start(upstream, job, now)
 
     def _expire(self, upstream: Upstream, now: timedelta) -> None:
@@ -564,7 +567,6 @@
             return
         for refused in upstream.queue.offer(job):
             self._end(refused, _overloaded(refused, upstream), now)
-        self._preempt(upstream, now)
 
     def _start(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         call = CallId(self._next_call)
@@ -653,7 +655,7 @@
         """Interrupt an internal request for a person who waits too long.
 
         The one that started last is interrupted, because it loses the least
-        work, and at most once.
+        work.
         """
         first = upstream.queue.oldest(Priority.waiting)
         if first is None:
@@ -667,12 +669,12 @@
         cheap = lost_ms <= CHEAP_SHARE * upstream.service_ms
         if not cheap and waited_ms < PREEMPT_SHARE * upstream.service_ms:
             return
-        if not upstream.preemptions.spend():
+        if not upstream.preemptions.spend(lost_ms / upstream.service_ms):
             return
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
         self._convictions.finished(job.fingerprint, answered=False, now=now)
-        job.interrupted = True
+        job.given_up += 1
         upstream.queue.put_back(job)
         upstream.queue.discard(first)
         self._start(upstream, first, now)
@@ -686,7 +688,7 @@
 
     def _end(self, job: Job, message: Answer | Refusal, now: timedelta) -> None:
         self._jobs.pop(job.origin, None)
-        if job.interrupted and isinstance(message, Refusal):
+        if job.given_up and isinstance(message, Refusal):
             # The call that was given up may have run.
             message = structs.replace(message, outcome=Outcome.unknown)
         if job.origin.daemon == self._own:
@@ -813,7 +815,9 @@
 
 
 def _interruptible(job: Job) -> bool:
-    if job.priority is not Priority.internal or job.interrupted:
+    if job.priority is not Priority.internal:
+        return False
+    if job.given_up >= GIVEN_UP_LIMIT:
         return False
     return job.dispatch.idempotent and not job.silent
 
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -26,7 +26,7 @@
 RETRY_AFTER_MS = 1000
 
 #: Times that a person's request is offered elsewhere instead of queued.
-MOVE_LIMIT = 2
+MOVE_LIMIT = 3
 
 _STATUSES = MappingProxyType(
     {
--- a/greengagemux/throttles.py
+++ b/greengagemux/throttles.py
@@ -55,7 +55,11 @@
         self._forget_at = ZERO
 
     def admit(self, key: Hashable, now: timedelta) -> bool:
-        """Count a request and return whether to send it."""
+        """Return whether to send a request.
+
+        A sent one counts when its result is known: many requests at once
+        say nothing about the capacity.
+        """
         self._forget(now)
         counts = self._counts.get(key)
         if counts is None:
@@ -63,16 +67,26 @@
             self._counts[key] = counts
         counts.age(now)
         excess = counts.excess()
+        if not excess or self._rng.random() >= excess:
+            return True
         counts.requests += 1
-        return not excess or self._rng.random() >= excess
+        return False
 
     def accepted(self, key: Hashable, now: timedelta) -> None:
         """Count a request that no last hop refused for its load."""
         counts = self._counts.get(key)
         if counts is not None:
             counts.age(now)
+            counts.requests += 1
             counts.accepted += 1
 
+    def refused(self, key: Hashable, now: timedelta) -> None:
+        """Count a request that last hops refused for their load."""
+        counts = self._counts.get(key)
+        if counts is not None:
+            counts.age(now)
+            counts.requests += 1
+
     def retry_after_ms(self, key: Hashable) -> int:
         """Return a random time in which refused callers may ask again.
 
