--- /dev/null
+++ b/greengagemux/logclients.py
@@ -0,0 +1,285 @@
+"""Client of the platform's log over HTTP with JSON."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from io import BytesIO
+from typing import Annotated, Any, Final
+from urllib.parse import quote
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure as TwistedFailure
+from twisted.web.client import (
+    Agent,
+    FileBodyProducer,
+    HTTPConnectionPool,
+    ResponseDone,
+)
+from twisted.web.http import PotentialDataLoss
+from twisted.web.http_headers import Headers
+
+from .effects import AppendLog, ReadLog
+from .events import Event, LogAppended, LogFailed, LogRead, LogRecord
+from .ids import LogOffset
+from .outcomes import Failure, Step
+
+logger = logging.getLogger(__name__)
+
+#: Time for a reply beyond the wait that a read asks for.
+REPLY_LIMIT: Final = timedelta(seconds=5)
+CONNECT_LIMIT: Final = timedelta(seconds=2)
+#: One long read of each of the three streams, and the appends.
+CONNECTIONS_KEPT: Final = 4
+#: Records asked for by one read.
+READ_RECORDS: Final = 32
+#: Holds one record of 7 MiB in base64 with room to spare.
+BODY_LIMIT_BYTES: Final = 12 * 1024 * 1024
+
+_OK: Final = 200
+_CREATED: Final = 201
+_MILLISECOND: Final = timedelta(milliseconds=1)
+
+# Twisted does not annotate these.
+_agent: Final[Any] = Agent
+_pool: Final[Any] = HTTPConnectionPool
+_producer: Final[Any] = FileBodyProducer
+
+_Offset = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _TooLargeError(Exception):
+    """The body of a reply is above the limit."""
+
+
+class _Item(msgspec.Struct, frozen=True):
+    offset: _Offset
+    # msgspec decodes base64 text to octets.
+    data: bytes
+
+
+class _Page(msgspec.Struct, frozen=True):
+    first: _Offset
+    next: _Offset
+    records: list[_Item]
+
+
+class _Receipt(msgspec.Struct, frozen=True):
+    offset: _Offset
+
+
+_pages: Final = msgspec.json.Decoder(_Page)
+_receipts: Final = msgspec.json.Decoder(_Receipt)
+
+
+class LogClient:
+    """Carries out reads and appends and submits what became of them."""
+
+    def __init__(
+        self,
+        agent: Any,
+        clock: IReactorTime,
+        url: str,
+        submit: Callable[[Event], None],
+    ) -> None:
+        """Keep the ``url`` of the log, for example ``http://127.0.0.1:5000``.
+
+        ``agent`` provides ``IAgent``, whose annotations mypy cannot use.
+        """
+        self._agent = agent
+        self._clock = clock
+        self._url = url.rstrip('/')
+        self._submit = submit
+        self._reading: set[str] = set()
+        self._limits: dict[str, int] = {}
+
+    def read(self, effect: ReadLog) -> None:
+        """Read a stream; ignored while a read of it is in flight."""
+        if effect.stream in self._reading:
+            return
+        self._reading.add(effect.stream)
+        Deferred.fromCoroutine(self._read(effect)).addErrback(_log_fault)
+
+    def append(self, effect: AppendLog) -> None:
+        """Append a record to a stream.
+
+        ``LogFailed`` does not tell that the record is not in the log.
+        """
+        Deferred.fromCoroutine(self._append(effect)).addErrback(_log_fault)
+
+    async def _read(self, effect: ReadLog) -> None:
+        event: Event
+        try:
+            event = await self._page(effect)
+        except Exception as error:  # noqa: BLE001
+            failure = self._failure('read failed', error)
+            event = LogFailed(effect.stream, failure)
+        # Released first: the handler of the event may read again at once.
+        self._reading.discard(effect.stream)
+        self._submit(event)
+
+    async def _append(self, effect: AppendLog) -> None:
+        event: Event
+        try:
+            event = await self._receipt(effect)
+        except ConnectError as error:
+            failure = self._failure('append not sent', error)
+            event = LogFailed(effect.stream, failure, effect.payload)
+        except Exception as error:  # noqa: BLE001
+            failure = self._failure(
+                'append not acknowledged, it may have taken effect',
+                error,
+            )
+            event = LogFailed(effect.stream, failure, effect.payload)
+        self._submit(event)
+
+    async def _page(self, effect: ReadLog) -> LogRead:
+        limit = self._limits.get(effect.stream, READ_RECORDS)
+        wait_ms = int(effect.wait / _MILLISECOND)
+        query = f'from={effect.start}&limit={limit}&wait_ms={wait_ms}'
+        try:
+            body = await self._call(
+                b'GET',
+                f'{self._address(effect.stream)}?{query}',
+                None,
+                effect.wait + REPLY_LIMIT,
+            )
+        except _TooLargeError:
+            # Large records fit one by one.
+            self._limits[effect.stream] = 1
+            raise
+        self._limits.pop(effect.stream, None)
+        return _checked(effect, _pages.decode(body))
+
+    async def _receipt(self, effect: AppendLog) -> LogAppended:
+        body = await self._call(
+            b'POST',
+            self._address(effect.stream),
+            effect.payload,
+            REPLY_LIMIT,
+        )
+        offset = LogOffset(_receipts.decode(body).offset)
+        return LogAppended(effect.stream, offset, effect.payload)
+
+    async def _call(
+        self,
+        method: bytes,
+        address: str,
+        payload: bytes | None,
+        limit: timedelta,
+    ) -> bytes:
+        call = Deferred.fromCoroutine(self._exchange(method, address, payload))
+        # The time limit covers the body as well; cancelling drops the
+        # connection, so that a late reply cannot be taken for another one.
+        call.addTimeout(limit.total_seconds(), self._clock)
+        return await call
+
+    async def _exchange(
+        self,
+        method: bytes,
+        address: str,
+        payload: bytes | None,
+    ) -> bytes:
+        sent = None if payload is None else _producer(BytesIO(payload))
+        headers = Headers({b'content-type': [b'application/octet-stream']})
+        response = await self._agent.request(
+            method,
+            address.encode(),
+            headers,
+            sent,
+        )
+        body = await _collect(response)
+        if response.code not in {_OK, _CREATED}:
+            raise ValueError(f'HTTP status {response.code}')
+        return body
+
+    def _address(self, stream: str) -> str:
+        name = quote(stream, safe='')
+        return f'{self._url}/streams/{name}'
+
+    def _failure(self, what: str, error: Exception) -> Failure:
+        kind = type(error).__name__
+        return Failure(Step.log, self._url, f'{what}: {kind}: {error}')
+
+
+def build_agent(reactor: Any) -> Any:
+    """Return an agent that keeps its connections to the log open."""
+    pool = _pool(reactor, persistent=True)
+    pool.maxPersistentPerHost = CONNECTIONS_KEPT
+    # Repeats are decided by the reducer.
+    pool.retryAutomatically = False
+    return _agent(
+        reactor,
+        connectTimeout=CONNECT_LIMIT.total_seconds(),
+        pool=pool,
+    )
+
+
+def _checked(effect: ReadLog, page: _Page) -> LogRead:
+    offsets = [record.offset for record in page.records]
+    begin = offsets[0] if offsets else page.next
+    if offsets != list(range(begin, page.next)) or begin < page.first:
+        raise ValueError(f'offsets with holes in {page.first}..{page.next}')
+    if offsets and begin < effect.start:
+        raise ValueError(f'records from {begin}, {effect.start} was asked for')
+    return LogRead(
+        stream=effect.stream,
+        first=LogOffset(page.first),
+        following=LogOffset(page.next),
+        records=tuple(
+            LogRecord(LogOffset(record.offset), record.data)
+            for record in page.records
+        ),
+    )
+
+
+def _collect(response: Any) -> Deferred[bytes]:
+    collector = _Collector()
+    response.deliverBody(collector)
+    return collector.done
+
+
+class _Collector(Protocol):
+    """Gathers a body up to the limit."""
+
+    def __init__(self) -> None:
+        self.done: Deferred[bytes] = Deferred(self._cancel)
+        self._body = bytearray()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep the octets, or give up on a body above the limit."""
+        self._body += data
+        if len(self._body) > BODY_LIMIT_BYTES and not self.done.called:
+            self._abort()
+            self.done.errback(
+                _TooLargeError(f'body above {BODY_LIMIT_BYTES} bytes'),
+            )
+
+    def connectionLost(  # noqa: N802
+        self,
+        reason: TwistedFailure = connectionDone,
+    ) -> None:
+        """Deliver the body if it is complete."""
+        if self.done.called:
+            return
+        # Without a length the end of a body is not known: it may be cut off,
+        # which the decoder of the JSON text finds.
+        if isinstance(reason.value, (ResponseDone, PotentialDataLoss)):
+            self.done.callback(bytes(self._body))
+        else:
+            self.done.errback(reason)
+
+    def _cancel(self, _done: Deferred[bytes]) -> None:
+        self._abort()
+
+    def _abort(self) -> None:
+        abort = getattr(self.transport, 'abortConnection', None)
+        if abort is not None:
+            abort()
+
+
+def _log_fault(fault: TwistedFailure) -> None:
+    logger.error('fault in the log client: %s', fault.getTraceback())
--- /dev/null
+++ b/tests/test_logclients.py
@@ -0,0 +1,179 @@
+"""Log client: every reply, sound or not, ends in one event."""
+
+import json
+from base64 import b64encode
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError as Refused
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
+
+from greengagemux import logclients
+from greengagemux.clocks import ms
+from greengagemux.effects import AppendLog, ReadLog
+from greengagemux.events import LogAppended, LogFailed, LogRead, LogRecord
+from greengagemux.outcomes import Step
+
+READ = ReadLog('notes', 3, ms(2000))
+APPEND = AppendLog('notes', b'x')
+
+
+class FakeAgent:
+    """Replies with the prepared Deferred of each request."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.requests: list[tuple[bytes, bytes]] = []
+        self.replies: list[Deferred] = []
+
+    def request(self, method, uri, headers, body) -> Deferred:
+        """Record the request."""
+        self.requests.append((method, uri))
+        self.replies.append(Deferred())
+        return self.replies[-1]
+
+
+class FakeResponse:
+    """Delivers a body, whole or in part."""
+
+    def __init__(self, body: bytes, code: int = 200, end=ResponseDone) -> None:
+        """Keep the reply; ``end`` is why the body ends, if it does."""
+        self.code = code
+        self.body = body
+        self.end = end
+        self.aborted = False
+
+    def deliverBody(self, protocol) -> None:  # noqa: N802
+        """Deliver at once."""
+        protocol.transport = SimpleNamespace(abortConnection=self.abort)
+        protocol.dataReceived(self.body)
+        if self.end:
+            protocol.connectionLost(Failure(self.end()))
+
+    def abort(self) -> None:
+        """Note that the connection was dropped."""
+        self.aborted = True
+
+
+class Bench:
+    """A client with its fakes."""
+
+    def __init__(self) -> None:
+        """Connect the fakes."""
+        self.agent = FakeAgent()
+        self.clock = Clock()
+        self.events = []
+        self.client = logclients.LogClient(
+            self.agent,
+            self.clock,
+            'http://log/',
+            self.events.append,
+        )
+
+    def reply(self, body: object, **how) -> FakeResponse:
+        """Reply to the newest request."""
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        response = FakeResponse(raw, **how)
+        self.agent.replies[-1].callback(response)
+        return response
+
+
+def page(first: int, following: int, *offsets: int) -> dict:
+    """Return the JSON of a read."""
+    records = [
+        {'offset': offset, 'data': b64encode(b'\0x').decode()}
+        for offset in offsets
+    ]
+    return {'first': first, 'next': following, 'records': records}
+
+
+def test_read() -> None:
+    """Guards against lost records and against two reads at once."""
+    bench = Bench()
+    bench.client.read(READ)
+    bench.client.read(READ)
+    assert bench.agent.requests == [
+        (b'GET', b'http://log/streams/notes?from=3&limit=32&wait_ms=2000'),
+    ]
+    bench.reply(page(2, 5, 3, 4))
+    records = (LogRecord(3, b'\0x'), LogRecord(4, b'\0x'))
+    assert bench.events == [LogRead('notes', 2, 5, records)]
+    bench.client.read(READ)
+    bench.reply(page(9, 9))
+    assert bench.events[1:] == [LogRead('notes', 9, 9, ())]
+
+
+@pytest.mark.parametrize(
+    ('body', 'how'),
+    [
+        (b'{', {}),
+        (b'\xff', {}),
+        ({}, {}),
+        (page(0, 5, 3), {}),
+        (page(0, 6, 3, 5), {}),
+        (page(4, 5, 3, 4), {}),
+        (page(0, 3, 2), {}),
+        (page(-1, 4, 3), {}),
+        ({'first': 0, 'next': 4, 'records': [{'offset': 3, 'data': '*'}]}, {}),
+        (page(0, 4, 3), {'code': 503}),
+        (b'{"first": 0,', {'end': PotentialDataLoss}),
+        (page(0, 4, 3), {'end': ConnectionError}),
+    ],
+)
+def test_unsound_reply(body: object, how: dict) -> None:
+    """Guards against a reply that is believed, or that ends the polling."""
+    bench = Bench()
+    bench.client.read(READ)
+    bench.reply(body, **how)
+    assert len(bench.events) == 1
+    event = bench.events[0]
+    assert isinstance(event, LogFailed)
+    assert (event.failure.step, event.failure.peer) == (Step.log, 'http://log')
+    bench.client.read(READ)
+    assert len(bench.agent.requests) == 2
+
+
+def test_silence() -> None:
+    """Guards against a read that waits for ever, before or in its body."""
+    bench = Bench()
+    bench.client.read(READ)
+    bench.clock.advance(6)
+    assert not bench.events
+    bench.clock.advance(2)
+    assert 'TimeoutError' in bench.events[0].failure.detail
+    bench.client.read(READ)
+    response = bench.reply(b'{', end=None)
+    bench.clock.advance(8)
+    assert len(bench.events) == 2
+    assert response.aborted
+
+
+def test_body_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a body that fills the memory or blocks the stream."""
+    monkeypatch.setattr(logclients, 'BODY_LIMIT_BYTES', 9)
+    bench = Bench()
+    bench.client.read(READ)
+    response = bench.reply(b' ' * 10, end=None)
+    assert response.aborted
+    assert 'above 9 bytes' in bench.events[0].failure.detail
+    bench.client.read(READ)
+    assert b'limit=1&' in bench.agent.requests[1][1]
+
+
+def test_append() -> None:
+    """Guards against a lost acknowledgement that counts as not appended."""
+    bench = Bench()
+    for _ in range(3):
+        bench.client.append(APPEND)
+    bench.agent.replies[0].callback(FakeResponse(b'{"offset": 7}', 201))
+    bench.agent.replies[1].errback(Refused())
+    bench.clock.advance(6)
+    appended, refused, silent = bench.events
+    assert appended == LogAppended('notes', 7, b'x')
+    assert 'not sent' in refused.failure.detail
+    assert 'may have taken effect' in silent.failure.detail
+    assert refused.payload == silent.payload == b'x'
