--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -32,7 +32,7 @@
 from .events import Event, StopRequested, Tick
 from .ids import DaemonId, DataCentre, Incarnation, Region
 from .listeners import CallerListener
-from .logclients import LogClient
+from .logclients import LogClient, build_agent
 from .logs import BufferedHandler, DescriptorSink, install, log_event
 from .messages import PROTOCOL_VERSION, Hello, MemberRecord
 from .metrics import Metrics
@@ -169,7 +169,8 @@
         log = self.settings.log
         if log is None:
             return None
-        return LogClient(str(log.url), self._reactor, self.submit)
+        agent = build_agent(self._reactor)
+        return LogClient(agent, self._reactor, str(log.url), self.submit)
 
     def _apply(self, event: Event) -> None:
         started = self._clock.monotonic()
