Bound durations from peers; test promises of a replaced successor

A huge age from the wire raised OverflowError and a negative one kept a member alive. The history for unresolved appends fails without the rule.

--- a/greengagemux/convictions.py
+++ b/greengagemux/convictions.py
@@ -183,7 +183,7 @@
         self._add(case, entry.crashes, now)
         if len(case.crashes) > before[0]:
             # Repeated reports must not prolong a case, new crashes do.
-            told = min(ms(entry.expires_in_ms), LIFETIME)
+            told = ms(min(entry.expires_in_ms, LIFETIME // MILLISECOND))
             case.expires = max(case.expires, now + told)
         case.cleared |= case.crashes.keys() & set(entry.cleared)
         return before != (len(case.crashes), len(case.cleared))
--- a/greengagemux/homes.py
+++ b/greengagemux/homes.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
+from typing import Any
 
 import msgspec
 
@@ -219,7 +220,7 @@
             return False
         # With an own append under way, the named successor may be another
         # one than this daemon knows; a claimant waits for no promise.
-        if owned.appended == owned.epoch or self.table.is_claimed(slot):
+        if _is_unresolved(owned) or self.table.is_claimed(slot):
             return False
         return self._is_promised(owned, now)
 
@@ -282,8 +283,7 @@
         if now >= self._ask_due:
             self._ask_due = now + PROMISE_EVERY
             self._ask(now, out)
-            for owned in self._owned.values():
-                owned.home.expire(self._awake)
+            self._expire(now)
         for slot, owned in self._owned.items():
             self._write(slot, owned, now, candidates, out)
         for watched, watch in tuple(self._watches.items()):
@@ -326,7 +326,8 @@
         asked = self._requests.get(message.nonce)
         if asked is None:
             return []
-        until = asked + min(self._terms.promise_use, ms(message.valid_ms))
+        use_ms = self._terms.promise_use // MILLISECOND
+        until = asked + ms(min(use_ms, message.valid_ms))
         for promised in message.slots:
             slot = (promised.service, promised.slot)
             owned = self._owned.get(slot)
@@ -357,7 +358,9 @@
         if len(owned.parts) < message.total:
             return []
         owned.home.merge(owned.parts.values(), self._awake)
-        owned.home.opens = self._awake + ms(message.window_ms)
+        longest_ms = self._terms.takeover_window // MILLISECOND
+        window = ms(min(message.window_ms, longest_ms))
+        owned.home.opens = self._awake + window
         owned.parts.clear()
         owned.source = None
         owned.source_until = _NEVER
@@ -381,6 +384,13 @@
         self._awake += min(now - last, PAUSE)
         self._last = now
 
+    def _expire(self, now: timedelta) -> None:
+        for owned in self._owned.values():
+            owned.home.expire(self._awake)
+        self._promises = {
+            slot: until for slot, until in self._promises.items() if until > now
+        }
+
     def _is_promised(self, owned: _Owned, now: timedelta) -> bool:
         return now < owned.promised
 
@@ -395,7 +405,8 @@
 
     def _apply(self, assignment: Assignment, now: timedelta) -> None:
         record = assignment.record
-        self._forget(record)
+        _drop_ended(self._watches, record)
+        _drop_ended(self._promises, record)
         owned = self._owned.get(record.key)
         if record.home == self._own:
             if owned is None:
@@ -439,15 +450,6 @@
             source_until=now + HANDOVER_WAIT if planned else _NEVER,
         )
 
-    def _forget(self, record: HomeRecord) -> None:
-        """Drop watches and promises of epochs that ended."""
-        for table in (self._watches, self._promises):
-            for slot in tuple(table):
-                if (slot.service, slot.slot) != record.key:
-                    continue
-                if slot.epoch < record.epoch:
-                    table.pop(slot)
-
     def _ask(self, now: timedelta, out: list[Output]) -> None:
         """Ask the successors of the own slots for promises."""
         by_peer: dict[DaemonId, list[SlotEpoch]] = {}
@@ -496,7 +498,7 @@
         """Return whether to name a successor, or to answer a claim."""
         if now >= self._contact + self._terms.promise_use:
             return False
-        if owned.appended == owned.epoch or found.claim is not None:
+        if _is_unresolved(owned) or found.claim is not None:
             return True
         promised = owned.promised - self._terms.promise_use
         return now - max(promised, owned.since) >= SILENCE
@@ -554,6 +556,20 @@
             )
 
 
+def _is_unresolved(owned: _Owned) -> bool:
+    """Return whether an own append may still end this epoch."""
+    return owned.appended == owned.epoch
+
+
+def _drop_ended(table: dict[SlotEpoch, Any], record: HomeRecord) -> None:
+    """Drop what is kept of the earlier epochs of a slot."""
+    for slot in tuple(table):
+        if (slot.service, slot.slot) != record.key:
+            continue
+        if slot.epoch < record.epoch:
+            table.pop(slot)
+
+
 def _append(record: HomeRecord) -> Append:
     return Append(msgspec.msgpack.encode(record))
 
--- a/greengagemux/members.py
+++ b/greengagemux/members.py
@@ -29,7 +29,7 @@
     MemberSummary,
     UpstreamRecord,
 )
-from .rosters import BUCKETS, EXPIRY, Entry, Roster
+from .rosters import BUCKETS, EXPIRY, Entry, Roster, heard_at
 
 #: Most records in one message.
 RECORD_BATCH = 50
@@ -213,7 +213,7 @@
             strict=False,
         )
         for record, beat, age_s in told:
-            heard = now - timedelta(seconds=age_s)
+            heard = heard_at(age_s, now)
             pulled = self._asked.pop(record.daemon, None) is not None
             if self._take_record(record, beat, heard, now):
                 # A record that was pulled inside the region is known to
@@ -318,7 +318,7 @@
         if told.daemon == self._id:
             self._check_own(told.incarnation, told.sequence, now)
             return False
-        heard = now - timedelta(seconds=told.age_s)
+        heard = heard_at(told.age_s, now)
         if now - heard >= EXPIRY:
             return False
         known = self._roster.entries.get(told.daemon)
--- a/greengagemux/rosters.py
+++ b/greengagemux/rosters.py
@@ -217,6 +217,11 @@
     return -entry.score, entry.record.daemon
 
 
+def heard_at(age_s: int, now: timedelta) -> timedelta:
+    """Return when a heartbeat of this age was sent; bad ages are bounded."""
+    return now - min(max(age_s, 0), EXPIRY // _SECOND) * _SECOND
+
+
 def _hash(text: str) -> int:
     return xxhash.xxh3_64_intdigest(text.encode())
 
--- a/greengagemux/writes.py
+++ b/greengagemux/writes.py
@@ -212,13 +212,14 @@
 
     def merge(self, records: Iterable[KeyRecord], awake: timedelta) -> None:
         """Take over the records of the last home; own records stay."""
+        longest_ms = self._terms.retention // MILLISECOND
         for record in sorted(records, key=_by_age, reverse=True):
             key = (record.caller, record.key)
             if key in self._entries:
                 continue
             entry = _Entry(
                 record.digest,
-                awake - ms(record.age_ms),
+                awake - ms(min(record.age_ms, longest_ms)),
                 record.outcome or Outcome.unknown,
             )
             self._entries[key] = entry
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -159,6 +159,31 @@
             fleet.send(name, f'k{turn}')
 
 
+def _unresolved_append() -> None:
+    """Let a change of the successor take effect unseen by home and old one."""
+    fleet = Fleet()
+    fleet.assign()
+    fleet.run(3)
+    fleet.log.delayed = True
+    fleet.cuts.add(('d1', 'd0'))
+    fleet.run(3.5)
+    fleet.cuts.clear()
+    for name in ('d0', 'd1'):
+        fleet.nodes[name].log_cut = True
+    fleet.log.land(fleet.log.held[0])
+    fleet.log.delayed = False
+    assert fleet.roles()['successor'] == 'd2'
+    for turn in range(56):
+        for name in ('d2', 'd0'):
+            fleet.send(name, f'k{turn}')
+        fleet.run(1)
+
+
+def test_promise_of_a_replaced_successor_does_not_count() -> None:
+    """Home and old successor without the log must not go on for ever."""
+    _unresolved_append()
+
+
 def _late_wake() -> None:
     """Wake a home after another one has served for a while."""
     fleet = Fleet()
@@ -211,10 +236,11 @@
         (homes.Homes, '_is_promised', True, _late_wake),
         (assignments.Table, '_follows', True, _late_takeover),
         (writes.Home, '_in_window', False, _lost_home),
+        (homes, '_is_unresolved', False, _unresolved_append),
     ],
 )
 def test_histories_fail_without_the_check(
-    owner: type,
+    owner: object,
     check: str,
     answer: bool,
     history: Callable[[], None],
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -208,3 +208,14 @@
     one = members.Members(_record(0), random.Random(0))
     with pytest.raises(TypeError, match='Ping'):
         one.receive(messages.Ping(1), 'd1', _SECOND)
+
+
+@pytest.mark.parametrize('age_s', [-1000, 1 << 62])
+def test_bad_age_does_no_harm(age_s: int) -> None:
+    """An age from the wire must not raise or keep a member for ever."""
+    one = members.Members(_record(0), random.Random(0))
+    one.receive(
+        messages.MemberDeltas((_record(1),), (1,), (age_s,)), 'd1', _SECOND
+    )
+    one.tick(61 * _SECOND)
+    assert 'd1' not in one.live()
