--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -21,6 +21,7 @@
         'load': 'greengagemux.loads',
         'overload': 'greengagemux.overloads',
         'slopes': 'greengagemux.slopes',
+        'writes': 'greengagemux.outages',
     }
 )
 
@@ -38,8 +39,9 @@
         module = _TOOLS.get(cmd_name)
         if module is None or util.find_spec(module) is None:
             return super().get_command(ctx, cmd_name)
-        command: click.Command = getattr(import_module(module), cmd_name)
-        return command
+        found = import_module(module)
+        command: click.Command = getattr(found, f'{cmd_name}_command', None)
+        return command or getattr(found, cmd_name)
 
 
 @click.group(cls=_MainGroup, epilog=commands.EXIT_CODES)
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -98,7 +98,7 @@
     home = _home_of(fleet, b'k1')
     fleet.kill(home)
     entrance = 'd1' if home != 'd1' else 'd2'
-    for _turn in range(20):
+    for _ in range(20):
         again = _write(fleet, entrance, b'k1')
         fleet.run(1000)
         assert fleet.outcome(again) == 'unknown'
@@ -116,7 +116,7 @@
     fleet.nodes['d2'].submit(StopRequested())
     fleet.run(6000)
     assert fleet.nodes['d2'].exited
-    asked = [_write(fleet, 'd1', key) for key in keys]
+    asked = [_write(fleet, 'd1', each) for each in keys]
     fleet.run(500)
     for exchange, key in zip(asked, keys, strict=True):
         assert fleet.outcome(exchange) == 'completed'
