Discard answers of upstreams that are provably not right

Cause: a demonstration with wrong answers passed 10 of 802 on to callers: the example bundles named no echo header, and a body cut short with a matching length could not be told from a whole one. Ruled out: guessing from the size of earlier answers. Change: the last hop checks the echoed request id, the echo header of the route and the Content-Digest of RFC 9530; the stand-in sends a digest; a daemon is ready once all key slots have a home. Conclusion: an answer without any of the three proofs is still trusted.

--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -40,8 +40,10 @@
         if module is None or util.find_spec(module) is None:
             return super().get_command(ctx, cmd_name)
         found = import_module(module)
-        command: click.Command = getattr(found, f'{cmd_name}_command', None)
-        return command or getattr(found, cmd_name)
+        command: click.Command = getattr(
+            found, f'{cmd_name}_command', None
+        ) or getattr(found, cmd_name)
+        return command
 
 
 @click.group(cls=_MainGroup, epilog=commands.EXIT_CODES)
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -566,12 +566,10 @@
         self._finish(waiting)
 
     def _reply(self, waiting: Waiting, message: Answer | Refusal) -> None:
-        if waiting.origin is not None:
+        origin = waiting.origin
+        if origin:
             self._last_hop.answer_for(
-                waiting.origin,
-                waiting.reply_stream,
-                message,
-                waiting.deadline,
+                origin, waiting.reply_stream, message, waiting.deadline
             )
         elif isinstance(message, Answer):
             self._outbox.emit(completion(waiting.exchange, message))
@@ -600,7 +598,7 @@
 
 
 def _deadline_ms(event: CallerRequest, route: Route) -> int:
-    asked = headers.get(event.headers, headers.DEADLINE)
+    asked = headers.get(event.headers, headers.DEADLINE.lower())
     if asked is None or not asked.isdigit():
         return route.deadline_ms
     return max(1, min(route.deadline_ms, int(asked)))
--- a/greengagemux/headers.py
+++ b/greengagemux/headers.py
@@ -1,5 +1,8 @@
 """HTTP headers on the way through the fleet."""
 
+import base64
+import hashlib
+import re
 from collections.abc import Iterable
 
 from .messages import Headers
@@ -7,8 +10,12 @@
 
 OUTCOME = b'Greengage-Outcome'
 REASON = b'Greengage-Reason'
-DEADLINE = b'greengage-deadline-ms'
+DEADLINE = b'Greengage-Deadline-Ms'
+REQUEST_ID = b'Greengage-Request'
 IDEMPOTENCY_KEY = b'idempotency-key'
+CONTENT_DIGEST = b'content-digest'
+
+_SHA256 = re.compile(rb'sha-256=:([A-Za-z0-9+/=]{44}):')
 
 _OWN_PREFIX = b'greengage-'
 #: Headers that concern one connection only, and those set anew on each hop.
@@ -73,6 +80,22 @@
     return (*made, (b'Retry-After', b'%d' % seconds))
 
 
+def is_intact(answer: Headers, body: bytes) -> bool:
+    """Return whether a body has the SHA-256 that its upstream declared.
+
+    ``Content-Digest`` is that of RFC 9530. Without it nothing can be said,
+    and the body counts as intact.
+    """
+    declared = get(answer, CONTENT_DIGEST)
+    if declared is None:
+        return True
+    found = _SHA256.search(declared)
+    if found is None:
+        return True
+    digest = base64.b64encode(hashlib.sha256(body).digest())
+    return digest == found[1]
+
+
 def _passes(name: bytes) -> bool:
     return name not in _HOP_BY_HOP and not name.startswith(_OWN_PREFIX)
 
--- a/greengagemux/keyed.py
+++ b/greengagemux/keyed.py
@@ -54,7 +54,7 @@
 ASSIGN_EVERY = timedelta(seconds=1)
 #: A daemon assigns slots only when it has known its peers for this long, or
 #: every daemon would assign all slots to itself at the start of a fleet.
-SETTLE = timedelta(seconds=3)
+SETTLE = timedelta(seconds=2)
 #: Holders that are not seen for this long are taken as lost for good.
 LOST_AFTER = timedelta(minutes=2)
 #: One read waits this long at the log, more in a large fleet: below this
@@ -117,6 +117,15 @@
         self._live = live
         self._ranked.clear()
 
+    @property
+    def settled(self) -> bool:
+        """Whether every key slot of the bundle in force has a home."""
+        return all(
+            self.homes.home_of((name, number)) is not None
+            for name, service in self._services.items()
+            for number in range(service.key_slots)
+        )
+
     def slot_of(
         self, service: ServiceName, caller: CallerName, key: str
     ) -> Slot:
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -26,7 +26,7 @@
 )
 from .epochs import StreamEpochs
 from .events import Announced, CallFault, UpstreamAnswered, UpstreamFailed
-from .headers import echoes
+from .headers import DEADLINE, REQUEST_ID, echoes, get, is_intact
 from .ids import (
     CallId,
     DaemonId,
@@ -107,6 +107,13 @@
     silent: bool = False
     given_up: int = 0
 
+    @property
+    def identity(self) -> bytes:
+        """Identity of the request over the whole fleet."""
+        origin = self.origin
+        name = f'{origin.daemon}/{origin.incarnation}/{origin.request}'
+        return name.encode()
+
     @property
     def account(self) -> str:
         """Account of the caller."""
@@ -361,9 +368,10 @@
         if job.fresh and job.silent:
             # The kept connections have gone silent and new ones work.
             self._outbox.emit(DropConnections(upstream.address))
-        if not echoes(job.dispatch.headers, event.headers, job.dispatch.echo):
+        fault = _fault_in(event, job)
+        if fault:
             self._observe(job, SampleKind.wrong, now)
-            self._end(job, _unknown(job, Reason.upstream_failed, 'echo'), now)
+            self._end(job, _unknown(job, Reason.upstream_failed, fault), now)
             self._fill(upstream, now)
             return
         kind = SampleKind.success
@@ -579,13 +587,14 @@
         self._convictions.started(job.fingerprint)
         message = job.dispatch
         remaining_ms = max(1, int(in_ms(job.deadline - now)))
-        identity = f'{job.origin.daemon}/{job.origin.incarnation}'
-        identity = f'{identity}/{job.origin.request}'
         if not message.idempotent:
             self._outbox.emit(
                 Record(
                     'write-dispatched',
-                    {'request': identity, 'upstream': upstream.upstream},
+                    {
+                        'request': job.identity.decode(),
+                        'upstream': upstream.upstream,
+                    },
                 )
             )
         self._outbox.emit(
@@ -596,8 +605,8 @@
                 target=message.target,
                 headers=(
                     *message.headers,
-                    (b'Greengage-Deadline-Ms', b'%d' % remaining_ms),
-                    (b'Greengage-Request', identity.encode()),
+                    (DEADLINE, b'%d' % remaining_ms),
+                    (REQUEST_ID, job.identity),
                 ),
                 body=message.body,
                 limit_bytes=message.answer_limit_bytes,
@@ -833,6 +842,19 @@
     )
 
 
+def _fault_in(event: UpstreamAnswered, job: Job) -> str:
+    """Return what shows that an answer is wrong, or nothing."""
+    message = job.dispatch
+    identity = get(event.headers, REQUEST_ID.lower())
+    if identity is not None and identity != job.identity:
+        return 'the answer is for another request'
+    if not echoes(message.headers, event.headers, message.echo):
+        return f'{message.echo} is not that of the request'
+    if message.method != b'HEAD' and not is_intact(event.headers, event.body):
+        return 'the body does not have its declared digest'
+    return ''
+
+
 def _unknown(job: Job, reason: Reason, detail: str) -> Refusal:
     return Refusal(
         request=job.origin.request,
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -74,6 +74,9 @@
 PATH_CHECK_EVERY = timedelta(milliseconds=100)
 #: Seeds are tried again this often while no peer is connected.
 SEED_EVERY = timedelta(seconds=1)
+#: A new daemon is not ready before each key slot has a home, which takes
+#: seconds in a new fleet, unless that takes longer than this.
+SLOTS_WAIT = timedelta(seconds=15)
 #: A stopping daemon stays up this long, until callers and peers know.
 STOP_NOTICE = timedelta(seconds=2)
 
@@ -118,6 +121,8 @@
         self.incarnations: dict[StreamId, Incarnation] = {}
         self.inbound: set[StreamId] = set()
         self.stopping_since: timedelta | None = None
+        self.slots_known = False
+        self.slots_due: timedelta | None = None
         self.seeds_due = ZERO
         self.paths_due = ZERO
 
@@ -132,6 +137,8 @@
             return False, 'stopping'
         if self.distribution.rollout.bundle is None:
             return False, 'no bundle in force'
+        if not self.slots_known:
+            return False, 'some key slots have no home yet'
         return True, 'serving'
 
     def send_all(self, messages: Iterable[Directed], now: timedelta) -> None:
@@ -160,6 +167,8 @@
             last_hop.configure(bundle.services, bundle.retries_pct)
             self.entrance.configure(bundle)
             self.keyed.configure(bundle.services)
+            if self.slots_due is None:
+                self.slots_due = now + SLOTS_WAIT
 
     def _members_changed(
         self, changed: Iterable[DaemonId], now: timedelta
@@ -212,6 +221,9 @@
         daemon.paths_due = now + PATH_CHECK_EVERY
         for path in daemon.paths.tick(now):
             daemon.entrance.path_lost(path, now)
+    if not daemon.slots_known and daemon.slots_due is not None:
+        late = now >= daemon.slots_due
+        daemon.slots_known = late or daemon.keyed.settled
     if now >= daemon.seeds_due:
         daemon.seeds_due = now + SEED_EVERY
         _open_seeds(daemon)
--- a/greengagemux_standins/upstreams.py
+++ b/greengagemux_standins/upstreams.py
@@ -6,6 +6,8 @@
 back as headers, and ``X-Upstream-Run`` tells how far the work got.
 """
 
+import base64
+import hashlib
 import logging
 import random
 from collections.abc import Callable
@@ -439,6 +441,8 @@
     headers.setRawHeaders(b'X-Upstream-Method', [request.method])
     headers.setRawHeaders(RUN, [b'finished'])
     body = answer_body(key, settings.answer_bytes)
+    digest = base64.b64encode(hashlib.sha256(body).digest())
+    headers.setRawHeaders(b'Content-Digest', [b'sha-256=:%b:' % digest])
     half = body[: len(body) // 2]
     if kind is WrongKind.truncated:
         headers.setRawHeaders(b'content-length', [b'%d' % len(body)])
