--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -29,6 +29,7 @@
 
 #: Defaults of all optional keys.
 RETRIES_PCT: Final = 10
+REGION_LINK_KBIT_S: Final = 20_000
 FLOOR_PCT: Final = 70
 FALSE_ALARM: Final = 1e-6
 MISS: Final = 1e-3
@@ -80,6 +81,7 @@
 _Follows = Annotated[int, Field(ge=0, le=VERSION_LIMIT)]
 _Percent = Annotated[int, Field(ge=0, le=100)]
 _ErrorRate = Annotated[float, Field(ge=1e-12, le=0.1, allow_inf_nan=False)]
+_LinkRate = Annotated[int, Field(ge=0, le=100_000_000)]
 _Count = Annotated[int, Field(ge=1, le=100_000)]
 _Bytes = Annotated[int, Field(ge=0, le=MESSAGE_LIMIT_BYTES)]
 _QueueBytes = Annotated[int, Field(ge=0, le=1024 * 1024 * 1024)]
@@ -193,12 +195,15 @@
     """One version of the configuration of the fleet.
 
     ``follows`` is the version it replaces, 0 for the first bundle. Without
-    a ``stage`` every daemon takes the bundle.
+    a ``stage`` every daemon takes the bundle. ``region_link_kbit_s`` is what
+    all requests placed in the other region and their answers may use, 0 for
+    no such requests.
     """
 
     version: BundleVersion
     follows: BundleVersion
     retries_pct: int = RETRIES_PCT
+    region_link_kbit_s: int = REGION_LINK_KBIT_S
     services: Mapping[ServiceName, Service] = field(default_factory=dict)
     routes: Mapping[RouteName, Route] = field(default_factory=dict)
     callers: Mapping[CallerName, Caller] = field(default_factory=dict)
@@ -212,6 +217,7 @@
     version: _Version
     follows: _Follows
     retries_pct: _Percent = RETRIES_PCT
+    region_link_kbit_s: _LinkRate = REGION_LINK_KBIT_S
 
 
 class BundleError(Exception):
@@ -300,6 +306,7 @@
             version=head.version,
             follows=head.follows,
             retries_pct=head.retries_pct,
+            region_link_kbit_s=head.region_link_kbit_s,
             **{f'{kind}s': named for kind, named in self._named.items()},
             stage=self._single.get('rollout'),
         )
--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -35,9 +35,7 @@
             self.views[service] = view
         return view
 
-    def view_of(
-        self, service: ServiceName, priority: Priority
-    ) -> UsableView:
+    def view_of(self, service: ServiceName, priority: Priority) -> UsableView:
         """Return the candidates with the queues that a class would meet.
 
         A full queue of internal requests says nothing of how long a person
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -13,7 +13,14 @@
 from .baselines import Baselines
 from .bundles import Bundle, Route
 from .candidates import Candidates
-from .choices import Pick, UsableView, choose
+from .choices import (
+    Candidate,
+    Nearness,
+    Pick,
+    UsableSet,
+    UsableView,
+    choose,
+)
 from .clocks import ms, in_ms
 from .effects import Outbox, Record, Respond, Send
 from .events import CallerGone, CallerRequest
@@ -40,6 +47,7 @@
 from .outcomes import Outcome, Reason
 from .paths import Path, Paths, PathState
 from .requests import Attempt, Waiting, completion, refusal
+from .regionlinks import LinkBudget
 from .retries import Budget
 from .throttles import Throttles
 
@@ -56,6 +64,8 @@
 #: expected service time, and at least ``HEDGE_AFTER`` old.
 HEDGE_FACTOR = 8
 HEDGE_AFTER = timedelta(milliseconds=150)
+#: The expected wait in the queue counts this many times.
+HEDGE_QUEUE_FACTOR = 3
 #: Without an expected service time a second attempt waits this long.
 HEDGE_UNKNOWN_AFTER = timedelta(seconds=1)
 
@@ -84,6 +94,7 @@
         self._budgets: dict[ServiceName, Budget] = {}
         self._baselines = Baselines()
         self._throttles = Throttles(rng)
+        self._link = LinkBudget()
         self._waiting: dict[ExchangeId, Waiting] = {}
         self._attempts: dict[RequestId, Waiting] = {}
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
@@ -102,6 +113,7 @@
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle; waiting requests keep their old route."""
         self._accounts.configure(bundle)
+        self._link.configure(bundle.region_link_kbit_s)
         for name, service in bundle.services.items():
             share = bundle.retries_pct / 100
             budget = self._budgets.setdefault(name, Budget(share))
@@ -115,6 +127,9 @@
         now: timedelta,
     ) -> None:
         """Update the candidates of the daemons whose records changed."""
+        self._link.set_members(
+            sum(each.region == self._own.region for each in members.values())
+        )
         dropped = self._candidates.members_changed(members, changed, now)
         for upstream in dropped:
             self._baselines.forget(upstream)
@@ -203,7 +218,7 @@
             if waiting is not None:
                 self._expire(waiting, now)
         for slow in tuple(self._waiting.values()):
-            if slow.idempotent and self._is_slow(slow, now):
+            if slow.idempotent and _is_slow(slow, now):
                 self._retry(slow, now)
 
     def _refuse(
@@ -220,17 +235,19 @@
         )
 
     def _place(self, waiting: Waiting, now: timedelta) -> None:
-        view = self._candidates.view_of(
-            waiting.route.service, waiting.priority
-        )
+        view = self._candidates.view_of(waiting.route.service, waiting.priority)
+        remote = self._link.allows(waiting.priority, now)
         pick = choose(
             view.current(),
             self._rng,
             waiting.excluded,
             idempotent=waiting.idempotent,
+            remote=remote,
         )
         if pick is None:
-            self._no_candidate(waiting)
+            if not remote and has_far(view.current()):
+                waiting.last_reason = Reason.region_link
+            self._no_candidate(waiting, now)
             return
         if pick.candidate.daemon == self._own.daemon:
             self._send_local(waiting, pick, now)
@@ -252,7 +269,7 @@
         waiting.excluded.add(pick.candidate.upstream)
         self._place(waiting, now)
 
-    def _no_candidate(self, waiting: Waiting) -> None:
+    def _no_candidate(self, waiting: Waiting, now: timedelta) -> None:
         if waiting.attempts:
             return
         if _movable(waiting) and waiting.moves:
@@ -276,6 +293,11 @@
             waiting.route.name, candidate.upstream
         )
         attempt = Attempt(request, candidate, pick.forced, now, expected_ms)
+        attempt.queue_ms = _queue_ms(candidate)
+        if candidate.nearness is Nearness.other_region:
+            attempt.link_bytes = self._link.charge(
+                waiting.route.name, len(waiting.body)
+            )
         waiting.attempts[request] = attempt
         waiting.excluded.add(candidate.upstream)
         self._attempts[request] = waiting
@@ -333,6 +355,10 @@
         now: timedelta,
     ) -> None:
         self._drop(waiting, attempt)
+        if attempt.link_bytes:
+            self._link.settle(
+                waiting.route.name, attempt.link_bytes, len(message.body)
+            )
         self._throttles.accepted(throttle_key(waiting), now)
         self._candidates.report(attempt.candidate, message.load)
         if not _is_whole(message):
@@ -455,12 +481,6 @@
         attempt.stream = path.stream
         self._outbox.emit(Send(path.stream, Inquire(attempt.request)))
 
-    def _is_slow(self, waiting: Waiting, now: timedelta) -> bool:
-        if len(waiting.attempts) != 1 or waiting.retries >= ATTEMPT_LIMIT - 1:
-            return False
-        attempt = next(iter(waiting.attempts.values()))
-        return now - attempt.sent_at >= _hedge_after(attempt)
-
     def _retry(self, waiting: Waiting, now: timedelta) -> None:
         if self._may_retry(waiting):
             self._retry_spent(waiting, now)
@@ -547,6 +567,12 @@
     return urgent and waiting.moves < MOVE_LIMIT
 
 
+def has_far(choices: UsableSet) -> bool:
+    """Return whether an upstream in another region is usable."""
+    tiers = choices.tiers
+    return bool(tiers) and tiers[-1][0].nearness is Nearness.other_region
+
+
 def _deadline_ms(event: CallerRequest, route: Route) -> int:
     asked = headers.get(event.headers, headers.DEADLINE)
     if asked is None or not asked.isdigit():
@@ -560,7 +586,22 @@
     return xxhash.xxh3_64_intdigest(message.body) == message.digest
 
 
+def _is_slow(waiting: Waiting, now: timedelta) -> bool:
+    if len(waiting.attempts) != 1 or waiting.retries >= ATTEMPT_LIMIT - 1:
+        return False
+    attempt = next(iter(waiting.attempts.values()))
+    return now - attempt.sent_at >= _hedge_after(attempt)
+
+
 def _hedge_after(attempt: Attempt) -> timedelta:
     if not attempt.expected_ms:
         return HEDGE_UNKNOWN_AFTER
-    return max(HEDGE_AFTER, ms(attempt.expected_ms * HEDGE_FACTOR))
+    expected_ms = attempt.expected_ms * HEDGE_FACTOR
+    # A wait in a queue is no sign of a fault; a second attempt would wait too.
+    expected_ms += attempt.queue_ms * HEDGE_QUEUE_FACTOR
+    return max(HEDGE_AFTER, ms(expected_ms))
+
+
+def _queue_ms(candidate: Candidate) -> float:
+    queued = max(0, candidate.placed() + 1 - candidate.slots)
+    return queued * candidate.service_ms / candidate.slots
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -58,20 +58,23 @@
 #: A person interrupts an internal request that has run for less than this
 #: share of the mean service time, because little work is lost.
 CHEAP_SHARE = 0.2
-#: A person who has waited for this share of the mean service time interrupts
-#: any; most slots become free earlier by themselves.
-PREEMPT_SHARE = 0.6
+#: A person who has waited for this many times the mean interval between two
+#: free slots interrupts any; most slots become free earlier by themselves.
+PREEMPT_INTERVALS = 1.5
 #: Part of the permitted retries that an upstream receives steadily; the rest
 #: covers retries saved up before an outage.
 STEADY_RETRIES = 0.9
 #: Retries saved up for one upstream; its detector needs three calls on new
 #: connections to tell that the upstream hangs.
 SAVED_RETRIES = 4
+#: Weight of the newest wait in the ratio of waits to queues met.
+WAIT_WEIGHT = 0.1
+WAIT_FACTOR_MAX = 10
 #: Calls of one request that may be given up; then it runs to its end.
 GIVEN_UP_LIMIT = 3
 #: Work lost to interruptions as a share of started work: goodput under
 #: overload must stay at 95% of capacity.
-LOST_SHARE = 0.04
+LOST_SHARE = 0.037
 #: Added to a request that was refused because of load.
 RETRY_AFTER_MS = 1000
 
@@ -94,6 +97,7 @@
     fresh: bool = False
     silent: bool = False
     given_up: int = 0
+    ahead_ms: float = 0
 
     @property
     def account(self) -> str:
@@ -125,10 +129,11 @@
     state: UpstreamState
     running: dict[CallId, Job] = field(default_factory=dict)
     service_ms: float = INITIAL_SERVICE_MS
-    retries: Budget = field(default_factory=lambda: Budget(0))
-    preemptions: Budget = field(
-        default_factory=lambda: Budget(LOST_SHARE)
+    wait_factors: dict[Priority, float] = field(
+        default_factory=lambda: dict.fromkeys(Priority, 1.0)
     )
+    retries: Budget = field(default_factory=lambda: Budget(0))
+    preemptions: Budget = field(default_factory=lambda: Budget(LOST_SHARE))
 
 
 class LastHop:
@@ -487,7 +492,9 @@
         if not upstream.queue and _has_slot(upstream):
             self._start(upstream, job, now)
             return
-        if _expected_wait_ms(upstream, job) > in_ms(job.deadline - now):
+        job.ahead_ms = _ahead_ms(upstream, job)
+        wait_ms = job.ahead_ms * upstream.wait_factors[job.priority]
+        if wait_ms + job.cost_ms > in_ms(job.deadline - now):
             self._end(job, _overloaded(job, upstream), now)
             return
         for refused in upstream.queue.offer(job):
@@ -534,7 +541,8 @@
             job = upstream.queue.take()
             if job is None:
                 return
-            if job.deadline <= now:
+            _learn_wait(upstream, job, now)
+            if job.deadline - ms(job.cost_ms) <= now:
                 self._end(job, _refusal(job, Reason.deadline), now)
                 continue
             self._start(upstream, job, now)
@@ -555,7 +563,8 @@
         lost_ms = in_ms(now - job.started)
         waited_ms = in_ms(now - first.arrived)
         cheap = lost_ms <= CHEAP_SHARE * upstream.service_ms
-        if not cheap and waited_ms < PREEMPT_SHARE * upstream.service_ms:
+        interval_ms = upstream.service_ms / max(1, upstream.slots)
+        if not cheap and waited_ms < PREEMPT_INTERVALS * interval_ms:
             return
         if not upstream.preemptions.spend(lost_ms / upstream.service_ms):
             return
@@ -696,7 +705,20 @@
     return job.dispatch.idempotent and not job.silent
 
 
-def _expected_wait_ms(upstream: Upstream, job: Job) -> float:
+def _learn_wait(upstream: Upstream, job: Job, now: timedelta) -> None:
+    """Compare the wait of a request with the queue it met.
+
+    Later requests of more urgent classes make the wait of others longer.
+    """
+    if not job.ahead_ms or job.given_up:
+        return
+    factor = upstream.wait_factors[job.priority]
+    found = min(in_ms(now - job.arrived) / job.ahead_ms, WAIT_FACTOR_MAX)
+    factor += WAIT_WEIGHT * (found - factor)
+    upstream.wait_factors[job.priority] = factor
+
+
+def _ahead_ms(upstream: Upstream, job: Job) -> float:
     ahead = upstream.queue.ahead(job.priority) + 1
     return ahead * upstream.service_ms / max(1, upstream.slots)
 
--- a/greengagemux/outcomes.py
+++ b/greengagemux/outcomes.py
@@ -37,6 +37,7 @@
     no_home = 'no-home'
     stopping = 'stopping'
     late = 'late'
+    region_link = 'region-link'
     busy = 'busy'
     retry_budget = 'retry-budget'
 
--- a/greengagemux/overloads.py
+++ b/greengagemux/overloads.py
@@ -14,19 +14,21 @@
 
 import click
 
-from .bundles import Bundle, parse
-from .clocks import ms
+from . import commands
+from .bundles import Bundle
+from .bundles import parse as parse_bundle
+from .clocks import in_ms, ms
 from .ids import ServiceName
 from .overloadworlds import Ask, Layout, World, quantile
 
 LAYOUTS: Final = MappingProxyType(
     {
         'dispatch': Layout(),
-        'ledger': Layout(
-            upstreams=23, slots=4, service=ServiceName('ledger')
-        ),
+        'ledger': Layout(upstreams=23, slots=4, service=ServiceName('ledger')),
     }
 )
+_Found = list[dict[str, Any]]
+
 WARM_UP: Final = ms(2000)
 #: Requests that arrived in the measured time may end in this time.
 COOL_DOWN: Final = ms(2500)
@@ -36,6 +38,7 @@
 [bundle]
 version = 1
 follows = 0
+region_link_kbit_s = {link}
 [service {service}]
 floor_pct = 70
 [route waiting]
@@ -100,13 +103,18 @@
     fault: str = ''
     repeats: int = 0
     far: int = 0
-    note: str = ''
+    answer_bytes: int = 2000
+    link_kbit_s: int = 20_000
 
 
 def _people(share: float = 0.5) -> Source:
     return Source('counter', 'waiting', share)
 
 
+_FAR = (
+    replace(_people(0.2), far_only=True),
+    Source('checks', 'internal', 0.6, 'beta', far_only=True),
+)
 SCENARIOS: Final[Mapping[str, Scenario]] = MappingProxyType(
     {
         'people': Scenario((_people(),)),
@@ -133,6 +141,10 @@
         'repeats': Scenario(
             (_people(), Source('checks', 'internal', 1.5, 'beta')), repeats=3
         ),
+        'far': Scenario(_FAR, far=20, answer_bytes=16_000),
+        'far-unbounded': Scenario(
+            _FAR, far=20, answer_bytes=16_000, link_kbit_s=1_000_000
+        ),
         'outage-refuse': Scenario(
             (_people(), Source('office', 'routine', 0.5)), fault='refuse'
         ),
@@ -155,27 +167,33 @@
 
     def run(self) -> dict[str, Any]:
         """Return what was measured."""
-        layout = replace(self.layout, far=self.scenario.far)
-        bundle = bundle_of(layout.service, self.scenario.sources)
+        layout = replace(
+            self.layout,
+            far=self.scenario.far,
+            answer_bytes=self.scenario.answer_bytes,
+        )
+        bundle = bundle_of(layout.service, self.scenario)
         world = World(layout, bundle, self.seed)
         if self.scenario.repeats:
             world.on_response = partial(self._repeat, world, {})
         for source in self.scenario.sources:
-            self._arrivals(world, source)()
+            self._arrive(world, source)
         world.run(WARM_UP)
         for upstream in world.upstreams:
             upstream.fault = self.scenario.fault
             upstream.attempts = 0
         world.offers = 0
+        world.far_bytes = 0
         world.run(self.duration)
         attempts = sum(each.attempts for each in world.upstreams)
         found = _measure(world, WARM_UP, WARM_UP + self.duration)
         found['attempts'] = attempts
         found['offers'] = world.offers
+        found['far_kbit_s'] = world.far_bytes * 8 / in_ms(self.duration)
         world.run(COOL_DOWN)
         found['sources'] = {
-            source.account: _measure_source(world, source, self.duration)
-            for source in self.scenario.sources
+            each.account: _measure_source(world, each, self.duration)
+            for each in self.scenario.sources
         }
         requests = sum(each['requests'] for each in found['sources'].values())
         found['requests'] = requests
@@ -184,20 +202,16 @@
         found['reasons'] = _reasons(world.asks)
         return found
 
-    def _arrivals(self, world: World, source: Source) -> Callable[[], None]:
-        rate_per_s = world.layout.capacity_per_s() * source.share
+    def _arrive(self, world: World, source: Source) -> None:
         hosts = world.hosts
         if source.far_only:
             hosts = hosts[len(hosts) - world.layout.far :]
-        request = _request(source)
-
-        def arrive() -> None:
-            host = hosts[int(world.rng.random() * len(hosts))]
-            world.ask(host, source.account, request)
-            if world.now < WARM_UP + self.duration:
-                world.after(ms(world.rng.expovariate(rate_per_s) * 1000), arrive)
-
-        return arrive
+        host = hosts[int(world.rng.random() * len(hosts))]
+        world.ask(host, source.account, _request(source))
+        if world.now < WARM_UP + self.duration:
+            rate_per_s = world.layout.capacity_per_s() * source.share
+            gap = ms(world.rng.expovariate(rate_per_s) * 1000)
+            world.after(gap, partial(self._arrive, world, source))
 
     def _repeat(
         self, world: World, tries: dict[int, int], number: int, ask: Ask
@@ -205,26 +219,27 @@
         made = tries.pop(number, 0)
         if not ask.retry_after_s or made >= self.scenario.repeats:
             return
-
-        def send() -> None:
-            host = world.hosts[int(world.rng.random() * len(world.hosts))]
-            again = len(world.asks)
-            tries[again] = made + 1
-            sources = {each.account: each for each in self.scenario.sources}
-            world.ask(host, ask.stream, _request(sources[ask.stream]))
-
+        send = partial(self._send_again, world, tries, made + 1, ask.stream)
         world.after(ms(ask.retry_after_s * 1000), send)
 
+    def _send_again(
+        self, world: World, tries: dict[int, int], made: int, account: str
+    ) -> None:
+        host = world.hosts[int(world.rng.random() * len(world.hosts))]
+        tries[len(world.asks)] = made
+        sources = {each.account: each for each in self.scenario.sources}
+        world.ask(host, account, _request(sources[account]))
+
 
-def bundle_of(service: ServiceName, sources: Iterable[Source]) -> Bundle:
+def bundle_of(service: ServiceName, scenario: Scenario) -> Bundle:
     """Return a bundle with the routes and accounts of the experiment."""
-    text = _TEXT.format(service=service)
-    for source in sources:
+    text = _TEXT.format(service=service, link=scenario.link_kbit_s)
+    for source in scenario.sources:
         token = sha256(source.account.encode()).hexdigest()
         text += _CALLER.format(
             name=source.account, token=token, team=source.team
         )
-    return parse(text, 'experiment')
+    return parse_bundle(text, 'experiment')
 
 
 def _request(source: Source) -> tuple[bytes, str, bytes]:
@@ -232,9 +247,7 @@
     return path, source.account, b'\0' * source.body_bytes
 
 
-def _measure(
-    world: World, start: timedelta, end: timedelta
-) -> dict[str, Any]:
+def _measure(world: World, start: timedelta, end: timedelta) -> dict[str, Any]:
     served = {ask.call for ask in world.asks if ask.call >= 0}
     runs = [run for run in world.runs if start <= run.ended < end]
     used_ms = sum(run.slot_ms for run in runs)
@@ -262,9 +275,7 @@
         and WARM_UP <= ask.asked < WARM_UP + duration
     ]
     added = [ask.added_ms() for ask in asked if ask.status == 200]
-    outcomes = Counter(
-        f'{ask.outcome} {ask.reason}'.strip() for ask in asked
-    )
+    outcomes = Counter(f'{ask.outcome} {ask.reason}'.strip() for ask in asked)
     return {
         'requests': len(asked),
         'completed': len(added) / max(1, len(asked)),
@@ -289,15 +300,20 @@
     return f'{fmean(known):.{digits}f} ({low:.{digits}f}-{high:.{digits}f})'
 
 
-def _lines(name: str, trials: list[dict[str, Any]]) -> Iterable[str]:
+def _lines(name: str, trials: _Found) -> Iterable[str]:
     goodput = _spread((100 * each['goodput'] for each in trials), 1)
     wasted = _spread((100 * each['wasted'] for each in trials), 1)
     tries = _spread((each['attempts_per_request'] for each in trials), 3)
     offers = _spread((each['offers_per_request'] for each in trials), 2)
+    far = _spread((each['far_kbit_s'] for each in trials), 0)
     yield (
         f'{name}: goodput {goodput}% of capacity, wasted {wasted}%, '
-        f'attempts/request {tries}, offers/request {offers}'
+        f'attempts/request {tries}, offers/request {offers}, between regions {far} kbit/s'
     )
+    yield from _account_lines(trials)
+
+
+def _account_lines(trials: _Found) -> Iterable[str]:
     for account in trials[0]['sources']:
         found = [each['sources'][account] for each in trials]
         served = _spread((100 * each['completed'] for each in found), 1)
@@ -314,13 +330,23 @@
         yield f'  {"":10} {dict(total.most_common())}'
 
 
-@click.command()
-@click.option(
+_service = click.option(
     '--service',
     type=click.Choice(tuple(LAYOUTS)),
     default='dispatch',
     show_default=True,
 )
+_seeds = click.option('--seeds', type=click.IntRange(1, 100), default=3)
+_seconds = click.option('--seconds', type=click.IntRange(1, 600), default=6)
+
+
+def _sizes(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that say how much is run."""
+    return _service(_seeds(_seconds(command)))
+
+
+@click.command()
+@_sizes
 @click.option(
     '--scenario',
     'names',
@@ -328,9 +354,7 @@
     multiple=True,
     help='May be repeated; all by default.',
 )
-@click.option('--seeds', type=click.IntRange(1, 100), default=3)
-@click.option('--seconds', type=click.IntRange(1, 600), default=6)
-@click.option('--json', 'as_json', is_flag=True, help='As JSON.')
+@commands.json_option
 def overload(
     service: str,
     names: tuple[str, ...],
@@ -339,7 +363,7 @@
     as_json: bool,
 ) -> None:
     """Measure admission under overload on a fake clock."""
-    report: dict[str, list[dict[str, Any]]] = {}
+    report: dict[str, _Found] = {}
     for name in names or SCENARIOS:
         report[name] = [
             Trial(
--- a/greengagemux/overloadworlds.py
+++ b/greengagemux/overloadworlds.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -41,7 +42,6 @@
 from .lasthops import LastHop
 from .messages import (
     PROTOCOL_VERSION,
-    Answer,
     Cancel,
     Dispatch,
     Hello,
@@ -123,6 +123,9 @@
         return in_ms(self.responded - self.asked) - self.service_ms
 
 
+_Event = tuple[timedelta, int, Callable[[], None]]
+
+
 @dataclass(slots=True)
 class _Call:
     exchange: int
@@ -164,9 +167,7 @@
         )
         rng = Random(f'{world.seed}/{number}')
         self.paths = Paths(self.outbox, rng)
-        self.last_hop = LastHop(
-            self.record.daemon, self.outbox, Verdicts(TICK)
-        )
+        self.last_hop = LastHop(self.record.daemon, self.outbox, Verdicts(TICK))
         self.entrance = Entrance(
             self.record, self.last_hop, self.paths, self.outbox, rng
         )
@@ -187,10 +188,11 @@
         self.far_bytes = 0
         self.offers = 0
         self.on_response: Callable[[int, Ask], None] | None = None
-        self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
+        self._events: list[_Event] = []
         self._order = 0
         self._link_free = {NEAR_REGION: ZERO, FAR_REGION: ZERO}
         self._calls = 0
+        self._members: dict[DaemonId, MemberRecord] = {}
         self._streams: dict[StreamId, tuple[Host, Host]] = {}
         self.hosts = [Host(self, each) for each in range(layout.entrances)]
         self.upstreams: list[Upstream] = []
@@ -200,7 +202,8 @@
         self._start_upstreams()
         self._share_members()
         for turn, ticking in enumerate(self.hosts):
-            self.after(TICK * turn / layout.entrances, self._ticker(ticking))
+            start = TICK * turn / layout.entrances
+            self.after(start, partial(self._tick, ticking))
 
     def after(self, delay: timedelta, work: Callable[[], None]) -> None:
         """Do something later."""
@@ -242,39 +245,31 @@
             name = f'u{host.number}'
             host.upstream = Upstream(name, self.layout.slots)
             self.upstreams.append(host.upstream)
-            self._announcer(host)()
-
-    def _announcer(self, host: Host) -> Callable[[], None]:
-        def announce() -> None:
-            upstream = host.upstream
-            if upstream is None:
-                return
-            host.last_hop.announce(
-                Announced(
-                    UpstreamId(upstream.name),
-                    self.layout.service,
-                    upstream.name,
-                    upstream.slots,
-                    UpstreamState.serving,
-                ),
-                self.now,
-            )
-            self._flush(host)
-            self.after(ANNOUNCE_EVERY, announce)
-
-        return announce
-
-    def _ticker(self, host: Host) -> Callable[[], None]:
-        def tick() -> None:
-            host.last_hop.tick(self.now)
-            host.entrance.tick(self.now)
-            self._flush(host)
-            self.after(TICK, tick)
-
-        return tick
+            self._announce(host, host.upstream)
+
+    def _announce(self, host: Host, upstream: Upstream) -> None:
+        host.last_hop.announce(
+            Announced(
+                UpstreamId(upstream.name),
+                self.layout.service,
+                upstream.name,
+                upstream.slots,
+                UpstreamState.serving,
+            ),
+            self.now,
+        )
+        self._flush(host)
+        self.after(ANNOUNCE_EVERY, partial(self._announce, host, upstream))
+
+    def _tick(self, host: Host) -> None:
+        host.last_hop.tick(self.now)
+        host.entrance.tick(self.now)
+        self._flush(host)
+        self.after(TICK, partial(self._tick, host))
 
     def _share_members(self) -> None:
-        members = {host.record.daemon: host.record for host in self.hosts}
+        members = self._members
+        members.update((host.record.daemon, host.record) for host in self.hosts)
         for owner in self.hosts[: self.layout.upstreams]:
             members[owner.record.daemon] = self._record(owner)
         for host in self.hosts:
@@ -324,15 +319,14 @@
         """Announce changed upstreams to all daemons after a latency."""
         if not self._streams:
             return
-        members = {host.record.daemon: self._record(host)}
+        self._members[host.record.daemon] = self._record(host)
+        self.after(FAR_LATENCY, partial(self._learn, host.record.daemon))
 
-        def arrive() -> None:
-            for each in self.hosts:
-                each.entrance.members_changed(members, members, self.now)
-                self._note_peers(each)
-                self._flush(each)
-
-        self.after(FAR_LATENCY, arrive)
+    def _learn(self, changed: DaemonId) -> None:
+        for each in self.hosts:
+            each.entrance.members_changed(self._members, [changed], self.now)
+            self._note_peers(each)
+            self._flush(each)
 
     def _note_peers(self, host: Host) -> None:
         view = host.entrance.views[self.layout.service]
@@ -358,12 +352,10 @@
         target = peer if host is opener else opener
         message = effect.message
         delay = self._delay(host, target, message)
-
-        def arrive() -> None:
-            self._receive(target, host, effect.stream, message)
-            self._flush(target)
-
-        self.after(delay, arrive)
+        self.after(
+            delay,
+            partial(self._receive, target, host, effect.stream, message),
+        )
 
     def _delay(self, host: Host, target: Host, message: Message) -> timedelta:
         region = host.record.region
@@ -390,6 +382,7 @@
             host.last_hop.cancel(origin, self.now)
         else:
             host.entrance.reply(daemon, message, self.now)
+        self._flush(host)
 
     def _call(self, host: Host, effect: CallUpstream) -> None:
         upstream = host.upstream
@@ -397,7 +390,7 @@
             return
         upstream.attempts += 1
         if upstream.fault == 'refuse':
-            self.after(REFUSED_AFTER, self._refuser(host, effect.call))
+            self.after(REFUSED_AFTER, partial(self._fail, host, effect.call))
             return
         service_ms = self._draw_ms()
         self._calls += 1
@@ -407,39 +400,33 @@
         running = len(upstream.running)
         upstream.most_running = max(upstream.most_running, running)
         if upstream.fault != 'hang':
-            self.after(ms(service_ms), self._finisher(host, effect.call))
+            ended = partial(self._finish, host, upstream, effect.call)
+            self.after(ms(service_ms), ended)
 
     def _draw_ms(self) -> float:
         layout = self.layout
         centre = math.log(layout.service_ms) - layout.sigma**2 / 2
         return self.rng.lognormvariate(centre, layout.sigma)
 
-    def _refuser(self, host: Host, call: CallId) -> Callable[[], None]:
-        def refuse() -> None:
-            failure = Failure(Step.call, 'upstream', 'connection refused')
-            host.last_hop.failed(
-                UpstreamFailed(call, CallFault.refused, False, failure),
-                self.now,
-            )
-            self._flush(host)
-
-        return refuse
-
-    def _finisher(self, host: Host, call: CallId) -> Callable[[], None]:
-        def finish() -> None:
-            upstream = host.upstream
-            ended = upstream.running.pop(call, None) if upstream else None
-            if ended is None:
-                return
-            self._note_run(ended, finished=True)
-            marks = b'%d %f' % (ended.number, ended.service_ms)
-            body = marks.ljust(self.layout.answer_bytes)
-            host.last_hop.answered(
-                UpstreamAnswered(call, _SERVED, (), body), self.now
-            )
-            self._flush(host)
-
-        return finish
+    def _fail(self, host: Host, call: CallId) -> None:
+        failure = Failure(Step.call, 'upstream', 'connection refused')
+        host.last_hop.failed(
+            UpstreamFailed(call, CallFault.refused, False, failure),
+            self.now,
+        )
+        self._flush(host)
+
+    def _finish(self, host: Host, upstream: Upstream, call: CallId) -> None:
+        ended = upstream.running.pop(call, None)
+        if ended is None:
+            return
+        self._note_run(ended, finished=True)
+        marks = b'%d %f' % (ended.number, ended.service_ms)
+        body = marks.ljust(self.layout.answer_bytes)
+        host.last_hop.answered(
+            UpstreamAnswered(call, _SERVED, (), body), self.now
+        )
+        self._flush(host)
 
     def _abort(self, host: Host, call: CallId) -> None:
         upstream = host.upstream
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -54,6 +54,8 @@
     stream: StreamId | None = None
     incarnation: Incarnation = Incarnation(0)
     lost: bool = False
+    queue_ms: float = 0
+    link_bytes: float = 0
 
     @property
     def daemon(self) -> DaemonId:
