--- /dev/null
+++ b/tests/test_admissions.py
@@ -0,0 +1,186 @@
+"""Queue of one upstream: order, bounds, shares."""
+
+from collections import Counter
+from dataclasses import dataclass
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from greengagemux.admissions import RANK, STARVATION_TURN, Queue
+from greengagemux.clocks import ms
+from greengagemux.messages import Priority
+
+
+@dataclass(frozen=True)
+class Item:
+    """A queued request."""
+
+    number: int
+    priority: Priority
+    team: str = 'a'
+    account: str = 'x'
+    size_bytes: int = 1
+    cost_ms: float = 10
+
+    @property
+    def arrived(self) -> timedelta:
+        """Arrival in order of number."""
+        return ms(self.number)
+
+
+def _naive_drop(kept: list[Item]) -> Item:
+    worst = max(RANK[item.priority] for item in kept)
+    lane = [item for item in kept if RANK[item.priority] == worst]
+
+    def largest(key: str, items: list[Item]) -> list[list[Item]]:
+        groups: dict[str, list[Item]] = {}
+        for item in items:
+            groups.setdefault(getattr(item, key), []).append(item)
+        most = max(_held(group) for group in groups.values())
+        return [group for group in groups.values() if _held(group) == most]
+
+    return [
+        account[-1]
+        for team in largest('team', lane)
+        for account in largest('account', team)
+    ]
+
+
+def _held(items: list[Item]) -> tuple[int, int]:
+    return len(items), sum(item.size_bytes for item in items)
+
+
+_operations = st.lists(
+    st.one_of(
+        st.tuples(
+            st.sampled_from(list(Priority)),
+            st.sampled_from('abc'),
+            st.sampled_from('xy'),
+            st.integers(0, 50),
+        ),
+        st.sampled_from(['take', 'discard', 'put back']),
+    ),
+    max_size=120,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(_operations, st.integers(1, 12), st.integers(0, 200))
+def test_queue_against_naive(
+    operations: list, limit: int, limit_bytes: int
+) -> None:
+    """Guards class order, bounds, drops and order within an account."""
+    queue: Queue[Item] = Queue(limit, limit_bytes)
+    kept: list[Item] = []
+    passed_over = 0
+    taken = None
+    for number, operation in enumerate(operations):
+        if operation == 'discard':
+            if kept:
+                queue.discard(kept.pop(len(kept) // 2))
+        elif operation == 'put back':
+            if taken is not None:
+                queue.put_back(taken)
+                kept.insert(0, taken)
+                taken = None
+        elif operation == 'take':
+            taken = queue.take()
+            classes = {RANK[item.priority] for item in kept}
+            if taken is None:
+                assert not kept
+                continue
+            expected = min(classes)
+            if len(classes) == 1:
+                passed_over = 0
+            elif passed_over + 1 == STARVATION_TURN:
+                passed_over = 0
+                lower = [i for i in kept if RANK[i.priority] != expected]
+                oldest = min(lower, key=lambda item: item.arrived)
+                expected = RANK[oldest.priority]
+            else:
+                passed_over += 1
+            assert RANK[taken.priority] == expected
+            same = [
+                item
+                for item in kept
+                if (item.priority, item.team, item.account)
+                == (taken.priority, taken.team, taken.account)
+            ]
+            assert taken == same[0]
+            kept.remove(taken)
+        else:
+            priority, team, account, size = operation
+            item = Item(number, priority, team, account, size)
+            kept.append(item)
+            for refused in queue.offer(item):
+                assert refused in _naive_drop(kept)
+                kept.remove(refused)
+            assert len(queue) <= limit
+            assert sum(item.size_bytes for item in kept) <= limit_bytes
+        assert sorted(queue, key=id) == sorted(kept, key=id)
+        for each in Priority:
+            before = [i for i in kept if RANK[i.priority] <= RANK[each]]
+            assert queue.ahead(each) == len(before)
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.lists(st.integers(1, 9), min_size=2, max_size=4))
+def test_backlogged_accounts_share_by_cost(costs: list[int]) -> None:
+    """An account with many or slow requests must not take more of the slots."""
+    queue: Queue[Item] = Queue(10_000, 10_000)
+    for number in range(2000):
+        which = number % len(costs)
+        for copy in range(1 + which):
+            queue.offer(
+                Item(
+                    number * 10 + copy,
+                    Priority.routine,
+                    account=f'x{which}',
+                    cost_ms=costs[which],
+                )
+            )
+    used: Counter[str] = Counter()
+    for _ in range(300):
+        item = queue.take()
+        assert item is not None
+        used[item.account] += int(item.cost_ms)
+    assert max(used.values()) - min(used.values()) <= 2 * max(costs)
+
+
+def test_teams_share_before_accounts() -> None:
+    """A team must not get more by having more accounts."""
+    queue: Queue[Item] = Queue(1000, 1000)
+    for number in range(100):
+        queue.offer(Item(number, Priority.routine, 'big', f'x{number % 10}'))
+        queue.offer(Item(number, Priority.routine, 'small', 'y'))
+    teams = Counter(queue.take().team for _ in range(100))  # type: ignore[union-attr]
+    assert teams == {'big': 50, 'small': 50}
+
+
+def test_idle_account_earns_no_credit() -> None:
+    """An account that comes back must not shut out the others."""
+    queue: Queue[Item] = Queue(1000, 1000)
+    for number in range(100):
+        queue.offer(Item(number, Priority.routine))
+    for _ in range(50):
+        queue.take()
+    for late in range(100, 150):
+        queue.offer(Item(late, Priority.routine, account='late'))
+    accounts = Counter(queue.take().account for _ in range(20))  # type: ignore[union-attr]
+    assert accounts['x'] >= 9
+
+
+def test_idle_accounts_are_forgotten() -> None:
+    """A queue that never empties must not remember every account."""
+    queue: Queue[Item] = Queue(1000, 10_000)
+    for number in range(500):
+        queue.offer(Item(number, Priority.routine, account=f'x{number}'))
+        queue.offer(Item(number, Priority.routine, account='busy'))
+        queue.take()
+        queue.take()
+        queue.offer(Item(number, Priority.routine, 'b', f'y{number}'))
+        queue.take()
+    lane = queue._lanes[RANK[Priority.routine]]
+    known = sum(len(team.accounts) for team in lane._root.accounts.values())
+    assert known < 10
