--- a/greengagemux/fairness.py
+++ b/greengagemux/fairness.py
@@ -139,11 +139,9 @@
 def _child(parent: _Share[Item], name: str) -> _Share[Item]:
     share = parent.accounts.get(name)
     if share is None:
+        # An account that was idle gets no credit for it.
         share = _Share(parent.clock_ms)
         parent.accounts[name] = share
-    elif not share.count:
-        # An account that was idle gets no credit for it.
-        share.start_ms = max(share.start_ms, parent.clock_ms)
     return share
 
 
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -63,7 +63,7 @@
 PREEMPT_INTERVALS = 1.5
 #: Part of the permitted retries that an upstream receives steadily; the rest
 #: covers retries saved up before an outage.
-STEADY_RETRIES = 0.9
+STEADY_RETRIES = 0.85
 #: Retries saved up for one upstream; its detector needs three calls on new
 #: connections to tell that the upstream hangs.
 SAVED_RETRIES = 4
