--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -4,13 +4,14 @@
 
 from .answers import Origin
 from .baselines import Baselines
-from .choices import Candidate, Pick
+from .choices import Candidate, Nearness, Pick
 from .clocks import in_ms
 from .effects import Outbox, Send
 from .ids import CallerName, RequestId, UpstreamId
 from .lasthops import LastHop
 from .messages import Cancel, Dispatch, Inquire, MemberRecord, UpstreamState
 from .paths import Path, Paths
+from .regionlinks import LinkBudget
 from .requests import Attempt, Waiting
 
 #: A dispatch without an upstream asks the home of its key to run it.
@@ -27,6 +28,7 @@
         paths: Paths,
         outbox: Outbox,
         baselines: Baselines,
+        link: LinkBudget,
     ) -> None:
         """Start without dispatches."""
         self._own = own
@@ -34,6 +36,7 @@
         self._paths = paths
         self._outbox = outbox
         self._baselines = baselines
+        self._link = link
         self._waiting: dict[RequestId, Waiting] = {}
         self._next_request = 1
 
@@ -102,6 +105,11 @@
             waiting.route.name, candidate.upstream
         )
         attempt = Attempt(request, candidate, pick.forced, now, expected_ms)
+        attempt.queue_ms = _queue_ms(candidate)
+        if candidate.nearness is Nearness.other_region:
+            attempt.link_bytes = self._link.charge(
+                waiting.route.name, len(waiting.body)
+            )
         waiting.attempts[request] = attempt
         waiting.excluded.add(candidate.upstream)
         self._waiting[request] = waiting
@@ -155,3 +163,8 @@
 def is_by_home(message: Dispatch) -> bool:
     """Return whether a dispatch is for the home of its key."""
     return message.upstream == BY_HOME
+
+
+def _queue_ms(candidate: Candidate) -> float:
+    queued = max(0, candidate.placed() + 1 - candidate.slots)
+    return queued * candidate.service_ms / max(1, candidate.slots)
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -14,7 +14,7 @@
 from .baselines import Baselines
 from .bundles import Bundle, Caller, Route
 from .candidates import Candidates
-from .choices import Pick, UsableView, choose
+from .choices import Nearness, Pick, UsableSet, UsableView, choose
 from .clocks import ms
 from .effects import Outbox, Record, Send
 from .events import CallerGone, CallerRequest
@@ -38,6 +38,7 @@
 )
 from .outcomes import Outcome, Reason
 from .paths import Path, Paths, PathState
+from .regionlinks import LinkBudget
 from .requests import (
     MOVE_LIMIT,
     Attempt,
@@ -60,6 +61,8 @@
 #: expected service time, and at least ``HEDGE_AFTER`` old.
 HEDGE_FACTOR = 8
 HEDGE_AFTER = timedelta(milliseconds=150)
+#: The expected wait in the queue counts this many times.
+HEDGE_QUEUE_FACTOR = 3
 #: Without an expected service time a second attempt waits this long.
 HEDGE_UNKNOWN_AFTER = timedelta(seconds=1)
 
@@ -97,8 +100,11 @@
         self._budgets: dict[ServiceName, Budget] = {}
         self._baselines = Baselines()
         self._throttles = Throttles(rng)
+        self._link = LinkBudget()
         self._waiting: dict[ExchangeId, Waiting] = {}
-        self._attempts = Attempts(own, last_hop, paths, outbox, self._baselines)
+        self._attempts = Attempts(
+            own, last_hop, paths, outbox, self._baselines, self._link
+        )
         self._origins: dict[Origin, Waiting] = {}
         self._asked_home = 0
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
@@ -116,6 +122,7 @@
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle; waiting requests keep their old route."""
         self._accounts.configure(bundle)
+        self._link.configure(bundle.region_link_kbit_s)
         for name, service in bundle.services.items():
             share = bundle.retries_pct / 100
             budget = self._budgets.setdefault(name, Budget(share))
@@ -129,6 +136,9 @@
         now: timedelta,
     ) -> None:
         """Update the candidates of the daemons whose records changed."""
+        self._link.set_members(
+            sum(each.region == self._own.region for each in members.values())
+        )
         dropped = self._candidates.members_changed(members, changed, now)
         for upstream in dropped:
             self._baselines.forget(upstream)
@@ -272,7 +282,7 @@
             if waiting is not None:
                 self._expire(waiting, now)
         for slow in tuple(self._waiting.values()):
-            if slow.idempotent and self._is_slow(slow, now):
+            if slow.idempotent and _is_slow(slow, now):
                 self._retry(slow, now)
 
     def _refuse(
@@ -311,13 +321,17 @@
             self._conclude(waiting, Reason.no_home)
             return
         view = self._candidates.view_of(waiting.route.service, waiting.priority)
+        remote = self._link.allows(waiting.priority, now)
         pick = choose(
             view.current(),
             self._rng,
             waiting.excluded,
             idempotent=waiting.idempotent,
+            remote=remote,
         )
         if pick is None:
+            if not remote and has_far(view.current()):
+                waiting.last_reason = Reason.region_link
             self._no_candidate(waiting, now)
             return
         if pick.candidate.daemon == self._own.daemon:
@@ -362,6 +376,10 @@
         now: timedelta,
     ) -> None:
         self._attempts.drop(waiting, attempt)
+        if attempt.link_bytes:
+            self._link.settle(
+                waiting.route.name, attempt.link_bytes, len(message.body)
+            )
         self._throttles.accepted(throttle_key(waiting), now)
         self._candidates.report(attempt.candidate, message.load)
         if not _is_whole(message):
@@ -487,12 +505,6 @@
             return
         self._attempts.reattach(attempt, path)
 
-    def _is_slow(self, waiting: Waiting, now: timedelta) -> bool:
-        if len(waiting.attempts) != 1 or waiting.retries >= ATTEMPT_LIMIT - 1:
-            return False
-        attempt = next(iter(waiting.attempts.values()))
-        return now - attempt.sent_at >= _hedge_after(attempt)
-
     def _retry(self, waiting: Waiting, now: timedelta) -> None:
         if self._may_retry(waiting):
             self._retry_spent(waiting, now)
@@ -597,6 +609,12 @@
     return waiting.route.service, waiting.caller.name, waiting.priority
 
 
+def has_far(choices: UsableSet) -> bool:
+    """Return whether an upstream in another region is usable."""
+    tiers = choices.tiers
+    return bool(tiers) and tiers[-1][0].nearness is Nearness.other_region
+
+
 def _deadline_ms(event: CallerRequest, route: Route) -> int:
     asked = headers.get(event.headers, headers.DEADLINE.lower())
     if asked is None or not asked.isdigit():
@@ -617,7 +635,17 @@
     return xxhash.xxh3_64_intdigest(message.body) == message.digest
 
 
+def _is_slow(waiting: Waiting, now: timedelta) -> bool:
+    if len(waiting.attempts) != 1 or waiting.retries >= ATTEMPT_LIMIT - 1:
+        return False
+    attempt = next(iter(waiting.attempts.values()))
+    return now - attempt.sent_at >= _hedge_after(attempt)
+
+
 def _hedge_after(attempt: Attempt) -> timedelta:
     if not attempt.expected_ms:
         return HEDGE_UNKNOWN_AFTER
-    return max(HEDGE_AFTER, ms(attempt.expected_ms * HEDGE_FACTOR))
+    expected_ms = attempt.expected_ms * HEDGE_FACTOR
+    # A wait in a queue is no sign of a fault; a second attempt would wait too.
+    expected_ms += attempt.queue_ms * HEDGE_QUEUE_FACTOR
+    return max(HEDGE_AFTER, ms(expected_ms))
