--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -45,6 +45,8 @@
 KEPT_SILENT_SHARE = 0.1
 #: Failure shares of the alternative hypotheses.
 FAILURE_SHARES = (0.9, 0.5, 0.2, 0.06)
+#: The first of them are gross failure.
+GROSS_SHARES = 2
 #: Slowness of the alternative hypotheses, in half octaves: 2.8 and 8 times.
 SLOW_SHIFTS = (3, 6)
 #: Bins of the ratio of service time to expected time, in half octaves.
@@ -125,11 +127,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Reading:
-    """State of the test: ``score`` of the leading hypothesis, its limit."""
+    """State of the test: ``score`` of the leading hypothesis, its limit.
+
+    ``severe`` tells that a hypothesis of gross failure or slowness, which
+    an overload of the service does not produce, has reached the limit.
+    """
 
     score: float
     limit: float
     cause: str
+    severe: bool = False
 
     @property
     def share(self) -> float:
@@ -269,10 +276,10 @@
         """Return the state of the test."""
         failing = max(self.failure_scores)
         slow = max(self.slow_scores)
-        if failing >= slow:
-            cause = 'failures' if failing else 'none'
-            return Reading(failing, self.limit, cause)
-        return Reading(slow, self.limit, 'slowness')
+        gross = (*self.failure_scores[:GROSS_SHARES], self.slow_scores[-1])
+        severe = max(gross) >= self.limit
+        cause = 'slowness' if slow > failing else 'failures'
+        return Reading(max(failing, slow), self.limit, cause, severe)
 
     def use(self, rates: ErrorRates) -> None:
         """Change the error rates; the sums so far are kept."""
--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -34,9 +34,13 @@
 TROUBLED_MIN = 2
 #: Slowness and errors eject only after this time as a suspect, in which
 #: peers' suspicions arrive and show a trouble of the whole service.
-CONFIRM = timedelta(milliseconds=400)
+CONFIRM_SEVERE = timedelta(milliseconds=400)
+CONFIRM_MILD = timedelta(milliseconds=1500)
+#: The same while any peer is suspect; bounded, so that two sick upstreams
+#: cannot shield each other.
+CONFIRM_SHARED = timedelta(seconds=4)
 #: A trouble of the service is assumed to last this long after its last sign.
-TROUBLE_HOLD = timedelta(seconds=10)
+TROUBLE_HOLD = timedelta(seconds=30)
 #: Slowness of an upstream that has just started proves nothing.
 SETTLE = timedelta(seconds=30)
 #: First wait before readmission; doubled by each ejection that follows.
@@ -64,6 +68,7 @@
 
 #: Kinds of samples that an overload of the whole service also produces.
 _SHARED = frozenset((SampleKind.success, SampleKind.error))
+_IN_SERVICE = frozenset((UpstreamState.serving, UpstreamState.suspect))
 _TIMED = frozenset((SampleKind.success, SampleKind.silent))
 _WEIGHTS = MappingProxyType(
     {
@@ -165,6 +170,7 @@
         self._cases: dict[UpstreamId, _Case] = {}
         self._rates: dict[ServiceName, ErrorRates] = {}
         self._troubled: dict[ServiceName, bool] = {}
+        self._doubted: set[ServiceName] = set()
         self._trouble_until: dict[ServiceName, timedelta] = {}
         self._stalls = _Stalls(tick)
 
@@ -221,6 +227,9 @@
         troubled = sum(1 for state in listed if state in bad)
         enough = troubled >= TROUBLED_SHARE * len(listed)
         self._troubled[service] = enough and troubled >= TROUBLED_MIN
+        self._doubted.discard(service)
+        if UpstreamState.suspect in listed:
+            self._doubted.add(service)
 
     def observe(
         self,
@@ -233,26 +242,10 @@
         case = self._cases.get(upstream)
         if case is None:
             return []
-        sample, paused = self._without_stalls(sample, now)
-        if paused and sample.kind is SampleKind.silent:
-            if sample.service_ms < _silence_limit(case, sample):
-                return []
-        troubled = self._in_trouble(case.service, now)
-        reading = case.detector.observe(
-            sample,
-            learn=_may_learn(case) and not troubled,
-            hold=troubled,
-            settling=now - case.started < SETTLE,
-        )
-        shared = sample.kind in _SHARED
-        if case.state is UpstreamState.probation:
-            if not (troubled and shared):
-                _judge_probation(case, sample, now)
-        elif case.state is not UpstreamState.sick:
-            if troubled and shared:
-                case.detector.soften(SUSPECT_SHARE)
-                reading = case.detector.reading()
-            _judge(case, reading, now, shared=shared)
+        unpaused = self._without_stalls(sample, now)
+        if unpaused is not sample and not _stays_silent(case, unpaused):
+            return []
+        self._weigh(case, unpaused, now)
         return _changes(case)
 
     def crashed(
@@ -381,27 +374,52 @@
         now = self._stalls.seen or case.since
         return _explain(case, now, self._in_trouble(case.service, now))
 
+    def _weigh(self, case: _Case, sample: Sample, now: timedelta) -> None:
+        troubled = self._in_trouble(case.service, now)
+        reading = case.detector.observe(
+            sample,
+            learn=_may_learn(case) and not troubled,
+            hold=troubled,
+            settling=now - case.started < SETTLE,
+        )
+        shared = sample.kind in _SHARED
+        excused = troubled and shared
+        if excused:
+            case.detector.soften(SUSPECT_SHARE)
+            reading = case.detector.reading()
+        wait = self._confirm(case.service, reading) if shared else ZERO
+        if case.state is UpstreamState.probation and not excused:
+            _judge_probation(case, sample, now)
+        elif case.state in _IN_SERVICE:
+            _judge(case, reading, now, wait)
+
+    def _confirm(self, service: ServiceName, reading: Reading) -> timedelta:
+        if service in self._doubted:
+            return CONFIRM_SHARED
+        return CONFIRM_SEVERE if reading.severe else CONFIRM_MILD
+
     def _in_trouble(self, service: ServiceName, now: timedelta) -> bool:
         if self._troubled.get(service, False):
             self._trouble_until[service] = now + TROUBLE_HOLD
         return now < self._trouble_until.get(service, now)
 
-    def _without_stalls(
-        self,
-        sample: Sample,
-        now: timedelta,
-    ) -> tuple[Sample, float]:
+    def _without_stalls(self, sample: Sample, now: timedelta) -> Sample:
         if sample.kind not in _TIMED or not self._stalls.spans:
-            return sample, 0
+            return sample
         start = now - ms(sample.service_ms)
         paused = self._stalls.overlap_ms(start, now)
+        if not paused:
+            return sample
         # The request may have ended at any time within the pause.
-        rest = max(sample.service_ms - paused, 0)
-        return replace(sample, service_ms=rest), paused
+        return replace(sample, service_ms=max(sample.service_ms - paused, 0))
 
 
-def _silence_limit(case: _Case, sample: Sample) -> float:
-    return case.detector.silence_limit_ms(sample.route, sample.expected_ms)
+def _stays_silent(case: _Case, sample: Sample) -> bool:
+    """Tell whether a sample still proves something without the pauses."""
+    if sample.kind is not SampleKind.silent:
+        return True
+    limit = case.detector.silence_limit_ms(sample.route, sample.expected_ms)
+    return sample.service_ms >= limit
 
 
 def _may_learn(case: _Case) -> bool:
@@ -413,20 +431,16 @@
     case: _Case,
     reading: Reading,
     now: timedelta,
-    *,
-    shared: bool,
+    wait: timedelta,
 ) -> None:
-    confirmed = case.state is UpstreamState.suspect and (
-        now - case.since >= CONFIRM
-    )
-    if reading.share >= 1 and (confirmed or not shared):
+    suspected = case.state is UpstreamState.suspect
+    waited = now - case.since if suspected else ZERO
+    if reading.share >= 1 and waited >= wait:
         case.eject(_severity(case), _evidence(case, reading), now)
-    elif reading.share >= SUSPECT_SHARE:
-        if case.state is UpstreamState.serving:
-            case.move(UpstreamState.suspect, _evidence(case, reading), now)
-    elif reading.share <= TRUST_SHARE:
-        if case.state is UpstreamState.suspect:
-            case.move(UpstreamState.serving, 'evidence receded', now)
+    elif reading.share >= SUSPECT_SHARE and not suspected:
+        case.move(UpstreamState.suspect, _evidence(case, reading), now)
+    elif reading.share <= TRUST_SHARE and suspected:
+        case.move(UpstreamState.serving, 'evidence receded', now)
 
 
 def _judge_probation(case: _Case, sample: Sample, now: timedelta) -> None:
