--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -36,9 +36,9 @@
 #: peers' suspicions arrive and show a trouble of the whole service.
 CONFIRM_SEVERE = timedelta(milliseconds=400)
 CONFIRM_MILD = timedelta(milliseconds=1500)
-#: The same while any peer is suspect; bounded, so that two sick upstreams
-#: cannot shield each other.
-CONFIRM_SHARED = timedelta(seconds=4)
+#: The same for mild sickness while any peer is suspect or sick; bounded, so
+#: that two sick upstreams cannot shield each other.
+CONFIRM_SHARED = timedelta(seconds=10)
 #: A trouble of the service is assumed to last this long after its last sign.
 TROUBLE_HOLD = timedelta(seconds=30)
 #: Slowness of an upstream that has just started proves nothing.
@@ -228,7 +228,7 @@
         enough = troubled >= TROUBLED_SHARE * len(listed)
         self._troubled[service] = enough and troubled >= TROUBLED_MIN
         self._doubted.discard(service)
-        if UpstreamState.suspect in listed:
+        if troubled:
             self._doubted.add(service)
 
     def observe(
@@ -396,9 +396,9 @@
             _judge(case, reading, now, wait)
 
     def _confirm(self, service: ServiceName, reading: Reading) -> timedelta:
-        if service in self._doubted:
-            return CONFIRM_SHARED
-        return CONFIRM_SEVERE if reading.severe else CONFIRM_MILD
+        if reading.severe:
+            return CONFIRM_SEVERE
+        return CONFIRM_SHARED if service in self._doubted else CONFIRM_MILD
 
     def _in_trouble(self, service: ServiceName, now: timedelta) -> bool:
         if self._troubled.get(service, False):
