--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -45,6 +45,8 @@
 KEPT_SILENT_SHARE = 0.1
 #: Failure shares of the alternative hypotheses.
 FAILURE_SHARES = (0.9, 0.5, 0.2, 0.06)
+#: The first of them are gross failure.
+GROSS_SHARES = 2
 #: Slowness of the alternative hypotheses, in half octaves: 2.8 and 8 times.
 SLOW_SHIFTS = (3, 6)
 #: Bins of the ratio of service time to expected time, in half octaves.
@@ -61,8 +63,6 @@
 REFRESH_SAMPLES = 64
 #: Weight of one sample in the long-run share of failures.
 FAILURE_GAIN = 1 / 4000
-#: The first samples weigh more, as if this many had come before.
-FAILURE_PRIOR = 200
 #: A learned share of failures is raised by this margin.
 FAILURE_MARGIN = 1.5
 #: Weight of one sample in the long-run service time of a route.
@@ -125,11 +125,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Reading:
-    """State of the test: ``score`` of the leading hypothesis, its limit."""
+    """State of the test: ``score`` of the leading hypothesis, its limit.
+
+    ``severe`` tells that a hypothesis of gross failure or slowness, which
+    an overload of the service does not produce, has reached the limit.
+    """
 
     score: float
     limit: float
     cause: str
+    severe: bool = False
 
     @property
     def share(self) -> float:
@@ -237,7 +242,8 @@
         self.slow_scores = _zeros(len(SLOW_SHIFTS))
         self.counts: dict[SampleKind, int] = {}
         self._failure_share = float(0)
-        self._learned = 0
+        #: Whether the last sample's expected time was rising.
+        self.rising = False
         self._routes: dict[RouteName, _RouteTimes] = {}
 
     def observe(
@@ -269,10 +275,10 @@
         """Return the state of the test."""
         failing = max(self.failure_scores)
         slow = max(self.slow_scores)
-        if failing >= slow:
-            cause = 'failures' if failing else 'none'
-            return Reading(failing, self.limit, cause)
-        return Reading(slow, self.limit, 'slowness')
+        gross = (*self.failure_scores[:GROSS_SHARES], self.slow_scores[-1])
+        severe = max(gross) >= self.limit
+        cause = 'slowness' if slow > failing else 'failures'
+        return Reading(max(failing, slow), self.limit, cause, severe)
 
     def use(self, rates: ErrorRates) -> None:
         """Change the error rates; the sums so far are kept."""
@@ -311,9 +317,8 @@
     def _observe_failure(self, sample: Sample, *, learn: bool) -> None:
         failed = sample.kind is not SampleKind.success
         if learn:
-            self._learned += 1
-            gain = max(FAILURE_GAIN, 1 / (FAILURE_PRIOR + self._learned))
-            self._failure_share += gain * (int(failed) - self._failure_share)
+            gap = int(failed) - self._failure_share
+            self._failure_share += FAILURE_GAIN * gap
         healthy = self._healthy_share(sample)
         for test, share in enumerate(FAILURE_SHARES):
             ratio = (1 - share) / (1 - healthy)
@@ -344,6 +349,7 @@
         if not expected:
             return
         rising = times.follow(expected)
+        self.rising = rising
         place = _place(sample.service_ms / expected)
         for test, evidence in enumerate(times.evidence):
             found = evidence[place]
