Repeat keyed writes at other daemons in the generated histories

Cause: the histories knew no keys, and an entrance said "not run" of keyed writes that it refused, although an earlier try may have run. Ruled out: asking the home before each refusal; a refusal must stay cheap. Conclusion: of keys, only their home says "not run".

--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -190,7 +190,7 @@
             self._last_hop.answer_for(
                 origin,
                 stream,
-                Refusal(origin.request, Reason.no_route, Outcome.not_run),
+                Refusal(origin.request, Reason.no_route, Outcome.unknown),
                 now,
             )
             return
@@ -288,11 +288,16 @@
     def _refuse(
         self, event: CallerRequest, reason: Reason, key: Hashable = None
     ) -> None:
-        """Answer a request that was not accepted."""
+        """Answer a request that was not accepted.
+
+        Only the home of a key can tell that an earlier try of a keyed write
+        did not run.
+        """
+        keyed = headers.get(event.headers, headers.IDEMPOTENCY_KEY)
         self._outbox.emit(
             refusal(
                 event.exchange,
-                Outcome.not_run,
+                Outcome.unknown if keyed else Outcome.not_run,
                 reason,
                 retry_after_ms=self._throttles.retry_after_ms(key),
             )
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -67,6 +67,7 @@
 from .promises import KeyRecordsTaken, Promise, PromiseRequest
 from .rollouts import Rollout
 from .verdicts import Verdicts
+from .writes import Terms
 
 #: Interval of ``Tick`` events.
 TICK = timedelta(milliseconds=25)
@@ -85,11 +86,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Who a daemon is and where it starts from."""
+    """Who a daemon is and where it starts from.
+
+    ``terms`` are the durations of keyed writes; tests shorten them.
+    """
 
     own: MemberRecord
     seeds: tuple[str, ...]
     stop_limit: timedelta
+    terms: Terms | None = None
 
 
 class Daemon:
@@ -110,7 +115,7 @@
         self.last_hop = LastHop(
             own.daemon, self.outbox, Verdicts(TICK), self.crashes
         )
-        self.keyed = KeyedWrites(own, self.paths, self.outbox)
+        self.keyed = KeyedWrites(own, self.paths, self.outbox, identity.terms)
         self.entrance = Entrance(
             own, self.last_hop, self.paths, self.outbox, rng, self.keyed
         )
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -47,6 +47,8 @@
         Reason.deadline: 504,
         Reason.key_in_progress: 409,
         Reason.no_home: 503,
+        Reason.overloaded: 503,
+        Reason.no_bundle: 503,
     }
 )
 _RETRY_STATUSES = frozenset((429, 503))
@@ -139,7 +141,8 @@
     """Return the HTTP status of an answer made by the fleet itself."""
     if outcome is Outcome.not_run:
         return _STATUSES.get(reason, _NOT_RUN_STATUS)
-    return _UNKNOWN_STATUSES.get(reason, _LOST_STATUS)
+    known = _UNKNOWN_STATUSES.get(reason) or _STATUSES.get(reason)
+    return known or _LOST_STATUS
 
 
 def refusal(
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -49,11 +49,14 @@
 from greengagemux.reducers import TICK, Daemon, Identity, reduce
 from greengagemux.rollouts import Rollout
 from greengagemux.signatures import keygen, sign
+from greengagemux.writes import Terms
 
 LATENCY = ms(1)
 CONNECT_TIMEOUT = ms(1000)
 ANNOUNCE_EVERY = ms(1000)
 OPERATOR = 'alice'
+#: The protocol of keyed writes with a window that histories can outlast.
+TERMS = Terms(key_window=ms(8000), under_way=ms(2000))
 PRIVATE_KEY, PUBLIC_KEY = keygen()
 
 BUNDLE = """
@@ -212,6 +215,7 @@
         self.answers: dict[int, Respond] = {}
         self.asked: dict[int, Asked] = {}
         self.deadline = ms(2000)
+        self.run_times: dict[bytes, list[timedelta]] = {}
         self.bundles: dict[tuple[str, int], list[tuple[int, bytes]]] = {}
         self.answered_at: dict[int, timedelta] = {}
         self.exchanges = 0
@@ -502,6 +506,7 @@
         tag = headers.get(b'x-request-tag', b'')
         upstream.runs.append(tag)
         upstream.started.append(self.now)
+        self.run_times.setdefault(tag, []).append(self.now)
         node.calls[effect.call] = upstream
         if tag.startswith(upstream.crash_on):
             self.after(ms(1), lambda: self.crash(node, upstream))
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from random import Random
 
-from fakes_fleet import BUNDLE, FakeUpstream, started
+from fakes_fleet import BUNDLE, TERMS, FakeUpstream, started
 from invariants import (
     bundles_stay,
     capacity_floor,
@@ -48,6 +49,7 @@
         self.violations: list[str] = []
         self.count = 0
         self.version = 1
+        self.keyed: list[tuple[bytes, timedelta]] = []
 
     def play(self, steps: list[Step]) -> list[str]:
         """Play all steps, let the fleet settle, return the violations."""
@@ -96,6 +98,28 @@
         _ask(history, step.first + turn, b'write', b'/intake/1')
 
 
+def _ask_keyed(history: History, step: Step) -> None:
+    """Send a keyed write to one daemon and again to others."""
+    history.count += 1
+    tag = b'write-keyed%d' % history.count
+    history.keyed.append((tag, history.fleet.now))
+    _ask_key(history, step.first, tag)
+
+
+def _repeat(history: History, step: Step) -> None:
+    """Send earlier keyed writes again, within the window of their keys."""
+    oldest = history.fleet.now - TERMS.key_window
+    usable = [tag for tag, first in history.keyed if first > oldest]
+    for turn, tag in enumerate(usable[-1 - step.second % 6 :]):
+        _ask_key(history, step.first + turn, tag)
+
+
+def _ask_key(history: History, place: int, tag: bytes) -> None:
+    name = history.node(place)
+    if history.fleet.nodes[name].alive:
+        history.fleet.ask(name, tag, b'/intake/1', key=tag)
+
+
 def _ask(history: History, place: int, kind: bytes, path: bytes) -> None:
     name = history.node(place)
     if history.fleet.nodes[name].alive:
@@ -205,6 +229,8 @@
 ACTIONS: dict[str, Callable[[History, Step], None]] = {
     'ask-reads': _ask_reads,
     'ask-writes': _ask_writes,
+    'ask-keyed': _ask_keyed,
+    'repeat': _repeat,
     'kill': _kill,
     'restart': _restart,
     'stop': _stop,
@@ -233,7 +259,7 @@
 }
 
 
-def generated(rng: Random, length: int = 30) -> list[Step]:
+def generated(rng: Random, length: int = 40) -> list[Step]:
     """Return the steps of a random history."""
     names = list(ACTIONS)
     weights = [WEIGHTS.get(name, 1) for name in names]
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -145,3 +145,14 @@
     fleet.wake(home)
     fleet.run(2000)
     assert fleet.runs(b'write-k1') == 0
+
+
+def test_refusal_at_an_entrance_says_nothing_of_the_key() -> None:
+    """An entrance cannot know that an earlier try did not run."""
+    fleet = _with_homes()
+    _write(fleet, 'd0', b'k1')
+    fleet.run(300)
+    refused = fleet.ask('d1', b'write-k1', b'/intake/1/../2', key=b'k1')
+    fleet.run(100)
+    assert fleet.outcome(refused) == 'unknown'
+    assert fleet.answers[refused].status == 400
