Bound what callers can hold and count why connections are ended

The library's 400 has no outcome; a refused body was reset before its caller could read why; pipelining without reading was unbounded; a line end after a body counted as the start of a slow request.

--- a/greengagemux/codecs.py
+++ b/greengagemux/codecs.py
@@ -22,5 +22,6 @@
     """
     try:
         return _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
+        # Deep nesting in surplus fields raises ``RecursionError``.
         raise FailureError(Failure(Step.decode, peer, str(error))) from error
--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -1,5 +1,6 @@
 """HTTP calls to the upstreams beside this daemon."""
 
+import socket
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -8,6 +9,9 @@
 from twisted.internet.error import (
     ConnectError,
 )
+from twisted.internet.error import (
+    ConnectionClosed,
+)
 from twisted.internet.error import (
     ConnectionRefusedError as UpstreamRefusedError,
 )
@@ -34,6 +38,10 @@
 POOLED_CONNECTIONS: Final = 16
 #: Pooled connections are closed before common servers close them.
 POOLED_FOR_S: Final = 50
+#: Longest detail of a failure.
+DETAIL_CHARS: Final = 200
+#: Final statuses that can be passed on to callers.
+STATUSES: Final = range(200, 600)
 
 Submit = Callable[[Event], None]
 
@@ -118,6 +126,23 @@
         )
 
 
+class _Pool(HTTPConnectionPool):
+    """Pool that gives out no connection with pending input."""
+
+    def getConnection(self, key: Any, endpoint: Any) -> Deferred[Any]:
+        # A pooled connection is given at once, a new one after its handshake.
+        given = super().getConnection(key, endpoint)
+        if given.called:
+            given.addCallback(self._checked, key, endpoint)
+        return given
+
+    def _checked(self, connection: Any, key: Any, endpoint: Any) -> Any:
+        if _is_quiet(connection.transport):
+            return connection
+        connection.transport.abortConnection()
+        return self.getConnection(key, endpoint)
+
+
 class UpstreamCalls:
     """Carries out calls to upstreams and reports their ends as events."""
 
@@ -138,9 +163,14 @@
             web_headers.addRawHeader(name, content)
         producer: Any = _BytesProducer(effect.body) if effect.body else None
         url = b'http://%b%b' % (effect.address.encode(), effect.target)
-        running: Deferred[Any] = agent.request(
-            effect.method, url, web_headers, producer
-        )
+        try:
+            running: Deferred[Any] = agent.request(
+                effect.method, url, web_headers, producer
+            )
+        except ValueError as error:
+            # The library checks the method and target before it connects.
+            self._fail(effect, CallFault.aborted, str(error), sent=False)
+            return
         self._running[effect.call] = running
         running.addCallback(self._read, effect)
         running.addErrback(self._failed, effect)
@@ -161,7 +191,7 @@
         known = self._agents.get(address)
         if known is not None:
             return known[0]
-        pool = HTTPConnectionPool(self._reactor)
+        pool = _Pool(self._reactor)  # type: ignore[no-untyped-call]
         # The library would send an idempotent request again on its own;
         # retries belong to the entrance and its budget.
         pool.retryAutomatically = False
@@ -183,6 +213,10 @@
     ) -> None:
         if self._running.pop(effect.call, None) is None:
             return
+        if response.code not in STATUSES:
+            detail = f'status {response.code} is not from 200 to 599'
+            self._fail(effect, CallFault.malformed, detail, sent=True)
+            return
         raw = response.headers.getAllRawHeaders()
         pairs = tuple(
             (name, content) for name, contents in raw for content in contents
@@ -192,11 +226,38 @@
     def _failed(self, reason: TwistedFailure, effect: CallUpstream) -> None:
         if self._running.pop(effect.call, None) is None:
             return
-        failure = Failure(
-            Step.call, effect.address, reason.getErrorMessage()[:200]
-        )
         sent = not reason.check(ConnectError, RequestNotSent)
-        self._submit(UpstreamFailed(effect.call, _fault(reason), sent, failure))
+        self._fail(effect, _fault(reason), _detail(reason), sent=sent)
+
+    def _fail(
+        self, effect: CallUpstream, fault: CallFault, detail: str, *, sent: bool
+    ) -> None:
+        failure = Failure(Step.call, effect.address, detail[:DETAIL_CHARS])
+        self._submit(UpstreamFailed(effect.call, fault, sent, failure))
+
+
+def _is_quiet(transport: Any) -> bool:
+    """Return whether an idle connection has neither an end nor data.
+
+    Twisted may not have read them yet. A request on a closed connection
+    would count as sent, and stray data would be taken for its answer.
+    """
+    try:
+        transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _causes(reason: TwistedFailure) -> list[TwistedFailure]:
+    """Return the failures that the library wraps in one, if it does."""
+    return list(getattr(reason.value, 'reasons', ())) or [reason]
+
+
+def _detail(reason: TwistedFailure) -> str:
+    return '; '.join(cause.getErrorMessage() for cause in _causes(reason))
 
 
 def _fault(reason: TwistedFailure) -> CallFault:
@@ -208,4 +269,6 @@
         return CallFault.truncated
     if reason.check(CancelledError):
         return CallFault.aborted
+    if not all(cause.check(ConnectionClosed) for cause in _causes(reason)):
+        return CallFault.malformed
     return CallFault.reset
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -31,7 +31,8 @@
 )
 from .events import Event, StopRequested, Tick
 from .ids import DaemonId, DataCentre, Incarnation, Region
-from .listeners import CallerListener
+from .limits import raise_file_limit
+from .listeners import CONNECTION_LIMIT, CallerListener, Cutoff
 from .logclients import LogClient
 from .logs import BufferedHandler, DescriptorSink, install, log_event
 from .messages import PROTOCOL_VERSION, Hello, MemberRecord
@@ -53,6 +54,8 @@
 #: Log lines are written this often, and this many at a time.
 FLUSH_EVERY_S: Final = 0.02
 FLUSH_LINES: Final = 50
+#: Descriptors beside those of callers: streams, upstreams, log, stdio.
+OTHER_FILES: Final = 4000
 #: Time for the last answers to leave the process.
 EXIT_DELAY_S: Final = 0.1
 
@@ -81,7 +84,9 @@
         self._loops: list[LoopingCall] = []
         self._turn = 0
         self.daemon = self._build_daemon()
-        self._listener = CallerListener(reactor, clock, self.submit)
+        self._listener = CallerListener(
+            reactor, clock, self.submit, self._count_cutoff
+        )
         self._calls = UpstreamCalls(reactor, self.submit)
         self._hub = StreamHub(
             reactor,
@@ -190,6 +195,7 @@
 
     def _collect(self) -> None:
         self._turn += 1
+        self._listener.cut_off_slow()
         gc.collect(2 if self._turn % FULL_COLLECT_TURNS == 0 else 1)
         self.metrics.gauge('caller_connections', self._listener.connections)
         self.metrics.settle()
@@ -218,6 +224,9 @@
             logger, 'stream-failed', {'failure': str(failure)}, logging.WARNING
         )
 
+    def _count_cutoff(self, why: Cutoff) -> None:
+        self.metrics.count('caller_cutoffs_total', reason=why.value)
+
     def _count_sent(self, size_bytes: int) -> None:
         self.metrics.count('stream_sent_bytes_total', size_bytes)
 
@@ -301,6 +310,7 @@
         DescriptorSink(sys.stdout.fileno()),
     )
     install(handler, settings.logging.level)
+    _check_file_limit()
     shell = Shell(settings, reactor, clock, handler)
     reactor.callWhenRunning(shell.start)
     reactor.addSystemEventTrigger('before', 'shutdown', handler.flush)
@@ -310,6 +320,14 @@
     reactor.run(installSignalHandlers=False)
 
 
+def _check_file_limit() -> None:
+    limit = raise_file_limit()
+    needed = CONNECTION_LIMIT + OTHER_FILES
+    if limit < needed:
+        fields = {'limit': limit, 'needed': needed}
+        log_event(logger, 'file-limit-low', fields, logging.WARNING)
+
+
 def _stop_later(reactor: Any, shell: Shell, *_signal: object) -> None:
     reactor.callFromThread(shell.request_stop)
 
--- a/greengagemux/frames.py
+++ b/greengagemux/frames.py
@@ -35,6 +35,8 @@
         """Start with no long message under way."""
         self._long: deque[tuple[int, memoryview]] = deque()
         self._next_lane = 1
+        #: Bytes of long messages that are still to be written.
+        self.pending_bytes = 0
 
     @property
     def pending(self) -> bool:
@@ -51,6 +53,7 @@
             size = len(payload) + LANE_BYTES
             return b''.join((_HEADER.pack(size), _LANE.pack(0), payload))
         self._long.append((self._next_lane, memoryview(payload)))
+        self.pending_bytes += len(payload)
         self._next_lane = self._next_lane % _LENGTH_MASK + 1
         return b''
 
@@ -62,6 +65,7 @@
         room = FRAGMENT_BYTES - LANE_BYTES
         piece = rest[:room]
         rest = rest[room:]
+        self.pending_bytes -= len(piece)
         header = len(piece) + LANE_BYTES
         if rest:
             header |= _MORE
@@ -83,6 +87,12 @@
         """Whether the stream ended inside a frame or message."""
         return bool(self._buffer or self._lanes)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of frames and messages that are not yet complete."""
+        held = sum(len(piece) for piece in self._lanes.values())
+        return held + len(self._buffer)
+
     def feed(self, received: bytes) -> list[bytes]:
         """Return the payloads of the messages that are now complete.
 
@@ -131,8 +141,7 @@
             raise self._failure(f'message above {MESSAGE_LIMIT_BYTES} bytes')
         if len(self._lanes) > LANE_LIMIT:
             raise self._failure(f'more than {LANE_LIMIT} partial messages')
-        held = sum(len(partial) for partial in self._lanes.values())
-        if held > LANES_LIMIT_BYTES:
+        if self.held_bytes - len(self._buffer) > LANES_LIMIT_BYTES:
             raise self._failure(f'partial messages above {LANES_LIMIT_BYTES}')
 
     def _failure(self, detail: str) -> FailureError:
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -1,6 +1,8 @@
 """HTTP entrance for callers, on twisted.web."""
 
 from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
 from io import BytesIO
 from typing import Any, Final
 
@@ -21,14 +23,32 @@
 BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
 #: A connection that sends nothing for this long is closed.
 IDLE_TIMEOUT_S: Final = 60
-#: A request must have arrived whole this long after its first byte.
-READ_LIMIT_S: Final = 10.0
+#: A request must have arrived whole this long after its first byte; the
+#: check runs every second.
+READ_LIMIT: Final = timedelta(seconds=10)
+#: A caller whose request was refused early may read the answer for this
+#: long. Closing at once could reset the connection before it has.
+LINGER_S: Final = 2.0
+#: A caller that pipelines requests and does not read is cut off when the
+#: answers that wait for it are above this.
+UNREAD_LIMIT_BYTES: Final = 4 * 1024 * 1024
 #: Connections of callers beyond this are closed at once.
 CONNECTION_LIMIT: Final = 20_000
 
 Submit = Callable[[Event], None]
 
 
+class Cutoff(Enum):
+    """Why the connection of a caller was ended from here."""
+
+    bad_http = 'bad_http'
+    body_too_large = 'body_too_large'
+    slow = 'slow'
+    idle = 'idle'
+    unread = 'unread'
+    too_many = 'too_many'
+
+
 class Exchange(http.Request):
     """One request of a caller and its answer."""
 
@@ -101,12 +121,15 @@
         if close:
             answer.setRawHeaders(b'Connection', [b'close'])
         self.write(effect.body)  # type: ignore[no-untyped-call]
+        self.channel.answered(len(effect.body))
         self.finish()  # type: ignore[no-untyped-call]
 
     def _refuse_body(self) -> None:
         self._refused = True
-        made = refusal(self.exchange, Outcome.not_run, Reason.body_too_large)
-        self.channel.refuse(made)
+        self.channel.refuse(
+            refusal(self.exchange, Outcome.not_run, Reason.body_too_large),
+            Cutoff.body_too_large,
+        )
 
 
 class CallerChannel(http.HTTPChannel):
@@ -120,34 +143,98 @@
         super().__init__()  # type: ignore[no-untyped-call]
         self.listener = listener
         self.timeOut = IDLE_TIMEOUT_S
-        self._reading_since: float | None = None
+        self._answering = False
+        self._refused = False
+        self._paused = False
+        self._unread_bytes = 0
+        self._linger: Any = None
 
     def dataReceived(self, data: bytes) -> None:
-        """Read requests; one that arrives too slowly ends the connection."""
-        now_s = self.listener.clock.monotonic().total_seconds()
-        if self._reading_since is None:
-            self._reading_since = now_s
-        elif now_s - self._reading_since > READ_LIMIT_S:
-            self.transport.abortConnection()
+        """Read requests; the rest of a refused one is discarded."""
+        if self._refused:
             return
+        # Some callers send a line end after a body; it starts no request.
+        if not self._answering and data.strip(b'\r\n'):
+            self.listener.reading(self)
         super().dataReceived(data)  # type: ignore[no-untyped-call]
 
+    def lineReceived(self, line: bytes) -> None:
+        """Parse a line, unless the request was refused."""
+        if not self._refused:
+            super().lineReceived(line)  # type: ignore[no-untyped-call]
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """Collect a body or later requests, unless one was refused."""
+        if not self._refused:
+            super().rawDataReceived(data)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuse a head with an overlong line."""
+        self._respondToBadRequestAndDisconnect()
+
     def request_complete(self) -> None:
         """Note that the request under way has arrived whole."""
-        self._reading_since = None
+        self._answering = True
+        self.listener.read(self)
 
-    def refuse(self, made: Respond) -> None:
+    def answered(self, size_bytes: int) -> None:
+        """Note an answer; a caller that does not read is cut off."""
+        self._answering = False
+        if not self._paused:
+            return
+        self._unread_bytes += size_bytes
+        if self._unread_bytes > UNREAD_LIMIT_BYTES:
+            self.cut_off(Cutoff.unread)
+
+    def pauseProducing(self) -> None:
+        """Count answers from now on: the caller reads too slowly."""
+        self._paused = True
+        super().pauseProducing()  # type: ignore[no-untyped-call]
+
+    def resumeProducing(self) -> None:
+        """Stop counting: the answers have been handed to the system."""
+        self._paused = False
+        self._unread_bytes = 0
+        super().resumeProducing()  # type: ignore[no-untyped-call]
+
+    def timeoutConnection(self) -> None:
+        """Count an idle connection and close it."""
+        self.listener.count_cutoff(Cutoff.idle)
+        super().timeoutConnection()  # type: ignore[no-untyped-call]
+
+    def cut_off(self, why: Cutoff) -> None:
+        """End the connection at once."""
+        self._refused = True
+        self.listener.count_cutoff(why)
+        self.transport.abortConnection()
+
+    def refuse(self, made: Respond, why: Cutoff) -> None:
         """Answer before the request has arrived whole, and disconnect."""
+        if self._refused:
+            return
+        self._refused = True
+        self.listener.count_cutoff(why)
+        self.listener.read(self)
+        self.setTimeout(None)  # type: ignore[no-untyped-call]
         head = [b'HTTP/1.1 %d Refused' % made.status]
         head += [b'%b: %b' % pair for pair in made.headers]
         head.append(b'Content-Length: %d' % len(made.body))
         head.append(b'Connection: close')
         head += [b'', made.body]
         self.transport.write(b'\r\n'.join(head))
-        self.transport.loseConnection()
+        self._linger = self.listener.reactor.callLater(
+            LINGER_S, self.transport.abortConnection
+        )
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        # The library's own answer has neither outcome nor length.
+        made = refusal(ExchangeId(0), Outcome.not_run, Reason.bad_request)
+        self.refuse(made, Cutoff.bad_http)
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
         """Release the place of the connection."""
+        if self._linger is not None and self._linger.active():
+            self._linger.cancel()
         self.listener.disconnected(self)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
@@ -156,13 +243,21 @@
     """Accepts callers and keeps the exchanges that wait for answers."""
 
     noisy = False
-
-    def __init__(self, reactor: Any, clock: Clock, submit: Submit) -> None:
+    reactor: Any
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        submit: Submit,
+        count_cutoff: Callable[[Cutoff], None],
+    ) -> None:
         """Requests are reported through ``submit``."""
         super().__init__(reactor=reactor)
         self.clock = clock
-        self._reactor = reactor
+        self.count_cutoff = count_cutoff
         self._submit = submit
+        self._reading: dict[CallerChannel, timedelta] = {}
         self._exchanges: dict[ExchangeId, Exchange] = {}
         self._channels: set[CallerChannel] = set()
         self._last_exchange = 0
@@ -171,7 +266,7 @@
 
     def listen(self, address: Address) -> Any:
         """Accept callers; raises ``CannotListenError``."""
-        self._port = self._reactor.listenTCP(
+        self._port = self.reactor.listenTCP(
             address.port, self, backlog=1024, interface=address.host
         )
         return self._port
@@ -179,10 +274,11 @@
     def buildProtocol(self, addr: IAddress | None) -> Any:
         """Accept a connection unless there are too many."""
         if len(self._channels) >= CONNECTION_LIMIT:
+            self.count_cutoff(Cutoff.too_many)
             return None
         channel = CallerChannel(self)
         channel.factory = self
-        channel.callLater = self._reactor.callLater  # type: ignore[method-assign]
+        channel.callLater = self.reactor.callLater  # type: ignore[method-assign]
         self._channels.add(channel)
         return channel
 
@@ -213,6 +309,24 @@
     def disconnected(self, channel: CallerChannel) -> None:
         """Forget a connection."""
         self._channels.discard(channel)
+        self._reading.pop(channel, None)
+
+    def reading(self, channel: CallerChannel) -> None:
+        """Note that a request arrives on a connection."""
+        self._reading.setdefault(channel, self.clock.monotonic())
+
+    def read(self, channel: CallerChannel) -> None:
+        """Note that a request has arrived whole or was refused."""
+        self._reading.pop(channel, None)
+
+    def cut_off_slow(self) -> None:
+        """End connections whose request has been arriving for too long."""
+        oldest = self.clock.monotonic() - READ_LIMIT
+        for channel, since in tuple(self._reading.items()):
+            if since > oldest:
+                # Entries are in the order in which their requests began.
+                return
+            channel.cut_off(Cutoff.slow)
 
     @property
     def connections(self) -> int:
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -1,5 +1,6 @@
 """Streams of messages between daemons over TCP."""
 
+import re
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -30,9 +31,16 @@
 from .frames import FrameReader, FrameWriter
 from .ids import DaemonId, StreamId
 from .logs import HybridClock, Stamp
-from .messages import PROTOCOL_VERSION, Hello, Message
+from .messages import (
+    PROTOCOL_VERSION,
+    Cancel,
+    Dispatch,
+    Hello,
+    Inquire,
+    Message,
+)
 from .outcomes import Failure, FailureError, Step
-from .settings import Address
+from .settings import NAME_PATTERN, NAME_RULE, Address
 
 #: A stream that has not been opened after this long is given up.
 CONNECT_TIMEOUT_S = 1.0
@@ -43,6 +51,16 @@
 #: Pause between two fragments of a long message, so that others go between.
 FRAGMENT_PAUSE_S = 0.001
 
+#: Most bytes of unfinished messages of a peer that has not said hello.
+STRANGER_LIMIT_BYTES = 4096
+#: Inbound streams beyond this are closed at once; 650 daemons need one each,
+#: and a second one while a silent stream is replaced.
+INBOUND_LIMIT = 2000
+
+_NAME = re.compile(NAME_PATTERN)
+#: Requests travel only on streams that their entrance opened.
+_REQUESTS = (Dispatch, Cancel, Inquire)
+
 #: Each message starts with the logical time of its sender.
 _STAMP = struct.Struct('>Q')
 
@@ -64,10 +82,18 @@
 
     transport: Any
 
-    def __init__(self, hub: 'StreamHub', address: str) -> None:
-        """Prepare a stream; ``address`` is empty for an inbound one."""
+    def __init__(
+        self, hub: 'StreamHub', address: str, expected: DaemonId
+    ) -> None:
+        """Prepare a stream.
+
+        ``address`` is empty for an inbound one; ``expected`` is empty when
+        any daemon may answer.
+        """
         self._hub = hub
         self._address = address
+        self._expected = expected
+        self._own_hello: Hello | None = None
         self._writer = FrameWriter()
         self._reader = FrameReader('unknown')
         self._hello: Hello | None = None
@@ -78,6 +104,11 @@
         self._unsent_bytes = 0
         self.stream = hub.new_stream()
 
+    @property
+    def inbound(self) -> bool:
+        """Whether the peer opened the stream."""
+        return not self._address
+
     def connectionMade(self) -> None:
         """Say hello."""
         self.transport.setTcpNoDelay(True)
@@ -87,7 +118,8 @@
         self._hello_timer = self._hub.reactor.callLater(
             HELLO_TIMEOUT_S, self._no_hello
         )
-        self.send(self._hub.next_hello())
+        self._own_hello = self._hub.next_hello()
+        self.send(self._own_hello)
 
     def dataReceived(self, data: bytes) -> None:
         """Read messages; a malformed one ends this stream only."""
@@ -104,23 +136,30 @@
         failure = self._failure or Failure(
             Step.connect, self._peer_name(), reason.getErrorMessage()
         )
-        if self._reader.partial:
-            self._hub.counters.failed(
-                Failure(Step.frame, self._peer_name(), 'truncated message')
-            )
+        if self._failure is None:
+            self._count_abrupt_end(failure)
         self._hub.lost(self, self._hello, failure)
+        if self._hello is None and self._address:
+            self._hub.submit(
+                PeerUnreachable(self._expected, self._address, failure)
+            )
 
     def send(self, message: Message) -> None:
         """Write a message; long ones are written in fragments."""
+        if self._failure is not None:
+            return
         stamp = _STAMP.pack(self._hub.stamp())
         frames = self._writer.frames(stamp + encode(message))
         if frames:
             self._write(frames)
             return
+        self._check_unsent()
         self._write_fragment()
 
     def fail(self, failure: Failure) -> None:
         """End the stream because of a failure."""
+        if self._failure is not None:
+            return
         self._failure = failure
         self._hub.counters.failed(failure)
         self.transport.abortConnection()
@@ -151,40 +190,79 @@
             if self._hello is None:
                 self._greet(message)
             else:
+                self._check_type(message)
                 self._hub.submit(PeerMessage(self.stream, message))
+        if (
+            self._hello is None
+            and self._reader.held_bytes > STRANGER_LIMIT_BYTES
+        ):
+            raise self._refusal(
+                Step.frame, f'hello above {STRANGER_LIMIT_BYTES} bytes'
+            )
+
+    def _check_type(self, message: Message) -> None:
+        if isinstance(message, Hello):
+            raise self._refusal(Step.decode, 'second hello on one stream')
+        if self._address and isinstance(message, _REQUESTS):
+            kind = type(message).__name__
+            raise self._refusal(Step.decode, f'{kind} from the accepting side')
 
     def _decode(self, payload: bytes) -> Message:
         if len(payload) < _STAMP.size:
-            raise FailureError(
-                Failure(Step.frame, self._peer_name(), 'message without stamp')
-            )
+            raise self._refusal(Step.frame, 'message without stamp')
         self._hub.observe(_STAMP.unpack_from(payload)[0])
         return decode(payload[_STAMP.size :], self._peer_name())
 
     def _greet(self, message: Message) -> None:
         if not isinstance(message, Hello):
-            raise FailureError(
-                Failure(
-                    Step.decode, self._peer_name(), 'first message is not hello'
-                )
-            )
-        if message.version != PROTOCOL_VERSION:
-            detail = (
-                f'protocol version {message.version}, not {PROTOCOL_VERSION}'
-            )
-            raise FailureError(Failure(Step.decode, self._peer_name(), detail))
+            raise self._refusal(Step.decode, 'first message is not hello')
+        problem = self._hello_problem(message)
+        if problem:
+            raise self._refusal(Step.connect, problem)
         if self._hello_timer is not None and self._hello_timer.active():
             self._hello_timer.cancel()
         self._hello = message
         self._hub.greeted(self, message, self._address)
 
+    def _hello_problem(self, hello: Hello) -> str:
+        """Return why a peer is not accepted, or an empty text."""
+        if hello.version != PROTOCOL_VERSION:
+            return f'protocol version {hello.version}, not {PROTOCOL_VERSION}'
+        if _NAME.fullmatch(hello.daemon) is None:
+            return f'the daemon id of the hello is not {NAME_RULE}'
+        if self._expected and hello.daemon != self._expected:
+            return f'peer is {hello.daemon}, not {self._expected}'
+        own = self._own_hello
+        if own is None or hello.daemon != own.daemon:
+            return ''
+        if hello.incarnation == own.incarnation:
+            # A seed list may name every daemon, this one included.
+            return ''
+        return f'peer claims the id {own.daemon} of this daemon'
+
+    def _refusal(self, step: Step, detail: str) -> FailureError:
+        return FailureError(Failure(step, self._peer_name(), detail))
+
+    def _count_abrupt_end(self, failure: Failure) -> None:
+        if self._reader.partial:
+            failure = Failure(Step.frame, failure.peer, 'truncated message')
+        elif self._hello is None:
+            detail = f'ended before hello: {failure.detail}'
+            failure = Failure(Step.connect, failure.peer, detail)
+        else:
+            return
+        self._hub.counters.failed(failure)
+
     def _write(self, frames: bytes) -> None:
         self._hub.counters.sent_bytes(len(frames))
         self.transport.write(frames)
-        if not self._paused:
-            return
-        self._unsent_bytes += len(frames)
-        if self._unsent_bytes > UNSENT_LIMIT_BYTES:
+        if self._paused:
+            self._unsent_bytes += len(frames)
+            self._check_unsent()
+
+    def _check_unsent(self) -> None:
+        unsent_bytes = self._unsent_bytes + self._writer.pending_bytes
+        if self._paused and unsent_bytes > UNSENT_LIMIT_BYTES:
             self.fail(
                 Failure(Step.frame, self._peer_name(), 'peer does not read')
             )
@@ -234,6 +312,7 @@
         self._streams: dict[StreamId, PeerStream] = {}
         self._last_stream = 0
         self._opening: set[str] = set()
+        self._inbound = 0
         self._port: Any = None
 
     def listen(self, address: Address) -> Any:
@@ -278,6 +357,16 @@
         for stream in tuple(self._streams.values()):
             stream.transport.loseConnection()
 
+    def accept(self) -> PeerStream | None:
+        """Return a new inbound stream unless there are too many."""
+        if self._inbound >= INBOUND_LIMIT:
+            self.counters.failed(
+                Failure(Step.listen, 'peers', 'too many inbound streams')
+            )
+            return None
+        self._inbound += 1
+        return PeerStream(self, '', DaemonId(''))
+
     def stamp(self) -> int:
         """Return the packed logical time for an outgoing message."""
         return self._hybrid.tick().pack()
@@ -301,6 +390,8 @@
     ) -> None:
         """Report the end of a stream that was open."""
         self._streams.pop(stream.stream, None)
+        if stream.inbound:
+            self._inbound -= 1
         if hello is not None:
             self.submit(StreamClosed(stream.stream, failure))
 
@@ -313,8 +404,8 @@
     def __init__(self, hub: StreamHub) -> None:
         self._hub = hub
 
-    def buildProtocol(self, addr: IAddress | None) -> PeerStream:
-        return PeerStream(self._hub, '')
+    def buildProtocol(self, addr: IAddress | None) -> PeerStream | None:
+        return self._hub.accept()
 
 
 class _OutboundFactory(ClientFactory):
@@ -331,7 +422,7 @@
 
     def buildProtocol(self, addr: IAddress | None) -> PeerStream:
         self._hub.opened(self._address)
-        return PeerStream(self._hub, str(self._address))
+        return PeerStream(self._hub, str(self._address), self._daemon)
 
     def clientConnectionFailed(
         self, connector: Any, reason: TwistedFailure
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,3 +17,9 @@
         default=1,
         help='seed of the generated histories (default: 1)',
     )
+    parser.addoption(
+        '--idle-connections',
+        type=int,
+        default=200,
+        help='idle connections of callers that are held (default: 200)',
+    )
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,252 @@
+"""Callers on real sockets that send, read or leave badly."""
+
+import os
+import socket
+import subprocess
+import sys
+from collections import Counter
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import Any
+
+import pytest
+from sockets import Client, reactor, turn, turn_until
+
+from greengagemux import limits, listeners
+from greengagemux.clocks import ManualClock
+from greengagemux.effects import Respond
+from greengagemux.events import CallerGone, CallerRequest, Event
+from greengagemux.settings import Address
+
+_GET = b'GET /stock/1 HTTP/1.1\r\nHost: a\r\n\r\n'
+_IDLE_CLIENT = """
+import socket, sys
+port, count = int(sys.argv[1]), int(sys.argv[2])
+held = [socket.create_connection(('127.0.0.1', port)) for _ in range(count)]
+sys.stdin.read()
+"""
+
+
+class _Edge:
+    """A listener whose requests are answered when the test says so."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.events: list[Event] = []
+        self.cutoffs: Counter[str] = Counter()
+        self.listener = listeners.CallerListener(
+            reactor, self.clock, self.events.append, self._count
+        )
+        self.port = self.listener.listen(Address('127.0.0.1', 0))
+
+    @property
+    def requests(self) -> list[CallerRequest]:
+        return [each for each in self.events if isinstance(each, CallerRequest)]
+
+    def take(self, count: int = 1) -> CallerRequest:
+        turn_until(lambda: len(self.requests) >= count)
+        return self.requests[count - 1]
+
+    def answer(self, count: int = 1, body: bytes = b'') -> None:
+        request = self.take(count)
+        made = body or b'answer to ' + request.target
+        self.listener.respond(Respond(request.exchange, 200, (), made))
+
+    def _count(self, why: listeners.Cutoff) -> None:
+        self.cutoffs[why.value] += 1
+
+
+@pytest.fixture(name='edge')
+def _edge(monkeypatch: pytest.MonkeyPatch) -> Iterator[_Edge]:
+    monkeypatch.setattr(listeners, 'LINGER_S', 0.02)
+    made = _Edge()
+    yield made
+    made.listener.stop_accepting()
+    for channel in tuple(made.listener._channels):
+        channel.transport.abortConnection()
+    turn_until(lambda: not made.listener.connections)
+    assert not made.listener._reading
+
+
+@pytest.mark.parametrize(
+    'wire',
+    [
+        b'\x16\x03\x01\x02\x00\x01\x00\r\n',
+        b'GET /stock/1\r\n\r\n',
+        b'GET /a b HTTP/1.1\r\n\r\n',
+        b'GET / HTTP/2.0\r\n\r\n',
+        b'GET / HTTP/1.1\r\nno colon\r\nHost: a\r\n\r\n',
+        b'GET / HTTP/1.1\r\nbad name: a\r\n\r\n',
+        b'GET / HTTP/1.1\r\nHost: a\0b\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+        b'POST / HTTP/1.1\r\nContent-Length: 3\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+        b'GET /' + b'a' * 20_000,
+        b'GET / HTTP/1.1\r\n' + b'X: y\r\n' * 501 + b'\r\n',
+    ],
+)
+def test_bad_http_is_refused_as_not_run(edge: _Edge, wire: bytes) -> None:
+    """Malformed HTTP must not reach the reducer, nor end other callers."""
+    other = Client(edge.port).send(_GET)
+    head = Client(edge.port).send(wire).read_all().lower()
+    assert head.startswith(b'http/1.1 400 ')
+    assert b'\r\ngreengage-outcome: not-run\r\n' in head
+    assert edge.cutoffs == {'bad_http': 1}
+    edge.answer()
+    other.expect(b'answer to /stock/1')
+    assert len(edge.requests) == 1
+
+
+@pytest.mark.parametrize('chunked', [True, False])
+def test_body_above_the_limit(edge: _Edge, chunked: bool) -> None:
+    """A large body must be refused early, and the caller must see why."""
+    size = listeners.BODY_LIMIT_BYTES + 1
+    wire = b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % size
+    if chunked:
+        wire = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        wire += b'%x\r\n' % size + b'x' * size
+    found = Client(edge.port).send(wire + b'x' * 1000).read_all()
+    assert found.startswith(b'HTTP/1.1 413 ')
+    assert found.count(b'HTTP/1.1') == 1
+    assert b'body-too-large' in found
+    assert edge.cutoffs == {'body_too_large': 1}
+    assert not edge.requests
+
+
+@pytest.mark.parametrize(
+    'wire',
+    [
+        b'GE',
+        b'GET / HTTP/1.1\r\nHo',
+        b'PUT / HTTP/1.1\r\nContent-Length: 9\r\n\r\n1',
+    ],
+)
+def test_slow_sender_is_cut_off(edge: _Edge, wire: bytes) -> None:
+    """A request that trickles must not hold its connection for long."""
+    slow = Client(edge.port).send(wire)
+    turn_until(lambda: edge.listener._reading)
+    edge.clock.advance(listeners.READ_LIMIT / 2)
+    slow.send(b'1')
+    turn()
+    edge.listener.cut_off_slow()
+    assert not edge.cutoffs
+    edge.clock.advance(listeners.READ_LIMIT / 2)
+    edge.listener.cut_off_slow()
+    assert not slow.read_all()
+    assert edge.cutoffs == {'slow': 1}
+
+
+def test_waiting_and_idle_callers_are_not_slow(edge: _Edge) -> None:
+    """A long request, or a pause after a stray line end, is not slowness."""
+    caller = Client(edge.port).send(_GET)
+    edge.take()
+    caller.send(_GET)
+    for count in (1, 2):
+        edge.clock.advance(timedelta(minutes=1))
+        edge.listener.cut_off_slow()
+        edge.answer(count)
+    caller.send(b'\r\n')
+    turn()
+    edge.clock.advance(timedelta(minutes=1))
+    edge.listener.cut_off_slow()
+    caller.send(_GET)
+    edge.answer(3)
+    turn_until(
+        lambda: caller.read() or caller.received.count(b'answer to') == 3
+    )
+    assert not edge.cutoffs
+
+
+def test_pipelined_requests_are_answered_in_order(edge: _Edge) -> None:
+    """The second request must wait for the answer to the first."""
+    wire = b''.join(_GET.replace(b'1 ', b'%d ' % turn) for turn in range(9))
+    caller = Client(edge.port).send(wire)
+    for count in range(1, 10):
+        edge.take(count)
+        turn(5)
+        assert len(edge.requests) == count
+        edge.answer(count)
+    caller.expect(b'/stock/8')
+    targets = [b'answer to /stock/%d' % turn for turn in range(9)]
+    places = [caller.received.index(target) for target in targets]
+    assert places == sorted(places)
+
+
+def test_idle_connection_is_closed(
+    edge: _Edge, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Connections of callers that went silent must not pile up."""
+    monkeypatch.setattr(listeners, 'IDLE_TIMEOUT_S', 0.02)
+    assert not Client(edge.port).read_all()
+    assert edge.cutoffs == {'idle': 1}
+
+
+@pytest.mark.parametrize('half', [True, False])
+def test_caller_that_goes_away(edge: _Edge, half: bool) -> None:
+    """A caller that closes, or closes one way, must release its request."""
+    caller = Client(edge.port).send(_GET)
+    request = edge.take()
+    caller.socket.shutdown(socket.SHUT_WR if half else socket.SHUT_RDWR)
+    turn_until(lambda: CallerGone(request.exchange) in edge.events)
+    edge.answer()
+    turn_until(lambda: not edge.listener.connections)
+
+
+def test_caller_that_does_not_read(edge: _Edge) -> None:
+    """Pipelined requests without reading must not fill the memory."""
+    caller = Client(edge.port).send(_GET * 100)
+    large = b'x' * 1024 * 1024
+    count = 0
+    while not edge.cutoffs and count < 50:
+        count += 1
+        edge.answer(count, large)
+        turn(2)
+    assert edge.cutoffs == {'unread': 1}
+    assert count < 15
+    turn_until(lambda: not edge.listener.connections)
+    assert len(edge.requests) <= count + 1
+    caller.socket.close()
+
+
+def test_connections_above_the_limit_are_closed(
+    edge: _Edge, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A flood of connections must not take every descriptor."""
+    monkeypatch.setattr(listeners, 'CONNECTION_LIMIT', 2)
+    kept = [Client(edge.port) for _ in range(2)]
+    turn_until(lambda: edge.listener.connections == 2)
+    assert not Client(edge.port).read_all()
+    assert edge.cutoffs == {'too_many': 1}
+    kept[0].send(_GET)
+    edge.answer()
+    kept[0].expect(b'answer to')
+
+
+def test_idle_connections_take_bounded_memory(
+    edge: _Edge, pytestconfig: pytest.Config
+) -> None:
+    """Idle callers must be cheap; see ``--idle-connections`` for 10,000."""
+    count = pytestconfig.getoption('--idle-connections')
+    assert limits.raise_file_limit() > count
+    before = _resident_bytes()
+    arguments = (str(edge.port.getHost().port), str(count))
+    command = (sys.executable, '-c', _IDLE_CLIENT, *arguments)
+    with subprocess.Popen(command, stdin=subprocess.PIPE) as callers:
+        turn_until(lambda: edge.listener.connections == count)
+        grown = _resident_bytes() - before
+        caller = Client(edge.port).send(_GET)
+        edge.answer()
+        caller.expect(b'answer to')
+        caller.socket.close()
+        assert callers.stdin
+        callers.stdin.close()
+        turn_until(lambda: not edge.listener.connections)
+    sys.stdout.write(f'{count} connections: {grown // count} bytes each\n')
+    assert grown < count * 10_000 + 8 * 1024 * 1024
+
+
+def _resident_bytes() -> int:
+    with open('/proc/self/statm', encoding='ascii') as statm:
+        return int(statm.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
