Name and bound each break of the protocol between peers

A second hello, a request from the accepting side, an impostor's id, deep nesting, long messages to a peer that does not read and a stream that ends before hello had no clear error; the last left its path in opening.

--- a/greengagemux/frames.py
+++ b/greengagemux/frames.py
@@ -77,8 +77,8 @@
     """Restores messages from a byte stream."""
 
     def __init__(self, peer: str) -> None:
-        """Name the peer for failures."""
-        self._peer = peer
+        """Name the peer for failures; the name may be replaced."""
+        self.peer = peer
         self._buffer = bytearray()
         self._lanes: dict[int, bytearray] = {}
 
@@ -145,4 +145,4 @@
             raise self._failure(f'partial messages above {LANES_LIMIT_BYTES}')
 
     def _failure(self, detail: str) -> FailureError:
-        return FailureError(Failure(Step.frame, self._peer, detail))
+        return FailureError(Failure(Step.frame, self.peer, detail))
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -222,6 +222,7 @@
         if self._hello_timer is not None and self._hello_timer.active():
             self._hello_timer.cancel()
         self._hello = message
+        self._reader.peer = message.daemon
         self._hub.greeted(self, message, self._address)
 
     def _hello_problem(self, hello: Hello) -> str:
@@ -262,10 +263,9 @@
 
     def _check_unsent(self) -> None:
         unsent_bytes = self._unsent_bytes + self._writer.pending_bytes
-        if self._paused and unsent_bytes > UNSENT_LIMIT_BYTES:
-            self.fail(
-                Failure(Step.frame, self._peer_name(), 'peer does not read')
-            )
+        if unsent_bytes > UNSENT_LIMIT_BYTES:
+            detail = f'more than {UNSENT_LIMIT_BYTES} bytes unsent'
+            self.fail(Failure(Step.frame, self._peer_name(), detail))
 
     def _write_fragment(self) -> None:
         if self._paused or not self.connected or self._fragment_due:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -9,7 +9,7 @@
 from twisted.internet import reactor as installed
 
 #: Ends a test that waits for something that never comes.
-GIVE_UP_S = 20
+GIVE_UP_S = 10
 
 reactor: Any = installed
 
@@ -32,10 +32,12 @@
 class Client:
     """A plain socket that reads only when told to."""
 
-    def __init__(self, port: Any) -> None:
-        self.socket = socket.create_connection(
-            ('127.0.0.1', port.getHost().port)
-        )
+    def __init__(self, end: Any) -> None:
+        """Connect to a port, or take over a connected socket."""
+        self.socket = end
+        if not isinstance(end, socket.socket):
+            address = ('127.0.0.1', end.getHost().port)
+            self.socket = socket.create_connection(address)
         self.socket.setblocking(False)
         self.received = b''
         self.ended = False
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -160,8 +160,8 @@
     upstream.call()
     connection = upstream.accept()
     upstream.read(connection)
-    for place in range(len(wire)):
-        connection.send(wire[place : place + 1])
+    for byte in wire:
+        connection.send(bytes([byte]))
         turn(1)
     ended = upstream.ended()
     assert isinstance(ended, UpstreamAnswered)
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,304 @@
+"""Peers on real sockets that break the protocol between daemons."""
+
+import re
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from sockets import Client, reactor, turn, turn_until
+
+from greengagemux import streams
+from greengagemux.clocks import ManualClock
+from greengagemux.codecs import decode, encode
+from greengagemux.events import (
+    Event,
+    PeerMessage,
+    PeerUnreachable,
+    StreamClosed,
+    StreamOpened,
+)
+from greengagemux.frames import FRAGMENT_BYTES, FrameReader, FrameWriter
+from greengagemux.ids import DaemonId, DataCentre, Incarnation, Region
+from greengagemux.logs import HybridClock
+from greengagemux.messages import (
+    PROTOCOL_VERSION,
+    Cancel,
+    Hello,
+    Message,
+    Ping,
+)
+from greengagemux.outcomes import Failure, FailureError
+from greengagemux.settings import Address
+
+
+def _hello(
+    daemon: str = 'peer-1', version: int = PROTOCOL_VERSION, started: int = 7
+) -> Hello:
+    return Hello(
+        version,
+        DaemonId(daemon),
+        DataCentre('a'),
+        Region('r'),
+        Incarnation(started),
+        1,
+    )
+
+
+def _framed(payload: bytes) -> bytes:
+    return FrameWriter().frames(bytes(8) + payload)
+
+
+def _wire(*messages: Message) -> bytes:
+    return b''.join(_framed(encode(message)) for message in messages)
+
+
+def _packed(*fields: Any) -> bytes:
+    return _framed(msgspec.msgpack.encode(fields))
+
+
+class _Hub:
+    """A hub of daemon ``own-1`` that records events and failures."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+        self.failures: list[Failure] = []
+        self.hub = streams.StreamHub(
+            reactor,
+            self.events.append,
+            lambda: _hello('own-1', started=1),
+            streams.Counters(self.failures.append, _ignore, _ignore),
+            HybridClock(ManualClock()),
+        )
+        self.port = self.hub.listen(Address('127.0.0.1', 0))
+
+    @property
+    def failure(self) -> Failure:
+        assert len(self.failures) == 1
+        return self.failures[0]
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+    def peer(self) -> Client:
+        """Return a peer whose stream is open."""
+        peer = Client(self.port).send(_wire(_hello()))
+        known = len(self.of(StreamOpened))
+        turn_until(lambda: len(self.of(StreamOpened)) > known)
+        return peer
+
+    def open(self, daemon: str = '') -> Client:
+        """Open a stream to a peer and return the peer's end of it."""
+        listening = socket.create_server(('127.0.0.1', 0))
+        address = Address(*listening.getsockname())
+        self.hub.open(DaemonId(daemon), address)
+        listening.setblocking(False)
+        ends: list[socket.socket] = []
+        turn_until(lambda: _accepted(listening, ends))
+        listening.close()
+        return Client(ends[0])
+
+
+def _accepted(listening: socket.socket, ends: list[socket.socket]) -> bool:
+    with suppress(BlockingIOError):
+        ends.append(listening.accept()[0])
+    return bool(ends)
+
+
+def _ignore(_size_bytes: int) -> None:
+    """Count nothing."""
+
+
+@pytest.fixture(name='hub')
+def _hub() -> Iterator[_Hub]:
+    made = _Hub()
+    yield made
+    made.hub.stop()
+    turn()
+    assert not made.hub._streams
+
+
+@pytest.mark.parametrize(
+    ('wire', 'text'),
+    [
+        (struct.pack('>I', FRAGMENT_BYTES + 1), 'frame at .* is above'),
+        (struct.pack('>I', 3), 'frame at .* too short'),
+        (struct.pack('>II', 4, 0), 'frame at .* without stamp'),
+        (_framed(b'\xc1'), 'decode at .* malformed'),
+        (_framed(b''), 'decode at .* truncated'),
+        (_packed('ping', 'no number'), r'decode at .* `int`'),
+        (_packed('ping'), 'decode at .* length'),
+        (_packed('unheard-of', 1), 'decode at .* Invalid value'),
+        (
+            _framed(b'\x93\xa4ping\1' + b'\x91' * 3000 + b'\1'),
+            'decode at .* depth',
+        ),
+        (_wire(_hello()), 'decode at .* second hello'),
+    ],
+)
+@pytest.mark.parametrize('greeted', [True, False])
+def test_bad_frame_ends_its_stream_only(
+    hub: _Hub, wire: bytes, text: str, greeted: bool
+) -> None:
+    """A peer with a fault must be named, and must not disturb others."""
+    other = hub.peer()
+    if greeted:
+        bad = hub.peer().send(wire + _wire(Ping(1)))
+        expected = 'peer-1'
+    else:
+        start = _wire(_hello()) if 'second' in text else b''
+        bad = Client(hub.port)
+        expected = '127.0.0.1:%d' % bad.socket.getsockname()[1]
+        expected = 'peer-1' if start else expected
+        bad.send(start + wire + _wire(Ping(1)))
+    bad.read_all()
+    failure = hub.failure
+    pattern = text.replace(' at .*', f' at {expected}:.*')
+    assert re.search(pattern, str(failure))
+    assert not hub.of(PeerMessage)
+    other.send(_wire(Ping(2)))
+    turn_until(lambda: hub.of(PeerMessage))
+
+
+@pytest.mark.parametrize(
+    ('wire', 'text'),
+    [
+        (_wire(Ping(1)), 'first message is not hello'),
+        (_wire(_hello(version=99)), 'protocol version 99, not'),
+        (_wire(_hello('')), 'daemon id of the hello'),
+        (_wire(_hello('a b')), 'daemon id of the hello'),
+        (_wire(_hello('own-1')), 'claims the id own-1'),
+        (struct.pack('>I', 9000) + bytes(8000), 'hello above 4096 bytes'),
+    ],
+)
+def test_stranger_is_refused(hub: _Hub, wire: bytes, text: str) -> None:
+    """Only a daemon of this protocol with a name of its own is a peer."""
+    stranger = Client(hub.port)
+    name = '127.0.0.1:%d' % stranger.socket.getsockname()[1]
+    stranger.send(wire).read_all()
+    failure = hub.failure
+    assert text in failure.detail
+    assert failure.peer == name
+    assert not hub.events
+
+
+def test_own_address_among_the_seeds_is_no_failure(hub: _Hub) -> None:
+    """A daemon that reaches itself must not report an impostor."""
+    address = Address('127.0.0.1', hub.port.getHost().port)
+    hub.hub.open(DaemonId(''), address)
+    turn_until(lambda: len(hub.of(StreamOpened)) == 2)
+    assert not hub.failures
+
+
+@pytest.mark.parametrize(
+    ('start', 'text'),
+    [
+        (b'', 'ended before hello'),
+        (_wire(_hello())[:9], 'truncated message'),
+        (_wire(_hello()) + struct.pack('>I', 100) + b'x', 'truncated message'),
+    ],
+)
+def test_stream_that_ends_early_is_counted(
+    hub: _Hub, start: bytes, text: str
+) -> None:
+    """A cut inside a message must not pass for an ordinary end."""
+    peer = Client(hub.port).send(start)
+    turn()
+    peer.socket.close()
+    turn_until(lambda: hub.failures)
+    assert text in hub.failures[0].detail
+    assert len(hub.failures) == 1
+
+
+def test_no_hello(hub: _Hub, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A silent stranger must not hold a stream."""
+    monkeypatch.setattr(streams, 'HELLO_TIMEOUT_S', 0.02)
+    Client(hub.port).read_all()
+    assert [each.detail for each in hub.failures] == ['no hello']
+
+
+@pytest.mark.parametrize('long', [True, False])
+def test_peer_that_does_not_read(
+    hub: _Hub, monkeypatch: pytest.MonkeyPatch, long: bool
+) -> None:
+    """Unread messages, long ones included, must not fill the memory."""
+    monkeypatch.setattr(streams, 'UNSENT_LIMIT_BYTES', 4_000_000)
+    peer = hub.peer()
+    opened = hub.of(StreamOpened)[0]
+    size = 1_000_000 if long else 20_000
+    sent = 0
+    while not hub.failures and sent < 40_000_000:
+        sent += size
+        hub.hub.send(opened.stream, _hello('x' * size))
+        turn(2)
+    assert 'bytes unsent' in hub.failure.detail
+    assert not peer.ended
+    turn_until(lambda: hub.of(StreamClosed))
+    assert hub.of(StreamClosed)[0].failure.peer == 'peer-1'
+
+
+def test_request_from_the_accepting_side(hub: _Hub) -> None:
+    """Requests must travel only on streams that their entrance opened."""
+    peer = hub.open()
+    peer.send(_wire(_hello(), Cancel(1)))
+    peer.read_all()
+    failure = hub.failure
+    assert str(failure) == 'decode at peer-1: Cancel from the accepting side'
+    assert not hub.of(PeerMessage)
+
+
+@pytest.mark.parametrize('daemon', ['', 'peer-2'])
+def test_opened_stream_without_the_expected_peer(
+    hub: _Hub, daemon: str
+) -> None:
+    """A path must not stay in opening when its stream ends before hello."""
+    peer = hub.open(daemon)
+    if daemon:
+        peer.send(_wire(_hello()))
+    else:
+        turn_until(lambda: peer.read() or peer.received)
+        peer.socket.close()
+    turn_until(lambda: hub.of(PeerUnreachable))
+    unreachable = hub.of(PeerUnreachable)[0]
+    assert unreachable.daemon == daemon
+    assert not unreachable.refused
+    assert not hub.of(StreamOpened)
+    failure = hub.failure
+    assert ('peer is peer-1, not peer-2' in failure.detail) == bool(daemon)
+
+
+def test_inbound_streams_are_limited(
+    hub: _Hub, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A flood of streams must not take every descriptor."""
+    monkeypatch.setattr(streams, 'INBOUND_LIMIT', 1)
+    first = hub.peer()
+    assert not Client(hub.port).read_all()
+    assert 'too many' in hub.failures[0].detail
+    first.socket.close()
+    turn_until(lambda: hub.of(StreamClosed))
+    hub.peer()
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.binary(max_size=200),
+    st.sampled_from([_wire(_hello()), _wire(Cancel(3))]),
+)
+def test_any_bytes_give_messages_or_a_failure(
+    noise: bytes, start: bytes
+) -> None:
+    """No bytes of a peer may raise anything but a named failure."""
+    place = len(noise) % len(start)
+    damaged = start[:place] + noise + start[place:]
+    read: Callable[[bytes], list[bytes]] = FrameReader('peer-9').feed
+    try:
+        for payload in read(damaged):
+            decode(payload[8:], 'peer-9')
+    except FailureError as error:
+        assert error.failure.peer == 'peer-9'
