--- a/greengagemux/bundlecommands.py
+++ b/greengagemux/bundlecommands.py
@@ -110,6 +110,7 @@
     '--log', type=commands.UrlType(), required=True, help='Log store.'
 )
 @_verdict_options
+@commands.authority_option
 def publish(
     record: Path,
     log: str,
@@ -178,6 +179,7 @@
 
 @bundle.command(epilog=commands.EXIT_CODES)
 @commands.admins_option
+@commands.authority_option
 @commands.token_option
 @commands.json_option
 def status(
--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -8,6 +8,7 @@
 import click
 
 from . import bundlecommands, commands
+from .outcomes import FailureError
 from .settings import Address, Settings, SettingsError, read_settings
 from .timelines import timeline
 
@@ -72,6 +73,8 @@
         daemons.run(settings)
     except OSError as error:
         commands.refuse(f'cannot serve: {error}')
+    except FailureError as error:
+        raise commands.SettingsFailure(str(error)) from error
 
 
 @main.command(epilog=commands.EXIT_CODES)
@@ -91,6 +94,7 @@
 
 @main.command(epilog=commands.EXIT_CODES)
 @commands.admin_option
+@commands.authority_option
 @commands.token_option
 def drain(admin: Address, token_file: Path | None) -> None:
     """Let a daemon finish its requests, hand over and stop."""
@@ -101,6 +105,7 @@
 
 @main.command(epilog=commands.EXIT_CODES)
 @commands.admins_option
+@commands.authority_option
 @commands.token_option
 @commands.json_option
 def status(
--- a/greengagemux/commands.py
+++ b/greengagemux/commands.py
@@ -25,6 +25,8 @@
 
 JsonObject = dict[str, Any]
 
+#: Key in the context of a command for the value of ``--authority``.
+_AUTHORITY: Final = 'greengagemux.authority'
 _INDENT: Final = '  '
 
 
@@ -93,6 +95,13 @@
     multiple=True,
     help='Administration address of a daemon; may be repeated.',
 )
+authority_option = click.option(
+    '--authority',
+    type=FILE,
+    expose_value=False,
+    callback=lambda ctx, _param, path: _keep_authority(ctx, path),
+    help='PEM file of the authority; administration is asked over https.',
+)
 token_option = click.option(
     '--token-file',
     type=FILE,
@@ -101,6 +110,10 @@
 json_option = click.option('--json', 'as_json', is_flag=True, help='As JSON.')
 
 
+def _keep_authority(ctx: click.Context, path: Path | None) -> None:
+    ctx.meta[_AUTHORITY] = path
+
+
 def read_token(token_file: Path | None) -> str:
     """Return the token of a file, or that of the environment."""
     if token_file is None:
@@ -131,9 +144,12 @@
     method: str, admin: Address, path: str, token: str
 ) -> JsonObject:
     """Return the JSON object that is the reply of a daemon, or end the command."""
-    url = f'http://{admin}{path}'
+    ctx = click.get_current_context(silent=True)
+    authority = ctx.meta.get(_AUTHORITY) if ctx else None
+    scheme = 'https' if authority else 'http'
+    url = f'{scheme}://{admin}{path}'
     try:
-        reply = httpcalls.call(method, url, token=token)
+        reply = httpcalls.call(method, url, token=token, authority=authority)
     except httpcalls.UnreachableError as error:
         raise UnreachableFailure(str(error)) from error
     content = reply.content()
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -13,6 +13,7 @@
 from twisted.internet.task import LoopingCall
 
 from .administration import BundleView, build_site
+from .certificates import Certificates
 from .clocks import Clock, SystemClock, ms
 from .connections import UpstreamCalls
 from .effects import (
@@ -32,12 +33,12 @@
 from .events import Event, StopRequested, Tick
 from .ids import DaemonId, DataCentre, Incarnation, Region
 from .limits import raise_file_limit
-from .listeners import CONNECTION_LIMIT, CallerListener, Cutoff
+from .listeners import CONNECTION_LIMIT, CallerListener, Cutoff, listen
 from .logclients import LogClient
 from .logs import BufferedHandler, DescriptorSink, install, log_event
 from .messages import PROTOCOL_VERSION, Hello, MemberRecord
 from .metrics import Metrics
-from .outcomes import Failure
+from .outcomes import Failure, FailureError
 from .reducers import TICK, Daemon, Identity, reduce
 from .rollouts import Rollout
 from .settings import Address, Settings
@@ -51,6 +52,8 @@
 COLLECT_EVERY_S: Final = 1.0
 #: Every so many collections all generations are collected.
 FULL_COLLECT_TURNS: Final = 600
+#: The files of certificates are checked for changes this often.
+CERTIFICATES_EVERY_S: Final = 5.0
 #: Log lines are written this often, and this many at a time.
 FLUSH_EVERY_S: Final = 0.02
 FLUSH_LINES: Final = 50
@@ -84,6 +87,11 @@
         self._loops: list[LoopingCall] = []
         self._turn = 0
         self.daemon = self._build_daemon()
+        self._certificates: Certificates | None = None
+        if settings.tls is not None:
+            self._certificates = Certificates(
+                settings.tls, settings.daemon.id, clock
+            )
         self._listener = CallerListener(
             reactor, clock, self.submit, self._count_cutoff
         )
@@ -96,6 +104,7 @@
                 self._stream_failed, self._count_sent, self._count_received
             ),
             handler.hybrid,
+            self._certificates,
         )
         self._log = self._build_log()
         self._turn_timer = self.metrics.timer('reducer_turn_us')
@@ -104,14 +113,13 @@
         """Listen and start the timers; raises ``CannotListenError``."""
         daemon = self.settings.daemon
         self._ports.append(self._hub.listen(daemon.peer_address))
+        tls = self._certificates and self._certificates.callers
+        site = build_site(self, daemon, self.metrics, self._reactor)
         self._ports.append(
-            self._reactor.listenTCP(
-                daemon.admin_address.port,
-                build_site(self, daemon, self.metrics, self._reactor),
-                interface=daemon.admin_address.host,
-            )
+            listen(self._reactor, daemon.admin_address, site, tls)
         )
-        self._listener.listen(daemon.http_address)
+        self._listener.listen(daemon.http_address, tls)
+        self._every(CERTIFICATES_EVERY_S, self._refresh_certificates)
         self._every(TICK.total_seconds(), self._tick)
         self._every(FLUSH_EVERY_S, self._flush)
         self._every(COLLECT_EVERY_S, self._collect)
@@ -200,6 +208,19 @@
         self.metrics.gauge('caller_connections', self._listener.connections)
         self.metrics.settle()
 
+    def _refresh_certificates(self) -> None:
+        if self._certificates is None:
+            return
+        try:
+            changed = self._certificates.refresh()
+        except FailureError as error:
+            self.metrics.count('certificate_failures_total')
+            fields = {'failure': str(error.failure)}
+            log_event(logger, 'certificates-kept', fields, logging.ERROR)
+            return
+        if changed:
+            log_event(logger, 'certificates-replaced', {}, logging.INFO)
+
     def _every(self, interval_s: float, work: Any) -> None:
         loop = LoopingCall(work)
         loop.clock = self._reactor
--- a/greengagemux/httpcalls.py
+++ b/greengagemux/httpcalls.py
@@ -1,9 +1,11 @@
 """Blocking HTTP calls of the command line; no proxy, no redirect."""
 
 import json
+import ssl
 from contextlib import closing
 from dataclasses import dataclass
 from http import client
+from pathlib import Path
 from typing import Any, Final
 from urllib.parse import urlsplit
 
@@ -37,17 +39,29 @@
 
 
 def call(
-    method: str, url: str, body: bytes | None = None, token: str = ''
+    method: str,
+    url: str,
+    body: bytes | None = None,
+    token: str = '',
+    authority: Path | None = None,
 ) -> Reply:
     """Return the reply to one request.
 
-    Raises ``UnreachableError`` when no whole reply arrives in time.
+    With ``authority``, a PEM file, the peer must have its certificate; the
+    name in it is a daemon id and is not compared with the IP number. Raises ``UnreachableError`` when no whole reply arrives in time.
     """
     parts = urlsplit(url)
-    kind: type[client.HTTPConnection] = client.HTTPConnection
+    host = parts.hostname or ''
+    connection = client.HTTPConnection(
+        host, parts.port, timeout=TIMEOUT_SECONDS
+    )
     if parts.scheme == 'https':
-        kind = client.HTTPSConnection
-    connection = kind(parts.hostname or '', parts.port, timeout=TIMEOUT_SECONDS)
+        connection = client.HTTPSConnection(
+            host,
+            parts.port,
+            timeout=TIMEOUT_SECONDS,
+            context=_context(authority),
+        )
     headers = {'Authorization': f'Bearer {token}'} if token else {}
     target = f'{parts.path}?{parts.query}' if parts.query else parts.path
     with closing(connection):
@@ -57,6 +71,17 @@
             raise UnreachableError(f'{method} {url}: {error}') from error
 
 
+def _context(authority: Path | None) -> ssl.SSLContext:
+    if authority is None:
+        return ssl.create_default_context()
+    try:
+        context = ssl.create_default_context(cafile=authority)
+    except OSError as error:
+        raise UnreachableError(f'{authority}: {error}') from error
+    context.check_hostname = False
+    return context
+
+
 def _exchange(
     connection: client.HTTPConnection,
     method: str,
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -32,12 +32,22 @@
 #: A caller that pipelines requests and does not read is cut off when the
 #: answers that wait for it are above this.
 UNREAD_LIMIT_BYTES: Final = 4 * 1024 * 1024
+#: Connections that the system accepts before this process does.
+BACKLOG: Final = 1024
 #: Connections of callers beyond this are closed at once.
 CONNECTION_LIMIT: Final = 20_000
 
 Submit = Callable[[Event], None]
 
 
+def listen(reactor: Any, address: Address, factory: Any, tls: Any) -> Any:
+    """Accept connections, with TLS if ``tls`` makes its connections."""
+    place = {'interface': address.host, 'backlog': BACKLOG}
+    if tls is None:
+        return reactor.listenTCP(address.port, factory, **place)
+    return reactor.listenSSL(address.port, factory, tls, **place)
+
+
 class Cutoff(Enum):
     """Why the connection of a caller was ended from here."""
 
@@ -264,11 +274,9 @@
         self._port: Any = None
         self._closing = False
 
-    def listen(self, address: Address) -> Any:
+    def listen(self, address: Address, tls: Any = None) -> Any:
         """Accept callers; raises ``CannotListenError``."""
-        self._port = self.reactor.listenTCP(
-            address.port, self, backlog=1024, interface=address.host
-        )
+        self._port = listen(self.reactor, address, self, tls)
         return self._port
 
     def buildProtocol(self, addr: IAddress | None) -> Any:
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -20,6 +20,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 from zope.interface import implementer
 
+from .certificates import Certificates, peer_names
 from .codecs import decode, encode
 from .events import (
     Event,
@@ -30,6 +31,7 @@
 )
 from .frames import FrameReader, FrameWriter
 from .ids import DaemonId, StreamId
+from .listeners import listen
 from .logs import HybridClock, Stamp
 from .messages import (
     PROTOCOL_VERSION,
@@ -233,6 +235,11 @@
             return f'the daemon id of the hello is not {NAME_RULE}'
         if self._expected and hello.daemon != self._expected:
             return f'peer is {hello.daemon}, not {self._expected}'
+        if self._hub.certificates is not None:
+            found = peer_names(self.transport)
+            if hello.daemon not in found:
+                listed = ', '.join(sorted(found))
+                return f'certificate is for {listed}, not {hello.daemon}'
         own = self._own_hello
         if own is None or hello.daemon != own.daemon:
             return ''
@@ -302,8 +309,13 @@
         next_hello: Callable[[], Hello],
         counters: Counters,
         hybrid: HybridClock,
+        certificates: Certificates | None = None,
     ) -> None:
-        """Streams report events through ``submit``."""
+        """Streams report events through ``submit``.
+
+        With ``certificates`` both ends of each stream must have one.
+        """
+        self.certificates = certificates
         self._hybrid = hybrid
         self.reactor = reactor
         self.submit = submit
@@ -318,8 +330,11 @@
     def listen(self, address: Address) -> Any:
         """Accept streams of peers; raises ``CannotListenError``."""
         factory = _InboundFactory(self)
-        self._port = self.reactor.listenTCP(
-            address.port, factory, interface=address.host
+        self._port = listen(
+            self.reactor,
+            address,
+            factory,
+            self.certificates and self.certificates.peers,
         )
         return self._port
 
@@ -330,8 +345,17 @@
             return
         self._opening.add(target)
         factory = _OutboundFactory(self, daemon, address)
-        self.reactor.connectTCP(
-            address.host, address.port, factory, timeout=CONNECT_TIMEOUT_S
+        if self.certificates is None:
+            self.reactor.connectTCP(
+                address.host, address.port, factory, timeout=CONNECT_TIMEOUT_S
+            )
+            return
+        self.reactor.connectSSL(
+            address.host,
+            address.port,
+            factory,
+            self.certificates.peers,
+            timeout=CONNECT_TIMEOUT_S,
         )
 
     def opened(self, address: Address) -> None:
--- /dev/null
+++ b/tests/test_certificates.py
@@ -0,0 +1,252 @@
+"""TLS between daemons and towards callers, on real sockets."""
+
+import ssl
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+from threading import Thread
+from typing import Any
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from sockets import Client, reactor, turn, turn_until
+from test_listeners import _Edge
+from test_streams import _Hub
+
+from greengagemux import httpcalls
+from greengagemux.certificates import Certificates
+from greengagemux.clocks import SystemClock
+from greengagemux.events import StreamOpened
+from greengagemux.ids import DaemonId
+from greengagemux.listeners import listen
+from greengagemux.outcomes import FailureError
+from greengagemux.settings import Address, TlsSettings
+
+_LOCAL = Address('127.0.0.1', 0)
+
+
+class _Authority:
+    """Signs certificates."""
+
+    def __init__(self, directory: Path, name: str = 'fleet') -> None:
+        self.directory = directory
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.name = x509.Name(
+            [x509.NameAttribute(x509.NameOID.COMMON_NAME, name)]
+        )
+        self.path = directory / f'{name}.pem'
+        self.path.write_bytes(self._signed(name, self.key, authority=True))
+
+    def issue(self, daemon: str, place: str = '', days: int = 1) -> TlsSettings:
+        key = ec.generate_private_key(ec.SECP256R1())
+        stem = place or daemon
+        files = TlsSettings(
+            certificate=self.directory / f'{stem}.crt',
+            private_key=self.directory / f'{stem}.key',
+            authority=self.path,
+        )
+        files.certificate.write_bytes(self._signed(daemon, key, days=days))
+        files.private_key.write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return files
+
+    def _signed(
+        self, name: str, key: Any, days: int = 1, *, authority: bool = False
+    ) -> bytes:
+        now = datetime.now(UTC)
+        builder = (
+            x509.CertificateBuilder()
+            .subject_name(
+                x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
+            )
+            .issuer_name(self.name)
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - timedelta(days=9))
+            .not_valid_after(now + timedelta(days=days))
+            .add_extension(x509.BasicConstraints(authority, None), True)
+        )
+        if not authority:
+            names = x509.SubjectAlternativeName([x509.DNSName(name)])
+            builder = builder.add_extension(names, False)
+        signed = builder.sign(self.key, hashes.SHA256())
+        return signed.public_bytes(serialization.Encoding.PEM)
+
+
+@pytest.fixture(name='fleet')
+def _fleet(tmp_path: Path) -> _Authority:
+    return _Authority(tmp_path)
+
+
+@pytest.fixture(name='hub_of')
+def _hub_of() -> Iterator[Callable[..., _Hub]]:
+    made: list[_Hub] = []
+
+    def build(files: TlsSettings, daemon: str = 'own-1') -> _Hub:
+        made.append(_Hub(_use(files, daemon), daemon))
+        return made[-1]
+
+    yield build
+    for hub in made:
+        hub.hub.stop()
+    turn()
+
+
+def _use(files: TlsSettings, daemon: str) -> Certificates:
+    return Certificates(files, daemon, SystemClock())
+
+
+def _handshake(port: Any, context: ssl.SSLContext) -> bytes:
+    """Return the bytes that a server gives to a client with TLS."""
+    end = Client(port)
+    incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+    tls = context.wrap_bio(incoming, outgoing)
+    got = bytearray()
+    with suppress(ssl.SSLError):
+        while not (got or end.ended):
+            taken = len(end.received)
+            end.read()
+            incoming.write(end.received[taken:])
+            with suppress(ssl.SSLWantReadError):
+                tls.do_handshake()
+                got += tls.read(100)
+            end.send(outgoing.read())
+            turn(1)
+    end.send(outgoing.read())
+    end.socket.close()
+    return bytes(got)
+
+
+def _client(authority: Path, files: TlsSettings | None) -> ssl.SSLContext:
+    context = ssl.create_default_context(cafile=authority)
+    context.check_hostname = False
+    if files is not None:
+        context.load_cert_chain(files.certificate, files.private_key)
+    return context
+
+
+def test_peers_with_certificates_of_the_authority(
+    fleet: _Authority, hub_of: Callable[..., _Hub]
+) -> None:
+    """Daemons of one fleet must reach each other over TLS."""
+    first = hub_of(fleet.issue('own-1'))
+    second = hub_of(fleet.issue('peer-1'), 'peer-1')
+    address = Address('127.0.0.1', second.port.getHost().port)
+    first.hub.open(DaemonId('peer-1'), address)
+    turn_until(lambda: first.of(StreamOpened) and second.of(StreamOpened))
+    assert not first.failures + second.failures
+
+
+@pytest.mark.parametrize('kind', ['none', 'foreign', 'expired', 'plain'])
+def test_peer_without_a_valid_certificate_gets_nothing(
+    fleet: _Authority, hub_of: Callable[..., _Hub], kind: str
+) -> None:
+    """A stranger must learn nothing, not even the hello, and be counted."""
+    hub = hub_of(fleet.issue('own-1'))
+    if kind == 'plain':
+        Client(hub.port).send(b'\0\0\0\1' * 20).read_all()
+    else:
+        files = None
+        if kind == 'foreign':
+            files = _Authority(fleet.directory, 'other').issue('peer-1')
+        elif kind == 'expired':
+            files = fleet.issue('peer-1', days=-1)
+        assert not _handshake(hub.port, _client(fleet.path, files))
+    turn_until(lambda: hub.failures)
+    assert 'ended before hello' in hub.failure.detail
+    assert not hub.of(StreamOpened)
+
+
+def test_name_must_equal_the_daemon_id(
+    fleet: _Authority, hub_of: Callable[..., _Hub]
+) -> None:
+    """A daemon must not act under the name of another one."""
+    hub = hub_of(fleet.issue('own-1'))
+    liar = _Hub(_use(fleet.issue('peer-1'), 'peer-1'), 'peer-2')
+    address = Address('127.0.0.1', hub.port.getHost().port)
+    liar.hub.open(DaemonId('own-1'), address)
+    turn_until(lambda: hub.failures)
+    assert 'certificate is for peer-1, not peer-2' in str(hub.failures[0])
+    assert not hub.of(StreamOpened)
+    liar.hub.stop()
+    turn()
+
+
+@pytest.mark.parametrize(
+    ('damage', 'text'),
+    [
+        ('noise', 'own-1.crt: .'),
+        ('name', 'is for peer-1, not for daemon own-1'),
+        ('expired', 'is valid from'),
+        ('foreign', 'not signed by the authority'),
+        ('key', 'own-1.crt: .'),
+        ('missing', 'own-1.key: .'),
+    ],
+)
+def test_bad_new_file_is_reported_and_the_old_one_kept(
+    fleet: _Authority, damage: str, text: str
+) -> None:
+    """A wrong rotation must not cut off callers, nor pass unnoticed."""
+    files = fleet.issue('own-1')
+    used = _use(files, 'own-1')
+    before = used.context(for_peers=True)
+    if damage == 'noise':
+        files.certificate.write_bytes(b'-----BEGIN CERTIFICATE-----\nx')
+    elif damage == 'name':
+        fleet.issue('peer-1', 'own-1')
+    elif damage == 'expired':
+        fleet.issue('own-1', days=-1)
+    elif damage == 'foreign':
+        _Authority(fleet.directory, 'other').issue('own-1')
+    elif damage == 'key':
+        kept = files.private_key.read_bytes()
+        fleet.issue('own-1')
+        files.private_key.write_bytes(kept)
+    else:
+        files.private_key.unlink()
+    with pytest.raises(FailureError, match=text) as caught:
+        used.refresh()
+    assert str(fleet.directory) in caught.value.failure.peer
+    assert not used.refresh()
+    assert used.context(for_peers=True) is before
+    fleet.issue('own-1')
+    assert used.refresh()
+    assert used.context(for_peers=True) is not before
+
+
+def test_callers_need_no_certificate_and_see_the_new_one(
+    fleet: _Authority,
+) -> None:
+    """New connections must use a new certificate without a restart."""
+    edge = _Edge()
+    used = _use(fleet.issue('own-1'), 'own-1')
+    port = listen(reactor, _LOCAL, edge.listener, used.callers)
+    url = f'https://127.0.0.1:{port.getHost().port}/stock/1'
+    for authority in (fleet, _Authority(fleet.directory, 'next')):
+        authority.issue('own-1')
+        if authority is not fleet:
+            fleet.path.write_bytes(authority.path.read_bytes())
+        assert used.refresh()
+        replies: list[httpcalls.Reply] = []
+        Thread(target=_ask, args=(url, authority.path, replies)).start()
+        count = len(edge.requests) + 1
+        edge.answer(count)
+        turn_until(lambda: replies)
+        assert replies[0].body == b'answer to /stock/1'
+    with pytest.raises(httpcalls.UnreachableError, match='No such file'):
+        httpcalls.call('GET', url, authority=fleet.directory / 'none')
+    port.stopListening()
+    edge.listener.stop_accepting()
+    turn()
+
+
+def _ask(url: str, authority: Path, replies: list[httpcalls.Reply]) -> None:
+    replies.append(httpcalls.call('GET', url, authority=authority))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -63,17 +63,18 @@
 
 
 class _Hub:
-    """A hub of daemon ``own-1`` that records events and failures."""
+    """A hub that records events and failures."""
 
-    def __init__(self) -> None:
+    def __init__(self, tls: Any = None, daemon: str = 'own-1') -> None:
         self.events: list[Event] = []
         self.failures: list[Failure] = []
         self.hub = streams.StreamHub(
             reactor,
             self.events.append,
-            lambda: _hello('own-1', started=1),
+            lambda: _hello(daemon, started=1),
             streams.Counters(self.failures.append, _ignore, _ignore),
             HybridClock(ManualClock()),
+            tls,
         )
         self.port = self.hub.listen(Address('127.0.0.1', 0))
 
