--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -158,7 +158,8 @@
     def call(self, effect: CallUpstream) -> None:
         """Start a call."""
         agent = self._fresh if effect.fresh else self._agent(effect.address)
-        web_headers = WebHeaders()
+        # Without this header the library would copy all of them to add it.
+        web_headers = WebHeaders({b'Host': [effect.address.encode()]})
         for name, content in effect.headers:
             web_headers.addRawHeader(name, content)
         producer: Any = _BytesProducer(effect.body) if effect.body else None
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from enum import Enum
 from io import BytesIO
+from itertools import takewhile
 from typing import Any, Final
 
 from twisted.internet.interfaces import IAddress
@@ -22,7 +23,7 @@
 #: Largest request body that is read; routes set lower limits.
 BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
 #: A connection that sends nothing for this long is closed.
-IDLE_TIMEOUT_S: Final = 60
+IDLE_LIMIT: Final = timedelta(seconds=60)
 #: A request must have arrived whole this long after its first byte; the
 #: check runs every second.
 READ_LIMIT: Final = timedelta(seconds=10)
@@ -152,7 +153,7 @@
         """Remember the listener that accepted the connection."""
         super().__init__()  # type: ignore[no-untyped-call]
         self.listener = listener
-        self.timeOut = IDLE_TIMEOUT_S
+        self.timeOut = int(IDLE_LIMIT.total_seconds())
         self._answering = False
         self._refused = False
         self._paused = False
@@ -207,6 +208,25 @@
         self._unread_bytes = 0
         super().resumeProducing()  # type: ignore[no-untyped-call]
 
+    def setTimeout(self, period: int | None) -> int | None:
+        """Begin or end the wait of an idle connection.
+
+        The library would set and cancel a timer several times a request; one
+        sweep over all connections takes their place.
+        """
+        previous = self.timeOut
+        self.timeOut = period
+        if period is None:
+            self.listener.busy(self)
+        else:
+            self.listener.idle(self)
+        return previous
+
+    def resetTimeout(self) -> None:
+        """Note that the caller was heard."""
+        if self.timeOut is not None:
+            self.listener.idle(self)
+
     def timeoutConnection(self) -> None:
         """Count an idle connection and close it."""
         self.listener.count_cutoff(Cutoff.idle)
@@ -225,7 +245,7 @@
         self._refused = True
         self.listener.count_cutoff(why)
         self.listener.read(self)
-        self.setTimeout(None)  # type: ignore[no-untyped-call]
+        self.setTimeout(None)
         head = [b'HTTP/1.1 %d Refused' % made.status]
         head += [b'%b: %b' % pair for pair in made.headers]
         head.append(b'Content-Length: %d' % len(made.body))
@@ -267,7 +287,9 @@
         self.clock = clock
         self.count_cutoff = count_cutoff
         self._submit = submit
+        # Both in the order of their times.
         self._reading: dict[CallerChannel, timedelta] = {}
+        self._idle: dict[CallerChannel, timedelta] = {}
         self._exchanges: dict[ExchangeId, Exchange] = {}
         self._channels: set[CallerChannel] = set()
         self._last_exchange = 0
@@ -318,6 +340,16 @@
         """Forget a connection."""
         self._channels.discard(channel)
         self._reading.pop(channel, None)
+        self._idle.pop(channel, None)
+
+    def idle(self, channel: CallerChannel) -> None:
+        """Note that a connection was heard and may become idle."""
+        self._idle.pop(channel, None)
+        self._idle[channel] = self.clock.monotonic()
+
+    def busy(self, channel: CallerChannel) -> None:
+        """Note that a connection waits for us, so it cannot be idle."""
+        self._idle.pop(channel, None)
 
     def reading(self, channel: CallerChannel) -> None:
         """Note that a request arrives on a connection."""
@@ -328,13 +360,13 @@
         self._reading.pop(channel, None)
 
     def cut_off_slow(self) -> None:
-        """End connections whose request has been arriving for too long."""
-        oldest = self.clock.monotonic() - READ_LIMIT
-        for channel, since in tuple(self._reading.items()):
-            if since > oldest:
-                # Entries are in the order in which their requests began.
-                return
-            channel.cut_off(Cutoff.slow)
+        """End idle connections, and those that send a request too slowly."""
+        now = self.clock.monotonic()
+        for slow in _older(self._reading, now - READ_LIMIT):
+            slow.cut_off(Cutoff.slow)
+        for idle in _older(self._idle, now - IDLE_LIMIT):
+            self.busy(idle)
+            idle.timeoutConnection()
 
     @property
     def connections(self) -> int:
@@ -346,3 +378,11 @@
         self._closing = True
         if self._port is not None:
             self._port.stopListening()
+
+
+def _older(
+    since: dict[CallerChannel, timedelta], limit: timedelta
+) -> list[CallerChannel]:
+    """Return the first channels, up to one whose time is after a limit."""
+    entries = takewhile(lambda entry: entry[1] <= limit, since.items())
+    return [channel for channel, _ in entries]
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -6,7 +6,6 @@
 import sys
 from collections import Counter
 from collections.abc import Iterator
-from datetime import timedelta
 
 import pytest
 from sockets import Client, reactor, turn, turn_until
@@ -143,12 +142,12 @@
     edge.take()
     caller.send(_GET)
     for count in (1, 2):
-        edge.clock.advance(timedelta(minutes=1))
+        edge.clock.advance(listeners.IDLE_LIMIT / 2)
         edge.listener.cut_off_slow()
         edge.answer(count)
     caller.send(b'\r\n')
     turn()
-    edge.clock.advance(timedelta(minutes=1))
+    edge.clock.advance(listeners.IDLE_LIMIT / 2)
     edge.listener.cut_off_slow()
     caller.send(_GET)
     edge.answer(3)
@@ -173,13 +172,24 @@
     assert places == sorted(places)
 
 
-def test_idle_connection_is_closed(
-    edge: _Edge, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Connections of callers that went silent must not pile up."""
-    monkeypatch.setattr(listeners, 'IDLE_TIMEOUT_S', 0.02)
-    assert not Client(edge.port).read_all()
+def test_idle_connection_is_closed(edge: _Edge) -> None:
+    """Connections that went silent must not pile up; waiting ones stay."""
+    used = Client(edge.port).send(_GET)
+    edge.take()
+    unused = Client(edge.port)
+    turn_until(lambda: edge.listener.connections == 2)
+    edge.clock.advance(listeners.IDLE_LIMIT)
+    edge.listener.cut_off_slow()
+    assert not unused.read_all()
+    edge.answer()
+    used.expect(b'answer to')
+    edge.clock.advance(listeners.IDLE_LIMIT / 2)
+    edge.listener.cut_off_slow()
     assert edge.cutoffs == {'idle': 1}
+    edge.clock.advance(listeners.IDLE_LIMIT / 2)
+    edge.listener.cut_off_slow()
+    used.read_all()
+    assert edge.cutoffs == {'idle': 2}
 
 
 @pytest.mark.parametrize('half', [True, False])
