--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -1,5 +1,6 @@
 """HTTP calls to the upstreams beside this daemon."""
 
+import re
 import socket
 from collections.abc import Callable
 from typing import Any, Final
@@ -25,7 +26,7 @@
     ResponseDone,
 )
 from twisted.web.http_headers import Headers as WebHeaders
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
 from .effects import CallUpstream
@@ -43,6 +44,9 @@
 #: Final statuses that can be passed on to callers.
 STATUSES: Final = range(200, 600)
 
+#: A request target is visible ASCII; anything else could split a request.
+_TARGET: Final = re.compile(rb'[\x21-\x7e]+')
+
 Submit = Callable[[Event], None]
 
 
@@ -110,22 +114,6 @@
             self.transport.loseConnection()
 
 
-@implementer(IAgentEndpointFactory)
-class _Endpoints:
-    """Connects to IP numbers; the default would look up names each time."""
-
-    def __init__(self, reactor: Any) -> None:
-        self._reactor = reactor
-
-    def endpointForURI(self, uri: URI) -> Any:
-        return TCP4ClientEndpoint(
-            self._reactor,
-            uri.host.decode(),
-            uri.port,
-            timeout=CONNECT_TIMEOUT_S,
-        )
-
-
 class _Pool(HTTPConnectionPool):
     """Pool that gives out no connection with pending input."""
 
@@ -143,6 +131,37 @@
         return self.getConnection(key, endpoint)
 
 
+class _UpstreamAgent(Agent):
+    """Sends requests to one address, without parsing a URL for each."""
+
+    def __init__(self, reactor: Any, address: str, pool: Any) -> None:
+        super().__init__(reactor, pool=pool)  # type: ignore[no-untyped-call]
+        self._uri = URI.fromBytes(b'http://%b/' % address.encode())
+        self._key = (self._uri.scheme, self._uri.host, self._uri.port)
+        self._endpoint: Any = TCP4ClientEndpoint(
+            reactor,
+            self._uri.host.decode(),
+            self._uri.port,
+            timeout=CONNECT_TIMEOUT_S,
+        )
+
+    def send(
+        self, method: bytes, target: bytes, headers: WebHeaders, producer: Any
+    ) -> Deferred[Any]:
+        """Send a request; raises ``ValueError`` for a malformed one."""
+        if _TARGET.fullmatch(target) is None:
+            raise ValueError(f'invalid target {target!r}')
+        return self._requestWithEndpoint(
+            self._key,
+            self._endpoint,
+            method,
+            self._uri,
+            headers,
+            producer,
+            target,
+        )
+
+
 class UpstreamCalls:
     """Carries out calls to upstreams and reports their ends as events."""
 
@@ -150,26 +169,23 @@
         """Calls report through ``submit``."""
         self._reactor = reactor
         self._submit = submit
-        self._agents: dict[str, tuple[Agent, HTTPConnectionPool]] = {}
-        self._endpoints = _Endpoints(reactor)
-        self._fresh = Agent.usingEndpointFactory(reactor, self._endpoints)
+        self._agents: dict[str, tuple[_UpstreamAgent, _Pool]] = {}
         self._running: dict[CallId, Deferred[Any]] = {}
 
     def call(self, effect: CallUpstream) -> None:
         """Start a call."""
-        agent = self._fresh if effect.fresh else self._agent(effect.address)
+        agent = self._agent(effect.address, fresh=effect.fresh)
         # Without this header the library would copy all of them to add it.
         web_headers = WebHeaders({b'Host': [effect.address.encode()]})
         for name, content in effect.headers:
             web_headers.addRawHeader(name, content)
         producer: Any = _BytesProducer(effect.body) if effect.body else None
-        url = b'http://%b%b' % (effect.address.encode(), effect.target)
         try:
-            running: Deferred[Any] = agent.request(
-                effect.method, url, web_headers, producer
+            running: Deferred[Any] = agent.send(
+                effect.method, effect.target, web_headers, producer
             )
         except ValueError as error:
-            # The library checks the method and target before it connects.
+            # Method and target are checked before anything is connected.
             self._fail(effect, CallFault.aborted, str(error), sent=False)
             return
         self._running[effect.call] = running
@@ -186,9 +202,12 @@
         """Close the pooled connections to an upstream."""
         known = self._agents.pop(address, None)
         if known is not None:
-            known[1].closeCachedConnections()
+            known[1].closeCachedConnections()  # type: ignore[no-untyped-call]
 
-    def _agent(self, address: str) -> Agent:
+    def _agent(self, address: str, *, fresh: bool) -> _UpstreamAgent:
+        if fresh:
+            # The agent makes a pool that keeps no connections.
+            return _UpstreamAgent(self._reactor, address, None)
         known = self._agents.get(address)
         if known is not None:
             return known[0]
@@ -198,9 +217,7 @@
         pool.retryAutomatically = False
         pool.maxPersistentPerHost = POOLED_CONNECTIONS
         pool.cachedConnectionTimeout = POOLED_FOR_S
-        agent: Agent = Agent.usingEndpointFactory(
-            self._reactor, self._endpoints, pool
-        )
+        agent = _UpstreamAgent(self._reactor, address, pool)
         self._agents[address] = (agent, pool)
         return agent
 
--- a/greengagemux/logs.py
+++ b/greengagemux/logs.py
@@ -42,6 +42,7 @@
     'fields',
 )
 
+_DRIFT_LIMIT_MS: Final = DRIFT_LIMIT / MILLISECOND
 _COUNT_BITS: Final = 16
 _COUNT_LIMIT: Final = 1 << _COUNT_BITS
 _PACKED_LIMIT: Final = 1 << 64
@@ -98,18 +99,29 @@
 
     def tick(self) -> Stamp:
         """Return a new stamp for a local event or an outgoing message."""
+        return Stamp.unpack(self.tick_packed())
+
+    def tick_packed(self) -> int:
+        """Return the packed form of a new stamp."""
         self._last = max(self._last + 1, self._wall_ms() << _COUNT_BITS)
-        return Stamp.unpack(self._last)
+        return self._last
 
     def observe(self, stamp: Stamp) -> Stamp:
         """Return a new stamp that is above one received from a peer.
 
         A stamp more than ``DRIFT_LIMIT`` ahead of the wall clock is ignored.
         """
-        if stamp.millis - self._wall_ms() <= DRIFT_LIMIT / MILLISECOND:
-            self._last = max(self._last, stamp.pack())
+        self.observe_packed(stamp.pack())
         return self.tick()
 
+    def observe_packed(self, packed: int) -> None:
+        """Raise later stamps above a packed one received from a peer."""
+        if packed <= self._last:
+            return
+        ahead_ms = (packed >> _COUNT_BITS) - self._wall_ms()
+        if ahead_ms <= _DRIFT_LIMIT_MS:
+            self._last = packed
+
     def _wall_ms(self) -> int:
         return int(self._clock.wall().timestamp() * _EPOCH_SECONDS_TO_MS)
 
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -32,7 +32,7 @@
 from .frames import FrameReader, FrameWriter
 from .ids import DaemonId, StreamId
 from .listeners import listen
-from .logs import HybridClock, Stamp
+from .logs import HybridClock
 from .messages import (
     PROTOCOL_VERSION,
     Cancel,
@@ -393,11 +393,11 @@
 
     def stamp(self) -> int:
         """Return the packed logical time for an outgoing message."""
-        return self._hybrid.tick().pack()
+        return self._hybrid.tick_packed()
 
     def observe(self, packed: int) -> None:
         """Take in the packed logical time of a message."""
-        self._hybrid.observe(Stamp.unpack(packed))
+        self._hybrid.observe_packed(packed)
 
     def new_stream(self) -> StreamId:
         """Return the id of a new stream."""
