--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -1,5 +1,7 @@
 """HTTP calls to the upstreams beside this daemon."""
 
+import re
+import socket
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -8,6 +10,9 @@
 from twisted.internet.error import (
     ConnectError,
 )
+from twisted.internet.error import (
+    ConnectionClosed,
+)
 from twisted.internet.error import (
     ConnectionRefusedError as UpstreamRefusedError,
 )
@@ -21,7 +26,7 @@
     ResponseDone,
 )
 from twisted.web.http_headers import Headers as WebHeaders
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
 from .effects import CallUpstream
@@ -34,6 +39,13 @@
 POOLED_CONNECTIONS: Final = 16
 #: Pooled connections are closed before common servers close them.
 POOLED_FOR_S: Final = 50
+#: Longest detail of a failure.
+DETAIL_CHARS: Final = 200
+#: Final statuses that can be passed on to callers.
+STATUSES: Final = range(200, 600)
+
+#: A request target is visible ASCII; anything else could split a request.
+_TARGET: Final = re.compile(rb'[\x21-\x7e]+')
 
 Submit = Callable[[Event], None]
 
@@ -102,21 +114,53 @@
             self.transport.loseConnection()
 
 
-@implementer(IAgentEndpointFactory)
-class _Endpoints:
-    """Connects to IP numbers; the default would look up names each time."""
+class _Pool(HTTPConnectionPool):
+    """Pool that gives out no connection with pending input."""
+
+    def getConnection(self, key: Any, endpoint: Any) -> Deferred[Any]:
+        # A pooled connection is given at once, a new one after its handshake.
+        given = super().getConnection(key, endpoint)
+        if given.called:
+            given.addCallback(self._checked, key, endpoint)
+        return given
+
+    def _checked(self, connection: Any, key: Any, endpoint: Any) -> Any:
+        if _is_quiet(connection.transport):
+            return connection
+        connection.transport.abortConnection()
+        return self.getConnection(key, endpoint)
 
-    def __init__(self, reactor: Any) -> None:
-        self._reactor = reactor
 
-    def endpointForURI(self, uri: URI) -> Any:
-        return TCP4ClientEndpoint(
-            self._reactor,
-            uri.host.decode(),
-            uri.port,
+class _UpstreamAgent(Agent):
+    """Sends requests to one address, without parsing a URL for each."""
+
+    def __init__(self, reactor: Any, address: str, pool: Any) -> None:
+        super().__init__(reactor, pool=pool)  # type: ignore[no-untyped-call]
+        self._uri = URI.fromBytes(b'http://%b/' % address.encode())
+        self._key = (self._uri.scheme, self._uri.host, self._uri.port)
+        self._endpoint: Any = TCP4ClientEndpoint(
+            reactor,
+            self._uri.host.decode(),
+            self._uri.port,
             timeout=CONNECT_TIMEOUT_S,
         )
 
+    def send(
+        self, method: bytes, target: bytes, headers: WebHeaders, producer: Any
+    ) -> Deferred[Any]:
+        """Send a request; raises ``ValueError`` for a malformed one."""
+        if _TARGET.fullmatch(target) is None:
+            raise ValueError(f'invalid target {target!r}')
+        return self._requestWithEndpoint(
+            self._key,
+            self._endpoint,
+            method,
+            self._uri,
+            headers,
+            producer,
+            target,
+        )
+
 
 class UpstreamCalls:
     """Carries out calls to upstreams and reports their ends as events."""
@@ -125,22 +169,25 @@
         """Calls report through ``submit``."""
         self._reactor = reactor
         self._submit = submit
-        self._agents: dict[str, tuple[Agent, HTTPConnectionPool]] = {}
-        self._endpoints = _Endpoints(reactor)
-        self._fresh = Agent.usingEndpointFactory(reactor, self._endpoints)
+        self._agents: dict[str, tuple[_UpstreamAgent, _Pool]] = {}
         self._running: dict[CallId, Deferred[Any]] = {}
 
     def call(self, effect: CallUpstream) -> None:
         """Start a call."""
-        agent = self._fresh if effect.fresh else self._agent(effect.address)
-        web_headers = WebHeaders()
+        agent = self._agent(effect.address, fresh=effect.fresh)
+        # Without this header the library would copy all of them to add it.
+        web_headers = WebHeaders({b'Host': [effect.address.encode()]})
         for name, content in effect.headers:
             web_headers.addRawHeader(name, content)
         producer: Any = _BytesProducer(effect.body) if effect.body else None
-        url = b'http://%b%b' % (effect.address.encode(), effect.target)
-        running: Deferred[Any] = agent.request(
-            effect.method, url, web_headers, producer
-        )
+        try:
+            running: Deferred[Any] = agent.send(
+                effect.method, effect.target, web_headers, producer
+            )
+        except ValueError as error:
+            # Method and target are checked before anything is connected.
+            self._fail(effect, CallFault.aborted, str(error), sent=False)
+            return
         self._running[effect.call] = running
         running.addCallback(self._read, effect)
         running.addErrback(self._failed, effect)
@@ -155,21 +202,22 @@
         """Close the pooled connections to an upstream."""
         known = self._agents.pop(address, None)
         if known is not None:
-            known[1].closeCachedConnections()
+            known[1].closeCachedConnections()  # type: ignore[no-untyped-call]
 
-    def _agent(self, address: str) -> Agent:
+    def _agent(self, address: str, *, fresh: bool) -> _UpstreamAgent:
+        if fresh:
+            # The agent makes a pool that keeps no connections.
+            return _UpstreamAgent(self._reactor, address, None)
         known = self._agents.get(address)
         if known is not None:
             return known[0]
-        pool = HTTPConnectionPool(self._reactor)
+        pool = _Pool(self._reactor)  # type: ignore[no-untyped-call]
         # The library would send an idempotent request again on its own;
         # retries belong to the entrance and its budget.
         pool.retryAutomatically = False
         pool.maxPersistentPerHost = POOLED_CONNECTIONS
         pool.cachedConnectionTimeout = POOLED_FOR_S
-        agent: Agent = Agent.usingEndpointFactory(
-            self._reactor, self._endpoints, pool
-        )
+        agent = _UpstreamAgent(self._reactor, address, pool)
         self._agents[address] = (agent, pool)
         return agent
 
@@ -183,6 +231,10 @@
     ) -> None:
         if self._running.pop(effect.call, None) is None:
             return
+        if response.code not in STATUSES:
+            detail = f'status {response.code} is not from 200 to 599'
+            self._fail(effect, CallFault.malformed, detail, sent=True)
+            return
         raw = response.headers.getAllRawHeaders()
         pairs = tuple(
             (name, content) for name, contents in raw for content in contents
@@ -192,11 +244,38 @@
     def _failed(self, reason: TwistedFailure, effect: CallUpstream) -> None:
         if self._running.pop(effect.call, None) is None:
             return
-        failure = Failure(
-            Step.call, effect.address, reason.getErrorMessage()[:200]
-        )
         sent = not reason.check(ConnectError, RequestNotSent)
-        self._submit(UpstreamFailed(effect.call, _fault(reason), sent, failure))
+        self._fail(effect, _fault(reason), _detail(reason), sent=sent)
+
+    def _fail(
+        self, effect: CallUpstream, fault: CallFault, detail: str, *, sent: bool
+    ) -> None:
+        failure = Failure(Step.call, effect.address, detail[:DETAIL_CHARS])
+        self._submit(UpstreamFailed(effect.call, fault, sent, failure))
+
+
+def _is_quiet(transport: Any) -> bool:
+    """Return whether an idle connection has neither an end nor data.
+
+    Twisted may not have read them yet. A request on a closed connection
+    would count as sent, and stray data would be taken for its answer.
+    """
+    try:
+        transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _causes(reason: TwistedFailure) -> list[TwistedFailure]:
+    """Return the failures that the library wraps in one, if it does."""
+    return list(getattr(reason.value, 'reasons', ())) or [reason]
+
+
+def _detail(reason: TwistedFailure) -> str:
+    return '; '.join(cause.getErrorMessage() for cause in _causes(reason))
 
 
 def _fault(reason: TwistedFailure) -> CallFault:
@@ -208,4 +287,6 @@
         return CallFault.truncated
     if reason.check(CancelledError):
         return CallFault.aborted
+    if not all(cause.check(ConnectionClosed) for cause in _causes(reason)):
+        return CallFault.malformed
     return CallFault.reset
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -13,6 +13,7 @@
 from twisted.internet.task import LoopingCall
 
 from .administration import BundleView, build_site
+from .certificates import Certificates
 from .clocks import Clock, SystemClock, ms
 from .connections import UpstreamCalls
 from .effects import (
@@ -31,12 +32,13 @@
 )
 from .events import Event, StopRequested, Tick
 from .ids import DaemonId, DataCentre, Incarnation, Region
-from .listeners import CallerListener
+from .limits import raise_file_limit
+from .listeners import CONNECTION_LIMIT, CallerListener, Cutoff, listen
 from .logclients import LogClient, build_agent
 from .logs import BufferedHandler, DescriptorSink, install, log_event
 from .messages import PROTOCOL_VERSION, Hello, MemberRecord
 from .metrics import Metrics
-from .outcomes import Failure
+from .outcomes import Failure, FailureError
 from .reducers import TICK, Daemon, Identity, reduce
 from .rollouts import Rollout
 from .settings import Address, Settings
@@ -50,9 +52,13 @@
 COLLECT_EVERY_S: Final = 1.0
 #: Every so many collections all generations are collected.
 FULL_COLLECT_TURNS: Final = 600
+#: The files of certificates are checked for changes this often.
+CERTIFICATES_EVERY_S: Final = 5.0
 #: Log lines are written this often, and this many at a time.
 FLUSH_EVERY_S: Final = 0.02
 FLUSH_LINES: Final = 50
+#: Descriptors beside those of callers: streams, upstreams, log, stdio.
+OTHER_FILES: Final = 4000
 #: Time for the last answers to leave the process.
 EXIT_DELAY_S: Final = 0.1
 
@@ -81,7 +87,14 @@
         self._loops: list[LoopingCall] = []
         self._turn = 0
         self.daemon = self._build_daemon()
-        self._listener = CallerListener(reactor, clock, self.submit)
+        self._certificates: Certificates | None = None
+        if settings.tls is not None:
+            self._certificates = Certificates(
+                settings.tls, settings.daemon.id, clock
+            )
+        self._listener = CallerListener(
+            reactor, clock, self.submit, self._count_cutoff
+        )
         self._calls = UpstreamCalls(reactor, self.submit)
         self._hub = StreamHub(
             reactor,
@@ -91,6 +104,7 @@
                 self._stream_failed, self._count_sent, self._count_received
             ),
             handler.hybrid,
+            self._certificates,
         )
         self._log = self._build_log()
         self._turn_timer = self.metrics.timer('reducer_turn_us')
@@ -99,14 +113,13 @@
         """Listen and start the timers; raises ``CannotListenError``."""
         daemon = self.settings.daemon
         self._ports.append(self._hub.listen(daemon.peer_address))
+        tls = self._certificates and self._certificates.callers
+        site = build_site(self, daemon, self.metrics, self._reactor)
         self._ports.append(
-            self._reactor.listenTCP(
-                daemon.admin_address.port,
-                build_site(self, daemon, self.metrics, self._reactor),
-                interface=daemon.admin_address.host,
-            )
+            listen(self._reactor, daemon.admin_address, site, tls)
         )
-        self._listener.listen(daemon.http_address)
+        self._listener.listen(daemon.http_address, tls)
+        self._every(CERTIFICATES_EVERY_S, self._refresh_certificates)
         self._every(TICK.total_seconds(), self._tick)
         self._every(FLUSH_EVERY_S, self._flush)
         self._every(COLLECT_EVERY_S, self._collect)
@@ -191,10 +204,24 @@
 
     def _collect(self) -> None:
         self._turn += 1
+        self._listener.cut_off_slow()
         gc.collect(2 if self._turn % FULL_COLLECT_TURNS == 0 else 1)
         self.metrics.gauge('caller_connections', self._listener.connections)
         self.metrics.settle()
 
+    def _refresh_certificates(self) -> None:
+        if self._certificates is None:
+            return
+        try:
+            changed = self._certificates.refresh()
+        except FailureError as error:
+            self.metrics.count('certificate_failures_total')
+            fields = {'failure': str(error.failure)}
+            log_event(logger, 'certificates-kept', fields, logging.ERROR)
+            return
+        if changed:
+            log_event(logger, 'certificates-replaced', {}, logging.INFO)
+
     def _every(self, interval_s: float, work: Any) -> None:
         loop = LoopingCall(work)
         loop.clock = self._reactor
@@ -219,6 +246,9 @@
             logger, 'stream-failed', {'failure': str(failure)}, logging.WARNING
         )
 
+    def _count_cutoff(self, why: Cutoff) -> None:
+        self.metrics.count('caller_cutoffs_total', reason=why.value)
+
     def _count_sent(self, size_bytes: int) -> None:
         self.metrics.count('stream_sent_bytes_total', size_bytes)
 
@@ -302,6 +332,7 @@
         DescriptorSink(sys.stdout.fileno()),
     )
     install(handler, settings.logging.level)
+    _check_file_limit()
     shell = Shell(settings, reactor, clock, handler)
     reactor.callWhenRunning(shell.start)
     reactor.addSystemEventTrigger('before', 'shutdown', handler.flush)
@@ -311,6 +342,14 @@
     reactor.run(installSignalHandlers=False)
 
 
+def _check_file_limit() -> None:
+    limit = raise_file_limit()
+    needed = CONNECTION_LIMIT + OTHER_FILES
+    if limit < needed:
+        fields = {'limit': limit, 'needed': needed}
+        log_event(logger, 'file-limit-low', fields, logging.WARNING)
+
+
 def _stop_later(reactor: Any, shell: Shell, *_signal: object) -> None:
     reactor.callFromThread(shell.request_stop)
 
