--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any, Final
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
 
 from .administration import BundleView, build_site
@@ -318,7 +319,10 @@
 
 
 def run(settings: Settings) -> None:
-    """Run a daemon until it is asked to stop; the log goes to stdout."""
+    """Run a daemon until it is asked to stop; the log goes to stdout.
+
+    Raises ``OSError`` when an address cannot be listened on.
+    """
     # The import installs the reactor, which only the daemon itself wants.
     from twisted.internet import reactor as installed
 
@@ -333,12 +337,26 @@
     install(handler, settings.logging.level)
     _check_file_limit()
     shell = Shell(settings, reactor, clock, handler)
-    reactor.callWhenRunning(shell.start)
+    failures: list[CannotListenError] = []
+    reactor.callWhenRunning(_start, reactor, shell, failures)
     reactor.addSystemEventTrigger('before', 'shutdown', handler.flush)
     stop = partial(_stop_later, reactor, shell)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     reactor.run(installSignalHandlers=False)
+    if failures:
+        raise OSError(str(failures[0]))
+
+
+def _start(
+    reactor: Any, shell: Shell, failures: list[CannotListenError]
+) -> None:
+    try:
+        shell.start()
+    except CannotListenError as error:
+        # The reactor would only log it and run on without a listener.
+        failures.append(error)
+        reactor.stop()
 
 
 def _check_file_limit() -> None:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -7,6 +7,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from pathlib import Path
+
 import pytest
 from sockets import Client, reactor, turn, turn_until
 
@@ -259,3 +261,21 @@
 def _resident_bytes() -> int:
     with open('/proc/self/statm', encoding='ascii') as statm:
         return int(statm.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
+
+def test_daemon_that_cannot_listen_ends(edge: _Edge, tmp_path: Path) -> None:
+    """A daemon without its listeners must not stay up and look alive."""
+    taken = edge.port.getHost().port
+    lines = ['[daemon]', 'id = d-1', 'data_centre = a', 'region = r']
+    lines += [
+        f'{name}_address = 127.0.0.{number}:{taken}'
+        for number, name in enumerate(('peer', 'http', 'admin'), start=1)
+    ]
+    path = tmp_path / 'd-1.ini'
+    path.write_text('\n'.join(lines))
+    command = (sys.executable, '-m', 'greengagemux', 'serve', '--settings')
+    ended = subprocess.run(
+        (*command, str(path)), capture_output=True, text=True, check=False
+    )
+    assert ended.returncode == 1
+    assert f"cannot serve: Couldn't listen on 127.0.0.1:{taken}" in ended.stderr
