--- a/greengagemux/accounts.py
+++ b/greengagemux/accounts.py
@@ -32,7 +32,7 @@
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle."""
         self._bundle = bundle
-        self._table = RouteTable(bundle)
+        self._table = bundle.table or RouteTable(bundle)
 
     def admit(self, event: CallerRequest) -> Admitted | Reason:
         """Return who asks for what, or the reason of a refusal."""
--- a/greengagemux/bundlecommands.py
+++ b/greengagemux/bundlecommands.py
@@ -8,7 +8,7 @@
 import click
 
 from . import commands, httpcalls, signatures
-from .bundles import BundleError, parse
+from .bundles import Bundle, BundleError, key_slot_problems, parse
 from .settings import Address
 
 _STREAM_PATH: Final = '/streams/bundles'
@@ -27,7 +27,7 @@
     """Check, sign and publish bundles."""
 
 
-def _checked(file: Path) -> tuple[str, Any]:
+def _checked(file: Path) -> tuple[str, Bundle]:
     """Return text and parsed bundle, or end with all problems."""
     text = commands.read_text(file)
     try:
@@ -37,11 +37,37 @@
         raise click.ClickException(problems) from error
 
 
+def _check_follows(file: Path, found: Bundle, follows: Path) -> str:
+    """Return the text before, or end with the reasons for a rejection."""
+    text, before = _checked(follows)
+    problems = [
+        f'{file}: {problem}' for problem in key_slot_problems(found, before)
+    ]
+    if found.follows != before.version:
+        problems.append(
+            f'{file}: [bundle] follows: {found.follows}: '
+            f'must be {before.version}, the version in {follows}'
+        )
+    if problems:
+        raise click.ClickException('\n'.join(problems))
+    return text
+
+
+_follows_option = click.option(
+    '--follows',
+    type=commands.FILE,
+    help='Text of the version that FILE follows.',
+)
+
+
 @bundle.command(epilog=commands.EXIT_CODES)
 @click.argument('file', type=commands.FILE)
-def check(file: Path) -> None:
-    """Check the bundle text in FILE."""
-    _checked(file)
+@_follows_option
+def check(file: Path, follows: Path | None) -> None:
+    """Check the bundle text in FILE, also against the version before."""
+    _text, found = _checked(file)
+    if follows is not None:
+        _check_follows(file, found, follows)
     click.echo(f'{file} is valid')
 
 
@@ -59,21 +85,44 @@
     click.echo(public)
 
 
+_SIGN_OPTIONS: Final = (
+    click.option('--operator', required=True, help='Name in [operators].'),
+    click.option(
+        '--key-file', type=commands.FILE, required=True, help='Private key.'
+    ),
+    click.option(
+        '--out', type=commands.NEW_FILE, required=True, help='New record file.'
+    ),
+    _follows_option,
+)
+
+
+def _sign_options(command: Callable[..., None]) -> Callable[..., None]:
+    for option in reversed(_SIGN_OPTIONS):
+        command = option(command)
+    return command
+
+
 @bundle.command(epilog=commands.EXIT_CODES)
 @click.argument('file', type=commands.FILE)
-@click.option('--operator', required=True, help='Name in [operators].')
-@click.option(
-    '--key-file', type=commands.FILE, required=True, help='Private key.'
-)
-@click.option(
-    '--out', type=commands.NEW_FILE, required=True, help='New record file.'
-)
-def sign(file: Path, operator: str, key_file: Path, out: Path) -> None:
-    """Check the bundle text in FILE and sign it into a record file."""
-    text, _bundle = _checked(file)
+@_sign_options
+def sign(
+    file: Path,
+    operator: str,
+    key_file: Path,
+    out: Path,
+    follows: Path | None,
+) -> None:
+    """Check the bundle text in FILE and sign it into a record file.
+
+    With --follows the record holds only the sections that differ, unless a
+    full record is due or is no larger.
+    """
+    text, found = _checked(file)
+    before = _check_follows(file, found, follows) if follows else ''
     key = commands.read_text(key_file).strip()
     try:
-        record = signatures.sign(text, operator, key)
+        record = signatures.sign(text, operator, key, before)
     except ValueError as error:
         # The message may repeat the key, which must not be shown.
         raise click.ClickException(f'{key_file}: no private key') from error
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -1,13 +1,21 @@
 """Bundle text: the signed configuration of the fleet, parsed and checked."""
 
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Generator, Iterable, Mapping, Sequence
 from configparser import ConfigParser
 from configparser import Error as IniError
 from dataclasses import dataclass, field
 from functools import lru_cache
 from types import MappingProxyType
-from typing import Annotated, Any, Final, NewType, TypeAlias, TypeVar
+from typing import (
+    TYPE_CHECKING,
+    Annotated,
+    Any,
+    Final,
+    NewType,
+    TypeAlias,
+    TypeVar,
+)
 
 from pydantic import (
     AfterValidator,
@@ -22,6 +30,9 @@
 from .ids import BundleVersion, CallerName, DataCentre, RouteName, ServiceName
 from .messages import Priority
 
+if TYPE_CHECKING:
+    from .routes import RouteTable
+
 TeamName = NewType('TeamName', str)
 
 #: Caller that stands for requests without a token.
@@ -51,8 +62,19 @@
 
 _NAME: Final = re.compile('[a-z0-9][a-z0-9_.-]{0,63}')
 _METHOD: Final = re.compile('[A-Z]{1,20}')
-_HEADER: Final = re.compile(r'^\[([^\]\n]*)\][ \t]*(?:\n|\Z)', re.MULTILINE)
+_HEADER: Final = re.compile(
+    r'^\[([^\]\r\n]*)\][ \t]*(?:\r?\n|\Z)',
+    re.MULTILINE,
+)
 _VALUE_SHOWN: Final = 60
+
+#: Estimated processor time of the parts of parsing, in microseconds; a step
+#: ends when the sum of its parts reaches ``STEP_US``.
+STEP_US: Final = 500
+_CACHED_US: Final = 2
+_PARSED_US: Final = 80
+_CHECKED_US: Final = 2
+_SPLIT_US: Final = 1
 _Owner = TypeVar('_Owner')
 
 
@@ -208,6 +230,24 @@
     callers: Mapping[CallerName, Caller] = field(default_factory=dict)
     teams: Mapping[TeamName, Team] = field(default_factory=dict)
     stage: Stage | None = None
+    #: Index of routes and callers, if it was built with the bundle.
+    table: 'RouteTable | None' = field(default=None, compare=False, repr=False)
+
+
+#: Work in steps. Each step yields its estimated processor time in
+#: microseconds, so that a caller can do other work between steps.
+_Result = TypeVar('_Result')
+Steps: TypeAlias = Generator[int, None, _Result]
+
+
+def finish(steps: Steps[_Result]) -> _Result:
+    """Do all steps at once and return the result."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            result: _Result = stop.value
+            return result
 
 
 @with_config(extra='forbid')
@@ -272,9 +312,33 @@
     Sections that are the same as in recent texts are not parsed again.
     Raises ``BundleError`` that lists every problem.
     """
+    return finish(parsing(finish(splitting(text)), source))
+
+
+def splitting(text: str) -> Steps[tuple[str, ...]]:
+    """Split a text before each section header.
+
+    The first chunk is what precedes all sections, often empty. The chunks
+    joined are the text.
+    """
+    chunks: list[str] = []
+    start = 0
+    for place, match in enumerate(_HEADER.finditer(text)):
+        chunks.append(text[start : match.start()])
+        start = match.start()
+        if place % STEP_US == 0:
+            yield _SPLIT_US * STEP_US
+    chunks.append(text[start:])
+    return tuple(chunks)
+
+
+def parsing(chunks: Sequence[str], source: str) -> Steps[Bundle]:
+    """Parse and check the chunks of a text; see ``parse``."""
     reader = _Reader()
-    reader.read(text)
+    yield from reader.reading(chunks)
     bundle = reader.bundle()
+    if bundle is not None:
+        yield from reader.checking(bundle)
     if bundle is None or reader.problems:
         raise BundleError(
             _problem_line(problem, source) for problem in reader.problems
@@ -282,13 +346,41 @@
     return bundle
 
 
+def forget_sections() -> None:
+    """Drop the parsed sections of earlier texts."""
+    _section.cache_clear()
+
+
+def key_slot_problems(bundle: Bundle, before: Bundle) -> tuple[str, ...]:
+    """Name the services whose ``key_slots`` differ from the version before.
+
+    With another number of slots a key moves to another home, which has no
+    record of it and could run its write again.
+    """
+    changed = (
+        (service, before.services.get(service.name))
+        for service in bundle.services.values()
+    )
+    return tuple(
+        f'[service {service.name}] key_slots: {service.key_slots}: '
+        f'must stay {old.key_slots} as in version {before.version}'
+        for service, old in changed
+        if old is not None and old.key_slots != service.key_slots
+    )
+
+
 def _problem_line(problem: _Problem, source: str) -> str:
     place = f'{source}: [{problem.section}] {problem.key}'.rstrip()
     return f'{place}: {problem.found}: {problem.rule}'
 
 
 @lru_cache(maxsize=SECTIONS_KEPT)
-def _section(header: str, body: str) -> _Section:
+def _section(chunk: str) -> _Section:
+    match = _HEADER.match(chunk)
+    if match is None:
+        raise ValueError('a section starts with its header')
+    header = match[1]
+    body = chunk[match.end() :].replace('\r\n', '\n')
     kind, _, name = header.partition(' ')
     if (kind in _SINGLE) == bool(name) or not (
         kind in _SINGLE or kind in _NAMED
@@ -363,21 +455,27 @@
         self._single: dict[str, Any] = {}
         self._named: dict[str, Any] = {kind: {} for kind in _NAMED}
 
-    def read(self, text: str) -> None:
+    def reading(self, chunks: Sequence[str]) -> Steps[None]:
         """Read all sections."""
-        preamble, *parts = _HEADER.split(text.replace('\r\n', '\n'))
-        self._read_preamble(preamble)
-        for header, body in zip(parts[::2], parts[1::2], strict=True):
-            self._read_section(header, body)
+        self._read_preamble(chunks[0])
+        spent = 0
+        for chunk in chunks[1:]:
+            known = _section.cache_info().misses
+            self._read_section(chunk)
+            is_new = _section.cache_info().misses > known
+            spent += _PARSED_US if is_new else _CACHED_US
+            if spent >= STEP_US:
+                yield spent
+                spent = 0
 
     def bundle(self) -> Bundle | None:
-        """Return the checked bundle, or nothing when it has no head."""
+        """Return the bundle, not checked, or nothing when it has no head."""
         if 'bundle' not in self._single:
             if 'bundle' not in self._headers:
                 self._problem('bundle', '', 'missing', 'required section')
             return None
         head = self._single['bundle']
-        bundle = Bundle(
+        return Bundle(
             version=head.version,
             follows=head.follows,
             retries_pct=head.retries_pct,
@@ -387,19 +485,18 @@
             teams=self._named['team'],
             stage=self._single.get('rollout'),
         )
-        self._check(bundle)
-        return bundle
 
     def _read_preamble(self, preamble: str) -> None:
         for line in preamble.splitlines():
             if line.strip() and not line.lstrip().startswith(('#', ';')):
                 self._problem('', '', _shown(line), 'must be in a section')
 
-    def _read_section(self, header: str, body: str) -> None:
+    def _read_section(self, chunk: str) -> None:
+        header = chunk[1 : chunk.index(']')]
         if header in self._headers:
             self._problem(header, '', 'duplicate', 'one section for each name')
         self._headers.add(header)
-        section = _section(header, body)
+        section = _section(chunk)
         self.problems.extend(section.problems)
         if section.built is None:
             return
@@ -408,7 +505,8 @@
         else:
             self._single[section.kind] = section.built
 
-    def _check(self, bundle: Bundle) -> None:
+    def checking(self, bundle: Bundle) -> Steps[None]:
+        """Check what concerns several sections."""
         if bundle.version <= bundle.follows:
             self._problem(
                 'bundle',
@@ -417,9 +515,11 @@
                 f'must be above follows, which is {bundle.follows}',
             )
         self._check_routes(bundle)
-        self._check_callers(bundle)
-        self._unique('route', 'prefix', bundle.routes.values(), _prefix)
-        self._unique('caller', 'token_sha256', bundle.callers.values(), _token)
+        yield len(bundle.routes) // 2
+        yield from self._check_callers(bundle)
+        routes, callers = bundle.routes.values(), bundle.callers.values()
+        yield from self._unique('route', 'prefix', routes, _prefix)
+        yield from self._unique('caller', 'token_sha256', callers, _token)
 
     def _check_routes(self, bundle: Bundle) -> None:
         for route in bundle.routes.values():
@@ -431,32 +531,39 @@
                     'must be the name of a [service NAME] section',
                 )
 
-    def _check_callers(self, bundle: Bundle) -> None:
+    def _check_callers(self, bundle: Bundle) -> Steps[None]:
         # The difference from a key view would visit all routes.
         route_names = frozenset(bundle.routes)
-        for caller in bundle.callers.values():
-            section = f'caller {caller.name}'
-            for route in sorted(caller.routes - route_names):
-                self._problem(
-                    section,
-                    'routes',
-                    _shown(route),
-                    'must be names of [route NAME] sections',
-                )
-            if caller.team is not None and caller.team not in bundle.teams:
-                self._problem(
-                    section,
-                    'team',
-                    _shown(caller.team),
-                    'must be the name of a [team NAME] section',
-                )
-            if bool(caller.token_sha256) == (caller.name == ANONYMOUS):
-                self._problem(
-                    section,
-                    'token_sha256',
-                    _shown(caller.token_sha256),
-                    f'required for all callers except {ANONYMOUS}',
-                )
+        for place, caller in enumerate(bundle.callers.values()):
+            self._check_caller(caller, bundle, route_names)
+            if place % (STEP_US // _CHECKED_US) == 0:
+                yield STEP_US
+
+    def _check_caller(
+        self, caller: Caller, bundle: Bundle, route_names: frozenset[RouteName]
+    ) -> None:
+        section = f'caller {caller.name}'
+        for route in sorted(caller.routes - route_names):
+            self._problem(
+                section,
+                'routes',
+                _shown(route),
+                'must be names of [route NAME] sections',
+            )
+        if caller.team is not None and caller.team not in bundle.teams:
+            self._problem(
+                section,
+                'team',
+                _shown(caller.team),
+                'must be the name of a [team NAME] section',
+            )
+        if bool(caller.token_sha256) == (caller.name == ANONYMOUS):
+            self._problem(
+                section,
+                'token_sha256',
+                _shown(caller.token_sha256),
+                f'required for all callers except {ANONYMOUS}',
+            )
 
     def _unique(
         self,
@@ -464,9 +571,11 @@
         key: str,
         owners: Iterable[_Owner],
         keyed: Callable[[_Owner], tuple[str, str]],
-    ) -> None:
+    ) -> Steps[None]:
         seen: dict[str, str] = {}
-        for owner in owners:
+        for place, owner in enumerate(owners):
+            if place % (STEP_US // _CHECKED_US) == 0:
+                yield STEP_US
             name, unique = keyed(owner)
             if unique and unique in seen:
                 self._problem(
@@ -476,6 +585,7 @@
                     f'already used by [{kind} {seen[unique]}]',
                 )
             seen.setdefault(unique, name)
+        yield STEP_US
 
     def _problem(self, section: str, key: str, found: str, rule: str) -> None:
         self.problems.append(_Problem(section, key, found, rule))
--- a/greengagemux/chains.py
+++ b/greengagemux/chains.py
@@ -6,22 +6,22 @@
 """
 
 from collections import deque
-from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
 
 import msgspec
 
-from .bundles import Bundle
+from .bundles import Bundle, Steps, key_slot_problems
 from .events import LogRead, LogRecord
 from .ids import BundleVersion, LogOffset
+from .openings import Opener
 from .outcomes import Failure, FailureError, Step
 from .signatures import (
-    KeyRing,
+    Envelope,
+    OtherBaseError,
     SignatureError,
     SignedBundle,
-    open_record,
     record_digest,
 )
 
@@ -44,6 +44,8 @@
     malformed = 'malformed'
     #: Follows a version that was not accepted before it.
     wrong_version = 'wrong-version'
+    #: Changes what an accepted version has fixed, such as ``key_slots``.
+    incompatible = 'incompatible'
     #: An accepted record once more; harmless.
     repeated = 'repeated'
     #: Kept until the state at the start of a truncated log is known.
@@ -120,9 +122,9 @@
 class Chain:
     """State of one reader of the log."""
 
-    def __init__(self, keys: KeyRing | Mapping[str, str]) -> None:
+    def __init__(self, opener: Opener) -> None:
         """Start before the first record."""
-        self._keys = keys
+        self._opener = opener
         self.head: Accepted | None = None
         #: Last offset judged; the head is the state after it.
         self.through = -1
@@ -158,6 +160,23 @@
             return start
         return known.offset + 1
 
+    def preparing(self, read: LogRead, known: Accepted | None) -> Steps[None]:
+        """Open the records of a read in steps, ahead of ``read``."""
+        candidates = [
+            accepted.signed for accepted in (self.head, known) if accepted
+        ]
+        for record in read.records:
+            if self.anchored and record.offset <= self.through:
+                continue
+            statement = read_statement(record.payload)
+            payload = statement.payload if statement else record.payload
+            if record_digest(payload) in self._digests:
+                continue
+            signed = yield from self._opener.preparing(payload, candidates)
+            if signed is not None and statement is None:
+                # The next record of the same read may follow this one.
+                candidates.insert(0, signed)
+
     def read(self, read: LogRead, known: Accepted | None) -> list[Decision]:
         """Judge the records of a read; offsets start at 0 without holes."""
         start = read.records[0].offset if read.records else read.following
@@ -257,7 +276,7 @@
         return True
 
     def _stated(self, record: LogRecord, statement: Statement) -> Accepted:
-        signed = open_record(statement.payload, self._keys)
+        signed = self._opener.open(statement.payload)
         if not statement.offset <= statement.through < record.offset:
             raise FailureError(
                 Failure(Step.bundle, signed.operator, 'impossible offsets'),
@@ -283,11 +302,16 @@
         if digest in self._digests:
             self._note_copy(record, digest)
             return Decision(record.offset, RecordOutcome.repeated, digest)
+        head = self.head
         try:
-            signed = open_record(record.payload, self._keys)
+            signed = self._opener.open(
+                record.payload, head.signed if head else None
+            )
+        except OtherBaseError as other:
+            return self._judge_other_base(record.offset, digest, other)
         except FailureError as error:
             return unreadable(record.offset, digest, error)
-        outcome, detail = follows(signed.bundle, self.head)
+        outcome, detail = follows(signed.bundle, head)
         if outcome is RecordOutcome.accepted:
             self.head = Accepted(
                 signed=signed,
@@ -297,10 +321,35 @@
             )
             self.copy_offset = record.offset
             self._digests.append(digest)
+        self._note_outcome(outcome)
+        return judged(record.offset, outcome, signed, detail)
+
+    def _judge_other_base(
+        self, offset: LogOffset, digest: bytes, error: OtherBaseError
+    ) -> Decision:
+        """Judge a delta that does not start from the accepted text."""
+        envelope = error.envelope
+        outcome, detail = _order(envelope, self.head)
+        if outcome is RecordOutcome.accepted:
+            outcome = RecordOutcome.malformed
+            detail = (
+                f'the delta starts from another text than that of version '
+                f'{envelope.follows}'
+            )
+        self._note_outcome(outcome)
+        return Decision(
+            offset=offset,
+            outcome=outcome,
+            digest=digest,
+            version=envelope.version,
+            operator=envelope.operator,
+            detail=detail,
+        )
+
+    def _note_outcome(self, outcome: RecordOutcome) -> None:
         if outcome is RecordOutcome.wrong_version and self._vouched:
             # The peer may have named a false offset, so a record was skipped.
             self.gap = True
-        return judged(record.offset, outcome, signed, detail)
 
     def _judge_statement(
         self,
@@ -342,6 +391,19 @@
     head: Accepted | None,
 ) -> tuple[RecordOutcome, str]:
     """Apply the order rule to a bundle with a valid signature."""
+    outcome, detail = _order(bundle, head)
+    if outcome is not RecordOutcome.accepted or head is None:
+        return outcome, detail
+    problems = key_slot_problems(bundle, head.bundle)
+    if problems:
+        return RecordOutcome.incompatible, '; '.join(problems[:3])
+    return outcome, detail
+
+
+def _order(
+    bundle: Bundle | Envelope,
+    head: Accepted | None,
+) -> tuple[RecordOutcome, str]:
     version = head.version if head else 0
     if bundle.follows == version and bundle.version > version:
         return RecordOutcome.accepted, ''
--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -16,6 +16,7 @@
 #: packages of the extra ``report``.
 _TOOLS: Final = MappingProxyType(
     {
+        'capacity': 'greengagemux.capacity',
         'convictions': 'greengagemux.crashtrials',
         'experiment': 'greengagemux.experiments',
         'load': 'greengagemux.loads',
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -20,6 +20,7 @@
     AppendLog,
     CallUpstream,
     CloseStream,
+    Continue,
     DropConnections,
     Effect,
     Exit,
@@ -29,7 +30,7 @@
     Respond,
     Send,
 )
-from .events import Event, StopRequested, Tick
+from .events import Advance, Event, StopRequested, Tick
 from .ids import DaemonId, DataCentre, Incarnation, Region
 from .listeners import CallerListener
 from .logclients import LogClient, build_agent
@@ -274,6 +275,11 @@
         log_event(logger, effect.name, effect.fields, level)
         self.metrics.count('events_total', event=effect.name.replace('-', '_'))
 
+    @_carry_out.register
+    def _continue(self, effect: Continue) -> None:
+        # The reactor looks at its sockets before a call without delay.
+        self._reactor.callLater(0, self.submit, Advance())
+
     @_carry_out.register
     def _exit(self, effect: Exit) -> None:
         self._listener.stop_accepting()
--- a/greengagemux/distribution.py
+++ b/greengagemux/distribution.py
@@ -1,16 +1,17 @@
 """Spread of bundles from the log to every daemon."""
 
-from collections.abc import Mapping
+from collections import deque
+from collections.abc import Callable, Mapping
 from datetime import timedelta
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from random import Random
 
 import xxhash
 
-from .bundles import Bundle
+from .bundles import Bundle, Steps
 from .chains import Decision
 from .clocks import ZERO
-from .effects import Outbox, Record, Send
+from .effects import Continue, Outbox, Record, Send
 from .events import LogAppended, LogFailed, LogRead
 from .ids import DaemonId, StreamId
 from .messages import BundleFetch, BundleOffer, BundleRecord, MemberRecord
@@ -30,6 +31,11 @@
 OFFER_PEERS = 3
 #: A random peer is offered the bundle this often, which repairs losses.
 REPAIR_EVERY = timedelta(seconds=2)
+#: Estimated processor time of work done at once, in microseconds. Requests
+#: wait this long at most; the rest follows after other waiting events.
+TURN_US = 500
+
+_Job = tuple[Steps[None], Callable[[], None]]
 
 
 class Distribution:
@@ -54,6 +60,9 @@
         self._offered = b''
         self._in_force: Bundle | None = None
         self._changed = False
+        self._jobs: deque[_Job] = deque()
+        self._continued = False
+        self._live: Mapping[DaemonId, MemberRecord] = {}
         #: When the log last answered a read of this daemon.
         self.log_seen_at: timedelta | None = None
 
@@ -74,15 +83,34 @@
         self, live: Mapping[DaemonId, MemberRecord], now: timedelta
     ) -> None:
         """Read the log if this is a reader, and repair lost offers."""
+        self._live = live
         if now >= self._read_due:
             self._read(live, now)
         if now < self._repair_due:
             return
         self._repair_due = now + REPAIR_EVERY
         self._offer(live, 1)
-        append = self.rollout.keep_alive(now, _rank(self._own, live))
-        if append is not None:
-            self._outbox.emit(append)
+        rank = _rank(self._own, live)
+        if self.rollout.statement_due(now, rank):
+            self._do(
+                self.rollout.preparing_full(),
+                partial(self._keep_alive, now, rank),
+            )
+
+    def advance(self) -> None:
+        """Do the next step of the work that is under way."""
+        self._continued = False
+        spent_us = 0
+        while self._jobs:
+            steps, done = self._jobs[0]
+            for step_us in steps:
+                spent_us += step_us
+                if spent_us >= TURN_US:
+                    self._continued = True
+                    self._outbox.emit(Continue())
+                    return
+            self._jobs.popleft()
+            done()
 
     def log_event(
         self,
@@ -101,17 +129,56 @@
         now: timedelta,
     ) -> None:
         """Take in a message of a peer about bundles."""
+        self._live = live
         if isinstance(message, BundleOffer):
             fetch = self.rollout.on_offer(message, now)
             if fetch is not None:
                 self._outbox.emit(Send(stream, fetch))
         elif isinstance(message, BundleFetch):
-            record = self.rollout.on_fetch(message)
-            if record is not None:
-                self._outbox.emit(Send(stream, record))
+            self._answer(message, stream)
         else:
-            self._note(self.rollout.on_record(message))
-            self._check_change(live)
+            self._do(
+                self.rollout.preparing_record(message),
+                partial(self._take_record, message),
+            )
+
+    def _do(self, steps: Steps[None], done: Callable[[], None]) -> None:
+        """Do work in its turn, and ``done`` after its last step."""
+        self._jobs.append((steps, done))
+        if not self._continued:
+            self.advance()
+
+    def _answer(self, fetch: BundleFetch, stream: StreamId) -> None:
+        if self.rollout.sends_full(fetch):
+            self._do(
+                self.rollout.preparing_full(),
+                partial(self._send_record, fetch, stream),
+            )
+        else:
+            self._send_record(fetch, stream)
+
+    def _send_record(self, fetch: BundleFetch, stream: StreamId) -> None:
+        record = self.rollout.on_fetch(fetch)
+        if record is not None:
+            self._outbox.emit(Send(stream, record))
+
+    def _take_record(self, record: BundleRecord) -> None:
+        self._note(self.rollout.on_record(record))
+        self._check_change(self._live)
+
+    def _take_read(self, event: LogRead, now: timedelta) -> None:
+        # The next read starts after the records judged here.
+        self._read_due = now
+        if self._reader_rank(self._live):
+            self._read_due = now + SPARE_READ_EVERY
+        for decision in self.rollout.read(event):
+            self._note(decision)
+        self._check_change(self._live)
+
+    def _keep_alive(self, now: timedelta, rank: int) -> None:
+        append = self.rollout.keep_alive(now, rank)
+        if append is not None:
+            self._outbox.emit(append)
 
     @singledispatchmethod
     def _log_event(
@@ -132,12 +199,11 @@
         if event.stream != BUNDLES:
             return
         self.log_seen_at = now
-        self._read_due = now
-        if self._reader_rank(live):
-            self._read_due = now + SPARE_READ_EVERY
-        for decision in self.rollout.read(event):
-            self._note(decision)
-        self._check_change(live)
+        self._live = live
+        self._do(
+            self.rollout.preparing_read(event),
+            partial(self._take_read, event, now),
+        )
 
     @_log_event.register
     def _log_failed(
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -98,6 +98,11 @@
     detail: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Continue:
+    """Submit ``Advance`` after other waiting events: work goes on."""
+
+
 @dataclass(frozen=True, slots=True)
 class Exit:
     """End the process; all work is finished."""
@@ -114,6 +119,7 @@
     | AppendLog
     | ReadLog
     | Record
+    | Continue
     | Exit
 )
 
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -165,6 +165,11 @@
     payload: bytes | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Advance:
+    """Do the next step of work that takes longer than a request may wait."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """The process was asked to stop."""
@@ -184,5 +189,6 @@
     | LogRead
     | LogAppended
     | LogFailed
+    | Advance
     | StopRequested
 )
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -268,9 +268,14 @@
 
 
 class BundleFetch(Struct, frozen=True, array_like=True, tag='fetch'):
-    """Asks for the bundle record with this digest."""
+    """Asks for the bundle record with this digest.
+
+    ``base`` is the digest of the text that the sender has: a record that is
+    a delta to it is enough.
+    """
 
     digest: bytes
+    base: bytes = b''
 
 
 class BundleRecord(Struct, frozen=True, array_like=True, tag='bundle'):
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -16,6 +16,7 @@
 from .effects import CloseStream, Effect, Exit, OpenStream, Outbox, Record, Send
 from .entrances import Entrance
 from .events import (
+    Advance,
     Announced,
     CallerGone,
     CallerRequest,
@@ -321,6 +322,11 @@
     daemon.keyed.log_event(event, now)
 
 
+@handle.register
+def _advance(event: Advance, daemon: Daemon, now: timedelta) -> None:
+    daemon.distribution.advance()
+
+
 @handle.register
 def _stop_requested(
     event: StopRequested, daemon: Daemon, now: timedelta
--- a/greengagemux/rollouts.py
+++ b/greengagemux/rollouts.py
@@ -14,7 +14,7 @@
 import msgspec
 import xxhash
 
-from .bundles import Bundle, Stage
+from .bundles import Bundle, Stage, Steps, finish
 from .chains import (
     Accepted,
     Chain,
@@ -29,8 +29,9 @@
 from .events import LogRead
 from .ids import BundleVersion, DaemonId, DataCentre, LogOffset
 from .messages import BundleFetch, BundleOffer, BundleRecord
+from .openings import Opener
 from .outcomes import FailureError
-from .signatures import KeyRing, open_record, record_digest
+from .signatures import KeyRing, full_payload, record_digest
 
 STREAM: Final = 'bundles'
 #: Time for which the log is assumed to keep a record.
@@ -95,13 +96,15 @@
         retention: timedelta = RETENTION,
     ) -> None:
         """Start without a bundle."""
-        self._keys = keys
+        self._opener = Opener(keys)
         self._daemon = daemon
         self._data_centre = data_centre
         self._retention = retention
-        self._chain = Chain(keys)
+        self._chain = Chain(self._opener)
         self._newest: Accepted | None = None
         self._active: Accepted | None = None
+        #: The newest record in full form, by its digest.
+        self._full: tuple[bytes, bytes] = (b'', b'')
         self._wanted: dict[bytes, _Wanted] = {}
         self._conflict = ''
         self._decisions: deque[Decision] = deque(maxlen=DECISIONS_KEPT)
@@ -143,6 +146,24 @@
             wait if self._caught_up else ZERO,
         )
 
+    def preparing_read(self, read: LogRead) -> Steps[None]:
+        """Do most of the work of ``read`` in steps."""
+        yield from self._chain.preparing(read, self._newest)
+
+    def preparing_record(self, record: BundleRecord) -> Steps[None]:
+        """Do most of the work of ``on_record`` in steps."""
+        if record_digest(record.payload) in self._wanted:
+            newest = self._newest
+            candidates = (newest.signed,) if newest else ()
+            yield from self._opener.preparing(record.payload, candidates)
+
+    def preparing_full(self) -> Steps[None]:
+        """Do most of the work of a full answer or a statement in steps."""
+        newest = self._newest
+        if newest is None or self._has_full(newest):
+            return
+        self._full = (newest.digest, (yield from full_payload(newest.signed)))
+
     def read(self, read: LogRead) -> list[Decision]:
         """Judge the records of a read in log order."""
         self._reads += 1
@@ -152,6 +173,7 @@
         # A new daemon does not take old bundles while it reads up to the end.
         if self._caught_up:
             self._settle()
+        self._opener.forget(self._newest.payload if self._newest else None)
         self._decisions.extend(decisions)
         return decisions
 
@@ -183,14 +205,27 @@
         if offer.digest in self._wanted:
             return None
         self._wanted[offer.digest] = _Wanted(offer, now)
-        return BundleFetch(offer.digest)
+        newest = self._newest
+        return BundleFetch(
+            offer.digest, newest.signed.text_digest if newest else b''
+        )
+
+    def sends_full(self, fetch: BundleFetch) -> bool:
+        """Return whether the answer to a fetch is a full record."""
+        newest = self._newest
+        if newest is None or newest.digest != fetch.digest:
+            return False
+        return not fetch.base or newest.signed.base != fetch.base
 
     def on_fetch(self, fetch: BundleFetch) -> BundleRecord | None:
         """Return the record if it is the newest that this daemon offers."""
         newest = self._newest
         if newest is None or newest.digest != fetch.digest or self._refuted():
             return None
-        return BundleRecord(newest.offset, newest.payload)
+        payload = newest.payload
+        if self.sends_full(fetch):
+            payload = self._full_of(newest)
+        return BundleRecord(newest.offset, payload)
 
     def on_record(self, record: BundleRecord) -> Decision:
         """Judge a record that a peer sent after a fetch."""
@@ -204,19 +239,36 @@
         Call it on each tick. ``rank`` is the place of this daemon in the
         rendezvous order of the log's readers, 0 for the first.
         """
-        idle = self._read_watch.note(self._reads, now)
-        copy_age = self._copy_watch.note(self._chain.copy_offset, now)
-        if not self._reads or idle > READ_FRESH or self._newest is None:
-            return None
-        if copy_age < self._keep_alive_after() + rank * RANK_WAIT:
-            return None
-        if self._stated_at and now - self._stated_at < RANK_WAIT:
+        if not self.statement_due(now, rank):
             return None
         append = self._state()
         if append is not None:
             self._stated_at = now
         return append
 
+    def statement_due(self, now: timedelta, rank: int) -> bool:
+        """Return whether ``keep_alive`` has to state the bundle now."""
+        idle = self._read_watch.note(self._reads, now)
+        copy_age = self._copy_watch.note(self._chain.copy_offset, now)
+        if not self._reads or idle > READ_FRESH or self._newest is None:
+            return False
+        if copy_age < self._keep_alive_after() + rank * RANK_WAIT:
+            return False
+        return not self._stated_at or now - self._stated_at >= RANK_WAIT
+
+    def _has_full(self, accepted: Accepted) -> bool:
+        if self._full[0] == accepted.digest:
+            return True
+        return not accepted.signed.base
+
+    def _full_of(self, accepted: Accepted) -> bytes:
+        if not accepted.signed.base:
+            return accepted.payload
+        if self._full[0] != accepted.digest:
+            payload = finish(full_payload(accepted.signed))
+            self._full = (accepted.digest, payload)
+        return self._full[1]
+
     def _keep_alive_after(self) -> timedelta:
         period = self._retention / KEEP_ALIVE_PARTS
         if not self._chain.anchored or self._chain.gap:
@@ -234,7 +286,7 @@
         if stated is None or stated.offset > through:
             return None
         statement = Statement(
-            stated.payload,
+            self._full_of(stated),
             stated.offset,
             LogOffset(through),
         )
@@ -315,8 +367,9 @@
         wanted = self._wanted.pop(digest, None)
         if wanted is None or wanted.offer.offset != record.offset:
             return Decision(record.offset, RecordOutcome.unrequested, digest)
+        before = self._newest.signed if self._newest else None
         try:
-            signed = open_record(record.payload, self._keys)
+            signed = self._opener.open(record.payload, before)
         except FailureError as error:
             return unreadable(record.offset, digest, error)
         if signed.bundle.version != wanted.offer.version:
--- a/greengagemux/routes.py
+++ b/greengagemux/routes.py
@@ -1,14 +1,13 @@
 """Match of a request to a route and a caller account."""
 
 import re
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import lru_cache
 from hashlib import sha256
 from typing import Final
 from urllib.parse import unquote_to_bytes
 
-from .bundles import ANONYMOUS, Bundle, Caller, Route
+from .bundles import ANONYMOUS, Bundle, Caller, Route, Steps, finish
 from .messages import Headers, Priority
 from .outcomes import Reason
 
@@ -16,6 +15,10 @@
 TARGET_LIMIT_BYTES: Final = 8192
 #: Most recently seen tokens whose digests are kept.
 TOKEN_CACHE: Final = 4096
+#: Routes or callers indexed in one step of about 0.5 ms.
+STEP_ROUTES: Final = 60
+STEP_CALLERS: Final = 1000
+STEP_US: Final = 500
 
 _URGENCY: Final = tuple(Priority)
 _BAD_ESCAPE: Final = re.compile(b'%(?![0-9A-Fa-f]{2})')
@@ -40,16 +43,19 @@
     def __init__(self, bundle: Bundle) -> None:
         """Build the index; cost grows linearly with the bundle."""
         self._root = _Node()
-        for route in bundle.routes.values():
-            self._add(route)
         self._anonymous = bundle.callers.get(ANONYMOUS)
         # Tokens are compared by look-up of their SHA-256. Timing can reveal
         # at most a part of a digest, which does not help to find a token.
-        self._callers: Mapping[bytes, Caller] = {
-            bytes.fromhex(caller.token_sha256): caller
-            for caller in bundle.callers.values()
-            if caller.token_sha256
-        }
+        self._callers: dict[bytes, Caller] = {}
+        finish(self._filling(bundle))
+
+    @classmethod
+    def building(cls, bundle: Bundle) -> Steps['RouteTable']:
+        """Build the index in steps."""
+        table = cls(Bundle(bundle.version, bundle.follows))
+        table._anonymous = bundle.callers.get(ANONYMOUS)
+        yield from table._filling(bundle)
+        return table
 
     def match(self, method: bytes, target: bytes) -> Route | Reason:
         """Return the route with the longest matching prefix.
@@ -80,6 +86,18 @@
             return Reason.unauthorized
         return self._callers.get(_digest(match[1]), Reason.unauthorized)
 
+    def _filling(self, bundle: Bundle) -> Steps[None]:
+        yield STEP_US
+        for place, route in enumerate(bundle.routes.values(), start=1):
+            self._add(route)
+            if place % STEP_ROUTES == 0:
+                yield STEP_US
+        for number, caller in enumerate(bundle.callers.values(), start=1):
+            if caller.token_sha256:
+                self._callers[bytes.fromhex(caller.token_sha256)] = caller
+            if number % STEP_CALLERS == 0:
+                yield STEP_US
+
     def _add(self, route: Route) -> None:
         node = self._root
         *parents, last = route.prefix.encode().split(b'/')[1:]
--- a/greengagemux/signatures.py
+++ b/greengagemux/signatures.py
@@ -1,26 +1,29 @@
 """Signed bundle records and the operators' keys that may sign them."""
 
 import re
-import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import sha256
+from enum import Enum
 from typing import Final
 
 import msgspec
 from cryptography.exceptions import InvalidSignature
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
-from . import bundles
+from . import bundles, deltas
+from .ids import BundleVersion
 from .outcomes import Failure, FailureError, Step
+from .routes import RouteTable
 
-FORMAT: Final = 1
+FORMAT: Final = 2
 #: A record and its other fields fit in one message between daemons (8 MiB).
 RECORD_LIMIT_BYTES: Final = 7 * 1024 * 1024
-#: Bounds the memory that a compressed text can take when it is opened.
-TEXT_LIMIT_BYTES: Final = 16 * 1024 * 1024
+#: A version that reaches the next multiple of this is a full record, so that
+#: a reader needs at most one full record and the deltas after it.
+FULL_EVERY: Final = 64
 #: Keeps a bundle signature from being valid for any other kind of message.
-DOMAIN: Final = b'greengagemux bundle record 1'
+DOMAIN: Final = b'greengagemux bundle record 2'
 
 _HEX_KEY: Final = re.compile('[0-9a-f]{64}')
 _KEY_RULE: Final = 'must be HEX [from VERSION] [until VERSION], with commas'
@@ -80,27 +83,93 @@
         return self._keys.get(operator, ())
 
 
+class Form(Enum):
+    """What a record holds of its text."""
+
+    full = 'full'
+    delta = 'delta'
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A bundle record: what is signed, the signature, and the text.
+
+    The signature covers the digest of the resulting text and not the form,
+    so a full copy of a record that was signed as a delta is valid as well.
+    ``base`` is the digest of the text that ``follows`` names, empty if the
+    record has no delta form.
+    """
+
+    format: int
+    operator: str
+    version: BundleVersion
+    follows: BundleVersion
+    base: bytes
+    text: bytes
+    signature: bytes
+    form: Form
+    packed: bytes
+
+    @property
+    def message(self) -> bytes:
+        """Return what the operator signed."""
+        return msgspec.msgpack.encode(
+            (
+                DOMAIN,
+                self.format,
+                self.operator,
+                self.version,
+                self.follows,
+                self.base,
+                self.text,
+            )
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class SignedBundle:
     """A bundle whose signature was verified.
 
-    ``digest`` is the SHA-256 of the record payload.
+    ``digest`` identifies the record in both forms; ``chunks`` joined are
+    the text.
     """
 
     bundle: bundles.Bundle
-    text: str
+    chunks: tuple[str, ...]
     digest: bytes
-    operator: str
+    envelope: Envelope
 
+    @property
+    def operator(self) -> str:
+        """Return the operator who signed the record."""
+        return self.envelope.operator
 
-class _Envelope(msgspec.Struct, frozen=True, array_like=True):
-    format: int
-    operator: str
-    packed: bytes
-    signature: bytes
+    @property
+    def text(self) -> str:
+        """Return the whole text."""
+        return ''.join(self.chunks)
+
+    @property
+    def text_digest(self) -> bytes:
+        """Return the SHA-256 of the text."""
+        return self.envelope.text
+
+    @property
+    def base(self) -> bytes:
+        """Return the digest of the text that a delta starts from."""
+        is_delta = self.envelope.form is Form.delta
+        return self.envelope.base if is_delta else b''
+
+
+class OtherBaseError(FailureError):
+    """The delta starts from another text than the one at hand."""
 
+    def __init__(self, failure: Failure, envelope: Envelope) -> None:
+        """Keep the envelope, whose signature was verified."""
+        super().__init__(failure)
+        self.envelope = envelope
 
-_decoder: Final = msgspec.msgpack.Decoder(_Envelope)
+
+_decoder: Final = msgspec.msgpack.Decoder(Envelope)
 
 
 def keygen() -> tuple[str, str]:
@@ -112,29 +181,41 @@
     )
 
 
-def sign(text: str, operator: str, private_key: str) -> bytes:
+def sign(
+    text: str, operator: str, private_key: str, follows: str = ''
+) -> bytes:
     """Return the record payload of a signed bundle text.
 
-    Raises ``BundleError`` if the text is invalid or too large, and
+    ``follows`` is the text of the version that it follows; with it the
+    record is a delta unless a full one is due or no larger. Raises
+    ``BundleError`` if the text is invalid or too large, and
     ``FailureError`` if the private key is malformed.
     """
-    bundles.parse(text, operator)
-    raw = text.encode()
-    if len(raw) > TEXT_LIMIT_BYTES:
+    bundle = bundles.parse(text, operator)
+    if len(text.encode()) > deltas.TEXT_LIMIT_BYTES:
         raise bundles.BundleError(
-            [f'{operator}: above {TEXT_LIMIT_BYTES} bytes']
+            [f'{operator}: above {deltas.TEXT_LIMIT_BYTES} bytes']
         )
     if not _HEX_KEY.fullmatch(private_key):
         raise _failed(operator, 'a private key is 64 hex digits')
     private = ed25519.Ed25519PrivateKey.from_private_bytes(
         bytes.fromhex(private_key),
     )
-    # Tokens are hex digits, so a bundle of many callers shrinks to about half.
-    packed = zlib.compress(raw)
-    signature = private.sign(_message(operator, packed))
-    payload = msgspec.msgpack.encode(
-        _Envelope(FORMAT, operator, packed, signature),
+    chunks = bundles.finish(bundles.splitting(text))
+    unsigned = Envelope(
+        FORMAT,
+        operator,
+        bundle.version,
+        bundle.follows,
+        sha256(follows.encode()).digest() if follows else b'',
+        sha256(text.encode()).digest(),
+        b'',
+        Form.full,
+        # Tokens are hex digits, so a text of many callers shrinks by half.
+        deltas.packed_text(chunks),
     )
+    envelope = _changed(unsigned, signature=private.sign(unsigned.message))
+    payload = _shortest(envelope, follows, chunks)
     if len(payload) > RECORD_LIMIT_BYTES:
         raise bundles.BundleError(
             [f'{operator}: above {RECORD_LIMIT_BYTES} bytes']
@@ -143,18 +224,42 @@
 
 
 def record_digest(payload: bytes) -> bytes:
-    """Return the digest that identifies a record payload."""
-    return sha256(payload).digest()
+    """Return the digest that identifies a record in both of its forms."""
+    try:
+        envelope = _decoder.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return sha256(payload).digest()
+    return _digest(envelope)
+
+
+def full_payload(signed: SignedBundle) -> bundles.Steps[bytes]:
+    """Return the record of a bundle in full form, in steps."""
+    packed = yield from deltas.deflating(signed.chunks)
+    return msgspec.msgpack.encode(
+        _changed(signed.envelope, form=Form.full, packed=packed)
+    )
 
 
 def open_record(
     payload: bytes,
     keys: KeyRing | Mapping[str, str],
+    before: SignedBundle | None = None,
 ) -> SignedBundle:
-    """Verify and parse a record payload.
+    """Verify and parse a record payload; see ``opening``."""
+    return bundles.finish(opening(payload, keys, before))
 
-    Raises ``SignatureError`` for a signature that is not valid and
-    ``FailureError`` for a record that cannot be read.
+
+def opening(
+    payload: bytes,
+    keys: KeyRing | Mapping[str, str],
+    before: SignedBundle | None = None,
+) -> bundles.Steps[SignedBundle]:
+    """Verify and parse a record payload in steps.
+
+    ``before`` is the bundle that a delta applies to. Raises
+    ``SignatureError`` for a signature that is not valid, ``OtherBaseError``
+    for a delta to another text, and ``FailureError`` for a record that
+    cannot be read.
     """
     ring = keys if isinstance(keys, KeyRing) else KeyRing.from_settings(keys)
     envelope = _decoded(payload)
@@ -163,21 +268,103 @@
     # The text is unpacked only after its signature was found valid.
     if not signers:
         raise _unsigned(operator, 'no key of the operator fits the signature')
-    text = _unpacked(envelope)
-    bundle = _parsed(text, operator)
-    if not any(key.covers(bundle.version) for key in signers):
+    if not any(key.covers(envelope.version) for key in signers):
         raise _unsigned(
             operator,
-            f'the key is not valid for version {bundle.version}',
+            f'the key is not valid for version {envelope.version}',
         )
+    yield deltas.PACK_STEP_US
+    try:
+        chunks = yield from _unpacking(envelope, before)
+    except deltas.DeltaError as error:
+        raise _failed(operator, str(error)) from error
+    found = yield from _digesting(chunks)
+    if found != envelope.text:
+        raise _failed(operator, 'the text is not the one that was signed')
+    bundle = yield from _parsing(chunks, envelope)
     return SignedBundle(
         bundle=bundle,
-        text=text,
-        digest=record_digest(payload),
-        operator=operator,
+        chunks=chunks,
+        digest=_digest(envelope),
+        envelope=envelope if envelope.form is Form.delta else _bare(envelope),
     )
 
 
+def _unpacking(
+    envelope: Envelope, before: SignedBundle | None
+) -> bundles.Steps[tuple[str, ...]]:
+    if envelope.form is Form.full:
+        raw = yield from deltas.inflating(envelope.packed)
+        try:
+            text = raw.decode()
+        except UnicodeDecodeError as error:
+            raise deltas.DeltaError('the text is not UTF-8') from error
+        yield deltas.PACK_STEP_US
+        return (yield from bundles.splitting(text))
+    if _full_due(envelope):
+        raise deltas.DeltaError('a full record is due at this version')
+    if before is None or before.text_digest != envelope.base:
+        detail = f'no text of version {envelope.follows} that the delta fits'
+        raise OtherBaseError(
+            Failure(Step.bundle, envelope.operator, detail), envelope
+        )
+    return (yield from deltas.applying(envelope.packed, before.chunks))
+
+
+def _digesting(chunks: tuple[str, ...]) -> bundles.Steps[bytes]:
+    digest = sha256()
+    for start in range(0, len(chunks), deltas.JOIN_CHUNKS):
+        digest.update(
+            ''.join(chunks[start : start + deltas.JOIN_CHUNKS]).encode()
+        )
+        yield deltas.PACK_STEP_US
+    return digest.digest()
+
+
+def _parsing(
+    chunks: tuple[str, ...], envelope: Envelope
+) -> bundles.Steps[bundles.Bundle]:
+    operator = envelope.operator
+    try:
+        bundle = yield from bundles.parsing(chunks, operator)
+    except bundles.BundleError as error:
+        raise _failed(operator, '; '.join(error.problems[:3])) from error
+    if (bundle.version, bundle.follows) != (envelope.version, envelope.follows):
+        raise _failed(operator, 'the text has another version than the record')
+    table = yield from RouteTable.building(bundle)
+    return replace(bundle, table=table)
+
+
+def _shortest(full: Envelope, follows: str, chunks: tuple[str, ...]) -> bytes:
+    payload = msgspec.msgpack.encode(full)
+    if not follows or _full_due(full):
+        return payload
+    old = bundles.finish(bundles.splitting(follows))
+    packed = deltas.difference(old, chunks)
+    if bundles.finish(deltas.applying(packed, old)) != chunks:
+        return payload
+    delta = _changed(full, form=Form.delta, packed=packed)
+    return min(msgspec.msgpack.encode(delta), payload, key=len)
+
+
+def _full_due(envelope: Envelope) -> bool:
+    return envelope.follows // FULL_EVERY < envelope.version // FULL_EVERY
+
+
+def _changed(envelope: Envelope, **fields: object) -> Envelope:
+    changed: Envelope = msgspec.structs.replace(envelope, **fields)
+    return changed
+
+
+def _bare(envelope: Envelope) -> Envelope:
+    # The payload of the record holds the packed text already.
+    return _changed(envelope, packed=b'')
+
+
+def _digest(envelope: Envelope) -> bytes:
+    return sha256(envelope.message + envelope.signature).digest()
+
+
 def _operator_key(operator: str, entry: str) -> OperatorKey:
     match = _ENTRY.fullmatch(entry)
     if match is None:
@@ -194,11 +381,7 @@
     )
 
 
-def _message(operator: str, packed: bytes) -> bytes:
-    return msgspec.msgpack.encode((DOMAIN, FORMAT, operator, packed))
-
-
-def _decoded(payload: bytes) -> _Envelope:
+def _decoded(payload: bytes) -> Envelope:
     if len(payload) > RECORD_LIMIT_BYTES:
         raise _failed('unknown operator', 'the record is too large')
     try:
@@ -219,44 +402,17 @@
     return envelope
 
 
-def _unpacked(envelope: _Envelope) -> str:
-    inflater = zlib.decompressobj()
-    try:
-        raw = inflater.decompress(envelope.packed, TEXT_LIMIT_BYTES)
-    except zlib.error as error:
-        raise _failed(
-            envelope.operator,
-            f'the text cannot be unpacked: {error}',
-        ) from error
-    if not inflater.eof or inflater.unused_data:
-        raise _failed(envelope.operator, 'the text is cut off or too large')
-    try:
-        return raw.decode()
-    except UnicodeDecodeError as error:
-        raise _failed(envelope.operator, 'the text is not UTF-8') from error
-
-
-def _verifies(key: OperatorKey, envelope: _Envelope) -> bool:
+def _verifies(key: OperatorKey, envelope: Envelope) -> bool:
     public = ed25519.Ed25519PublicKey.from_public_bytes(
         bytes.fromhex(key.public),
     )
     try:
-        public.verify(
-            envelope.signature,
-            _message(envelope.operator, envelope.packed),
-        )
+        public.verify(envelope.signature, envelope.message)
     except InvalidSignature:
         return False
     return True
 
 
-def _parsed(text: str, operator: str) -> bundles.Bundle:
-    try:
-        return bundles.parse(text, operator)
-    except bundles.BundleError as error:
-        raise _failed(operator, '; '.join(error.problems[:3])) from error
-
-
 def _failed(operator: str, detail: str) -> FailureError:
     return FailureError(Failure(Step.bundle, operator, detail))
 
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -19,6 +19,7 @@
     AppendLog,
     CallUpstream,
     CloseStream,
+    Continue,
     Effect,
     OpenStream,
     ReadLog,
@@ -384,6 +385,8 @@
             self.records[node.name].append(effect)
             if effect.name == 'bundle-in-force':
                 self._note_bundle(node)
+        elif isinstance(effect, Continue):
+            self.after(ms(0), lambda: node.submit(events.Advance()))
         elif type(effect).__name__ == 'Exit':
             node.exited = True
             self.kill(node.name)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -2,7 +2,6 @@
 
 from datetime import timedelta
 from functools import lru_cache
-from hashlib import sha256
 
 import msgspec
 import pytest
@@ -20,7 +19,7 @@
 from greengagemux.events import LogRead, LogRecord
 from greengagemux.messages import BundleOffer, BundleRecord
 from greengagemux.rollouts import RANK_WAIT, READ_FRESH, STREAM, Rollout
-from greengagemux.signatures import keygen, open_record, sign
+from greengagemux.signatures import keygen, open_record, record_digest, sign
 
 PRIVATE, PUBLIC = keygen()
 STRANGER, _ = keygen()
@@ -95,7 +94,7 @@
         if read_statement(record.payload) is None:
             bundle = open_record(record.payload, KEYS).bundle
             if bundle.follows == chain[-1][0]:
-                chain.append((bundle.version, sha256(record.payload).digest()))
+                chain.append((bundle.version, record_digest(record.payload)))
     return chain
 
 
@@ -337,7 +336,7 @@
     log.append(signed(1, 0, 'alice'), winner, loser)
     reader.read(log.read(0, 1))
     reader.read(LogRead(STREAM, 0, 1, ()))
-    offer = BundleOffer(1, 2, sha256(loser).digest())
+    offer = BundleOffer(1, 2, record_digest(loser))
     assert reader.on_offer(offer, ZERO)
     reader.on_record(BundleRecord(1, loser))
     assert reader.accepted.signed.operator == 'alice'
@@ -352,7 +351,7 @@
     log, reader = FakeLog(), daemon()
     log.append(signed(1, 0, 'alice'), signed(9, 0, 'bob'))
     reader.on_offer(
-        BundleOffer(1, 9, sha256(log.records[1].payload).digest()), ZERO
+        BundleOffer(1, 9, record_digest(log.records[1].payload)), ZERO
     )
     reader.on_record(BundleRecord(1, log.records[1].payload))
     reader.read(log.read(0))
@@ -382,9 +381,9 @@
     reader, payload = daemon(), signed(2, 1, 'bob')
     record = BundleRecord(5, payload)
     assert reader.on_record(record).outcome is RecordOutcome.unrequested
-    reader.on_offer(BundleOffer(6, 2, sha256(payload).digest()), ZERO)
+    reader.on_offer(BundleOffer(6, 2, record_digest(payload)), ZERO)
     assert reader.on_record(record).outcome is RecordOutcome.unrequested
-    reader.on_offer(BundleOffer(5, 3, sha256(payload).digest()), ms(9999))
+    reader.on_offer(BundleOffer(5, 3, record_digest(payload)), ms(9999))
     assert reader.on_record(record).outcome is RecordOutcome.unrequested
     assert version(reader) is None
 
--- a/tests/test_signatures.py
+++ b/tests/test_signatures.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from greengagemux import signatures
+from greengagemux import deltas, signatures
 from greengagemux.bundles import BundleError
 from greengagemux.outcomes import FailureError, Step
 
@@ -64,7 +64,7 @@
 def test_text_that_expands_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a small record that takes much memory."""
     payload = signatures.sign(TEXT + '#' * 999, 'alice', PRIVATE)
-    monkeypatch.setattr(signatures, 'TEXT_LIMIT_BYTES', 999)
+    monkeypatch.setattr(deltas, 'TEXT_LIMIT_BYTES', 999)
     with pytest.raises(FailureError, match='too large'):
         signatures.open_record(payload, {'alice': PUBLIC})
 
@@ -74,7 +74,7 @@
     payload = signatures.sign(TEXT, 'alice', PRIVATE)
     fields = msgspec.msgpack.decode(payload)
     # The format number takes one byte in the canonical encoding.
-    longer = payload[:1] + b'\xcc\x01' + payload[2:]
+    longer = payload[:1] + b'\xcc\x02' + payload[2:]
     assert msgspec.msgpack.decode(longer) == fields
     with pytest.raises(FailureError, match='canonical'):
         signatures.open_record(longer, {'alice': PUBLIC})
