State the table of homes before the retention of the log ends

Cause: a fleet that restarts after the log dropped records had no complete table of homes, and a daemon that took a table from a peer kept slots that others had taken over in the lost records (second home). Change: one daemon states the whole table at a quarter of [log] retention_ms; readers of a truncated log continue from it; roles are compared with a restored table; a daemon with a gap asks one peer after another.

--- a/greengagemux/assignments.py
+++ b/greengagemux/assignments.py
@@ -3,8 +3,13 @@
 A record is valid only if it names the epoch in force and its writer may
 write: the home, its successor, the daemon whose claim stands, or anyone for
 a slot without a home. All readers of the stream reach the same table.
+
+The log keeps records for a limited time. Before it ends, a daemon states the
+whole table in one record, from which a reader of a truncated log continues.
 """
 
+import zlib
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -64,7 +69,22 @@
     writer: Holder
 
 
-Record = HomeRecord | ClaimRecord
+class TableRecord(msgspec.Struct, frozen=True, array_like=True, tag='table'):
+    """The packed table before log offset ``following``.
+
+    It changes nothing for a reader that has missed no record.
+    """
+
+    following: LogOffset
+    table: bytes
+
+
+Record = HomeRecord | ClaimRecord | TableRecord
+#: Records kept by a reader that waits for a table.
+HELD_RECORDS = 20_000
+#: Bounds the memory that a packed table can take: 4096 slots of 160 services
+#: need less.
+TABLE_LIMIT_BYTES = 128 * 1024 * 1024
 _decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 
 
@@ -77,6 +97,11 @@
     claim: Holder | None = None
 
 
+_assignments: msgspec.msgpack.Decoder[list[Assignment]] = (
+    msgspec.msgpack.Decoder(list[Assignment])
+)
+
+
 class Table:
     """Assignments of all slots up to one offset of the log."""
 
@@ -85,7 +110,18 @@
         self.following = LogOffset(0)
         #: Whether no record of the stream was missed.
         self.complete = True
+        #: Counts the tables taken over in place of lost records.
+        self.restored = 0
+        #: Offset of the newest statement of the table that was read.
+        self.stated = -1
         self._slots: dict[Slot, Assignment] = {}
+        #: Records from ``_held_from`` on, while the table is not complete.
+        self._held: deque[LogRecord] = deque(maxlen=HELD_RECORDS)
+        self._held_from = 0
+
+    def __len__(self) -> int:
+        """Return the number of slots with a home."""
+        return len(self._slots)
 
     def get(self, slot: Slot) -> Assignment | None:
         """Return the assignment of a slot, if it has one."""
@@ -116,35 +152,55 @@
             return
         self.following = following
         self.complete = True
+        self.restored += 1
+        self._held.clear()
         self._slots = {entry.record.key: entry for entry in assignments}
 
+    def statement(self) -> bytes:
+        """Return the record that states this table."""
+        packed = msgspec.msgpack.encode(tuple(self._slots.values()))
+        return msgspec.msgpack.encode(
+            TableRecord(self.following, zlib.compress(packed, 1))
+        )
+
     def read(
         self, first: LogOffset, records: Iterable[LogRecord]
     ) -> list[Assignment]:
         """Apply records in log order and return the new assignments.
 
         ``first`` is the oldest offset retained. Records below the expected
-        offset are skipped; after a gap the table is incomplete.
+        offset are skipped; after a gap the table is incomplete until a
+        statement covers the gap.
         """
         if first > self.following:
-            self.complete = False
+            self._note_gap(first)
         accepted: list[Assignment] = []
         for entry in records:
             if entry.offset < self.following:
                 continue
             if entry.offset > self.following:
-                self.complete = False
+                self._note_gap(entry.offset)
             self.following = LogOffset(entry.offset + 1)
-            found = self._apply(entry.payload)
+            found = self._apply(entry)
             if found is not None:
                 accepted.append(found)
         return accepted
 
-    def _apply(self, payload: bytes) -> Assignment | None:
+    def _note_gap(self, offset: LogOffset) -> None:
+        self.complete = False
+        self._held.clear()
+        self._held_from = offset
+
+    def _apply(self, entry: LogRecord) -> Assignment | None:
+        if not self.complete:
+            self._hold(entry)
         try:
-            record = _decoder.decode(payload)
+            record = _decoder.decode(entry.payload)
         except msgspec.MsgspecError:
             return None
+        if isinstance(record, TableRecord):
+            self._take_statement(record, entry.offset)
+            return None
         if isinstance(record, ClaimRecord):
             self._claim(record)
             return None
@@ -156,6 +212,29 @@
         self._slots[record.key] = assignment
         return assignment
 
+    def _hold(self, entry: LogRecord) -> None:
+        self._held.append(entry)
+        self._held_from = max(self._held_from, self._held[0].offset)
+
+    def _take_statement(self, record: TableRecord, offset: LogOffset) -> None:
+        """Continue from a stated table and the records after it."""
+        if not 0 <= record.following <= offset:
+            return
+        self.stated = offset
+        # A record between the statement and the first one held is unknown.
+        if self.complete or record.following < self._held_from:
+            return
+        try:
+            assignments = _assignments.decode(_unpacked(record.table))
+        except (zlib.error, ValueError):
+            return
+        held = tuple(self._held)
+        self.restore(record.following, assignments)
+        for entry in held:
+            if entry.offset >= record.following:
+                self._apply(entry)
+        self.following = LogOffset(offset + 1)
+
     def _claim(self, record: ClaimRecord) -> None:
         key = (record.service, record.slot)
         current = self._slots.get(key)
@@ -184,3 +263,11 @@
         An append whose reply was lost may take effect long after others.
         """
         return record.follows == epoch
+
+
+def _unpacked(table: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    packed: bytes = inflater.decompress(table, TABLE_LIMIT_BYTES)
+    if not inflater.eof:
+        raise ValueError('the table is cut off or too large')
+    return packed
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -39,7 +39,7 @@
 from .metrics import Metrics
 from .outcomes import Failure
 from .reducers import TICK, Daemon, Identity, reduce
-from .rollouts import Rollout
+from .rollouts import RETENTION, Rollout
 from .settings import Address, Settings
 from .signatures import KeyRing
 from .streams import Counters, StreamHub
@@ -153,15 +153,19 @@
             region=Region(daemon.region),
             peer_address=str(daemon.peer_address),
         )
+        log = self.settings.log
+        retention = ms(log.retention_ms) if log else RETENTION
         identity = Identity(
             own=own,
             seeds=tuple(str(seed) for seed in daemon.seeds),
             stop_limit=ms(daemon.stop_limit_ms),
+            retention=retention,
         )
         rollout = Rollout(
             KeyRing.from_settings(self.settings.operators),
             own.daemon,
             own.data_centre,
+            retention,
         )
         seed = f'{daemon.id}/{self._incarnation}'
         return Daemon(identity, rollout, Random(seed))
--- a/greengagemux/homes.py
+++ b/greengagemux/homes.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -53,6 +53,7 @@
 NONCES = 16
 
 _NEVER = timedelta(days=-1)
+_Kept = TypeVar('_Kept')
 
 #: Daemons that may become home or successor of a slot, best first.
 Candidates = Callable[[Slot], Sequence[Holder]]
@@ -238,8 +239,13 @@
         peer pushed.
         """
         self._wake(now)
-        for assignment in self.table.read(first, records):
-            self._apply(assignment, now)
+        restored = self.table.restored
+        accepted = self.table.read(first, records)
+        if self.table.restored > restored:
+            self._reconcile(now)
+        else:
+            for assignment in accepted:
+                self._apply(assignment, now)
         for claimed in self.table.claimed_by(self._own):
             # A home that missed the claim may go on for ``log_absence``.
             wait = self._terms.log_absence + 2 * self._terms.promise_valid
@@ -247,6 +253,19 @@
         if sent is not None:
             self._contact = max(self._contact, sent)
 
+    def restore(
+        self,
+        following: LogOffset,
+        assignments: Iterable[Assignment],
+        now: timedelta,
+    ) -> None:
+        """Take the table of a peer in place of lost records."""
+        self._wake(now)
+        restored = self.table.restored
+        self.table.restore(following, assignments)
+        if self.table.restored > restored:
+            self._reconcile(now)
+
     def assign(self, slot: Slot, successor: Holder) -> Append | None:
         """Return the first record of a slot, with this daemon as home."""
         if self.table.get(slot) is not None or not self.table.complete:
@@ -428,6 +447,50 @@
                 now + 2 * self._terms.promise_valid
             )
 
+    def _reconcile(self, now: timedelta) -> None:
+        """Take the roles that a table gives after records were lost."""
+        for slot, owned in tuple(self._owned.items()):
+            found = self.table.get(slot)
+            if found is None or not self._continues(owned, found):
+                self._owned.pop(slot)
+                self._note_former(slot, owned, found)
+        _, assignments = self.table.snapshot()
+        epochs = {entry.record.key: entry.record.epoch for entry in assignments}
+        self._watches = _current(self._watches, epochs)
+        self._promises = _current(self._promises, epochs)
+        for entry in assignments:
+            record = entry.record
+            if record.home == self._own and record.key not in self._owned:
+                self._open(entry, now)
+            if record.successor == self._own:
+                quiet = now + 2 * self._terms.promise_valid
+                self._watches.setdefault(record.slot_epoch, _Watch(quiet))
+
+    def _continues(self, owned: _Owned, found: Assignment) -> bool:
+        """Return whether no other home can have been in between."""
+        record = found.record
+        if record.home != self._own:
+            return False
+        if record.epoch == owned.epoch:
+            return True
+        if record.follows != owned.epoch or record.writer != self._own:
+            return False
+        owned.epoch = record.epoch
+        owned.promised = _NEVER
+        return True
+
+    def _note_former(
+        self, slot: Slot, owned: _Owned, found: Assignment | None
+    ) -> None:
+        """Keep records for the next home if they are all there are."""
+        if found is None or found.record.home == self._own:
+            return
+        if owned.epoch == found.record.follows:
+            ended = SlotEpoch(*slot, owned.epoch)
+            self._former[ended] = _Former(
+                owned.home, ended, found.record.home, self._awake
+            )
+
     def _open(self, assignment: Assignment, now: timedelta) -> None:
         """Become home of a slot."""
         record = assignment.record
@@ -570,6 +633,17 @@
             table.pop(slot)
 
 
+def _current(
+    table: dict[SlotEpoch, _Kept], epochs: dict[Slot, int]
+) -> dict[SlotEpoch, _Kept]:
+    """Keep what concerns epochs in force or later ones."""
+    return {
+        slot: kept
+        for slot, kept in table.items()
+        if slot.epoch >= epochs.get((slot.service, slot.slot), 0)
+    }
+
+
 def _append(record: HomeRecord) -> Append:
     return Append(msgspec.msgpack.encode(record))
 
--- a/greengagemux/keyed.py
+++ b/greengagemux/keyed.py
@@ -36,6 +36,7 @@
 from .outcomes import Outcome, Reason
 from .paths import Path, Paths
 from .requests import Ticket, Waiting
+from .rollouts import RETENTION
 from .writes import (
     Conflict,
     Full,
@@ -63,6 +64,18 @@
 READ_WAIT_MEMBERS = 50
 READ_RETRY = timedelta(seconds=1)
 READ_TIMEOUT = timedelta(seconds=10)
+#: The table is stated anew after this part of the retention, so that three
+#: further attempts remain before records would be lost.
+STATE_PARTS = 4
+#: Wait for each daemon that comes earlier in the rendezvous order; enough for
+#: its statement to be read by the others.
+RANK_WAIT = timedelta(seconds=10)
+#: Daemons that are later in the order than this do not wait longer.
+RANK_LIMIT = 30
+#: A daemon that read the log less recently does not state the table.
+READ_FRESH = timedelta(seconds=30)
+#: A table is requested from the next peer after this long.
+SNAPSHOT_EVERY = timedelta(seconds=2)
 #: Longest key, in characters.
 KEY_LIMIT = 256
 
@@ -87,8 +100,9 @@
         paths: Paths,
         outbox: Outbox,
         terms: Terms | None = None,
+        retention: timedelta = RETENTION,
     ) -> None:
-        """Start without slots."""
+        """Start without slots; the log keeps records for ``retention``."""
         self.own = Holder(own.daemon, own.incarnation)
         self.homes = Homes(self.own, terms)
         self._paths = paths
@@ -101,6 +115,12 @@
         self._read_due = ZERO
         self._work_due = ZERO
         self._assign_due: timedelta | None = None
+        self._retention = retention
+        self._stated = -1
+        self._state_due: timedelta | None = None
+        self._read_at: timedelta | None = None
+        self._snapshot_due = ZERO
+        self._asked: DaemonId | None = None
         self._stopping = False
 
     @property
@@ -161,6 +181,7 @@
         if now >= self._assign_due and not self._stopping:
             self._assign_due = now + ASSIGN_EVERY
             self._assign(now)
+        self._state_table(now)
 
     def log_event(
         self, event: LogRead | LogAppended | LogFailed, now: timedelta
@@ -175,9 +196,10 @@
             sent = self._read_sent
             self._read_sent = None
             self._read_due = now
+            self._read_at = now
             self.homes.read(event.first, event.records, now, sent)
             if not self.homes.table.complete:
-                self._ask_snapshot()
+                self._ask_snapshot(now)
 
     def connected(self, stream: StreamId) -> None:
         """Ask a new peer for the table if records were lost."""
@@ -199,12 +221,15 @@
         packed = msgspec.msgpack.encode(assignments)
         self._outbox.emit(Send(stream, HomesSnapshot(following, packed)))
 
-    def snapshot(self, message: HomesSnapshot) -> None:
+    def snapshot(self, message: HomesSnapshot, now: timedelta) -> None:
         """Take the table of a peer in place of lost records."""
         if self.homes.table.complete:
             return
         assignments = _table_decoder.decode(message.table)
-        self.homes.table.restore(LogOffset(message.following), assignments)
+        self.homes.restore(LogOffset(message.following), assignments, now)
+        self._outbox.emit(
+            Record('homes-restored', {'following': message.following})
+        )
 
     def begin(
         self, waiting: Waiting, now: timedelta
@@ -330,11 +355,43 @@
         record = self._live.get(holder.daemon)
         return record is not None and record.incarnation == holder.incarnation
 
-    def _ask_snapshot(self) -> None:
-        for daemon in self._live:
+    def _ask_snapshot(self, now: timedelta) -> None:
+        """Ask one peer, and another one if no table came."""
+        if now < self._snapshot_due:
+            return
+        others = [each for each in self._live if each != self.own.daemon]
+        place = others.index(self._asked) + 1 if self._asked in others else 0
+        for daemon in (*others[place:], *others[:place]):
             if self._paths.send(daemon, HomesWanted()):
+                self._asked = daemon
+                self._snapshot_due = now + SNAPSHOT_EVERY
                 return
 
+    def _state_table(self, now: timedelta) -> None:
+        """Preserve the table beyond the retention of the log."""
+        table = self.homes.table
+        if self._state_due is None or table.stated != self._stated:
+            self._stated = table.stated
+            self._state_due = now + self._retention / STATE_PARTS
+        if now < self._state_due or not table.complete or not len(table):
+            return
+        if self._read_at is None or now - self._read_at > READ_FRESH:
+            return
+        if now < self._state_due + self._rank() * RANK_WAIT:
+            return
+        self._state_due = now + RANK_WAIT
+        self._outbox.emit(AppendLog(HOMES, table.statement()))
+
+    def _rank(self) -> int:
+        """Return the place of this daemon among those that state the table."""
+        own = _state_score(self.own.daemon)
+        earlier = sum(_state_score(daemon) > own for daemon in self._live)
+        return min(earlier, RANK_LIMIT)
+
+
+def _state_score(daemon: DaemonId) -> int:
+    return xxhash.xxh3_64_intdigest(f'{HOMES}/{daemon}'.encode())
+
 
 def _completed_before() -> Answer:
     """Return the answer for a completed write whose own was dropped."""
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -66,7 +66,7 @@
 )
 from .paths import Paths
 from .promises import KeyRecordsTaken, Promise, PromiseRequest
-from .rollouts import Rollout
+from .rollouts import RETENTION, Rollout
 from .verdicts import Verdicts
 
 #: Interval of ``Tick`` events.
@@ -91,6 +91,8 @@
     own: MemberRecord
     seeds: tuple[str, ...]
     stop_limit: timedelta
+    #: Time for which the log keeps a record.
+    retention: timedelta = RETENTION
 
 
 class Daemon:
@@ -111,7 +113,9 @@
         self.last_hop = LastHop(
             own.daemon, self.outbox, Verdicts(TICK), self.crashes
         )
-        self.keyed = KeyedWrites(own, self.paths, self.outbox)
+        self.keyed = KeyedWrites(
+            own, self.paths, self.outbox, retention=identity.retention
+        )
         self.entrance = Entrance(
             own, self.last_hop, self.paths, self.outbox, rng, self.keyed
         )
@@ -462,7 +466,7 @@
 def _homes_snapshot(
     message: HomesSnapshot, daemon: Daemon, sender: Sender, now: timedelta
 ) -> None:
-    daemon.keyed.snapshot(message)
+    daemon.keyed.snapshot(message, now)
 
 
 @receive.register(BundleOffer)
--- a/greengagemux/settings.py
+++ b/greengagemux/settings.py
@@ -22,6 +22,7 @@
 
 DEFAULT_STOP_LIMIT_MS: Final = 30_000
 DEFAULT_POLL_WAIT_MS: Final = 2000
+DEFAULT_RETENTION_MS: Final = 3_600_000
 DEFAULT_LEVEL: Final = 'info'
 
 PORT_LIMIT: Final = 65_535
@@ -195,6 +196,13 @@
     BeforeValidator(_number(0, 60_000)),
     Field(description='a whole number of milliseconds from 0 to 60000'),
 ]
+_Retention = Annotated[
+    int,
+    BeforeValidator(_number(60_000, 2_592_000_000)),
+    Field(
+        description='a whole number of milliseconds from 60000 to 2592000000'
+    ),
+]
 _Url = Annotated[str, BeforeValidator(parse_url), Field(description=URL_RULE)]
 _Level = Annotated[
     str,
@@ -225,10 +233,14 @@
 
 
 class LogSettings(_Section):
-    """The platform's log service; ``url`` has no trailing slash."""
+    """The platform's log service; ``url`` has no trailing slash.
+
+    It keeps each record for at least ``retention_ms``.
+    """
 
     url: _Url
     poll_wait_ms: _PollWait = DEFAULT_POLL_WAIT_MS
+    retention_ms: _Retention = DEFAULT_RETENTION_MS
 
 
 class LoggingSettings(_Section):
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -208,6 +208,8 @@
         self.cuts: set[tuple[str, str]] = set()
         self.stuck: list[Pipe] = []
         self.log: list[bytes] = []
+        #: Oldest offset that the log still has.
+        self.log_first = 0
         self.log_down = False
         self.lose_append_replies = False
         self.answers: dict[int, Respond] = {}
@@ -557,19 +559,19 @@
         self.after(ms(2), lambda: self._read(node, effect, self.now))
 
     def _read(self, node: Node, effect: ReadLog, asked: timedelta) -> None:
-        fresh = self.log[effect.start :]
+        start = max(effect.start, self.log_first)
+        fresh = self.log[start:]
         waiting = self.now - asked < effect.wait and not self.log_down
         if not fresh and waiting:
             self.after(ms(20), lambda: self._read(node, effect, asked))
             return
         records = tuple(
-            events.LogRecord(LogOffset(effect.start + place), payload)
+            events.LogRecord(LogOffset(start + place), payload)
             for place, payload in enumerate(fresh)
         )
-        following = LogOffset(effect.start + len(fresh))
-        node.submit(
-            events.LogRead(effect.stream, LogOffset(0), following, records)
-        )
+        following = LogOffset(start + len(fresh))
+        first = LogOffset(self.log_first)
+        node.submit(events.LogRead(effect.stream, first, following, records))
 
     def _tick(self, node: Node) -> None:
         if node.alive and not node.paused:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -84,6 +84,7 @@
         ('[log]', '[logs]', ('[logs]', 'unknown section', '[log]')),
         ('[operators]', '[DEFAULT]', ('[DEFAULT]', 'unknown section')),
         ('[log]', '[log]\npoll_wait_ms = 1e3', ('poll_wait_ms', '60000')),
+        ('[log]', '[log]\nretention_ms = 59999', ('retention_ms', '60000')),
         ('[log]', '[logging]\nlevel = loud\n[log]', ('level', 'warning')),
         ('[log]', '[tls]\nauthority = a\n[log]', ("'a'", 'certificate')),
         ('[log]', 'loose line\n[log]', ('line 12', 'loose line')),
