--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -22,6 +22,7 @@
     AppendLog,
     CallUpstream,
     CloseStream,
+    Continue,
     DropConnections,
     Effect,
     Exit,
@@ -31,7 +32,7 @@
     Respond,
     Send,
 )
-from .events import Event, StopRequested, Tick
+from .events import Advance, Event, StopRequested, Tick
 from .ids import DaemonId, DataCentre, Incarnation, Region
 from .limits import raise_file_limit
 from .listeners import CONNECTION_LIMIT, CallerListener, Cutoff, listen
@@ -41,7 +42,7 @@
 from .metrics import Metrics
 from .outcomes import Failure, FailureError
 from .reducers import TICK, Daemon, Identity, reduce
-from .rollouts import Rollout
+from .rollouts import RETENTION, Rollout
 from .settings import Address, Settings
 from .signatures import KeyRing
 from .streams import Counters, StreamHub
@@ -166,15 +167,19 @@
             region=Region(daemon.region),
             peer_address=str(daemon.peer_address),
         )
+        log = self.settings.log
+        retention = ms(log.retention_ms) if log else RETENTION
         identity = Identity(
             own=own,
             seeds=tuple(str(seed) for seed in daemon.seeds),
             stop_limit=ms(daemon.stop_limit_ms),
+            retention=retention,
         )
         rollout = Rollout(
             KeyRing.from_settings(self.settings.operators),
             own.daemon,
             own.data_centre,
+            retention,
         )
         seed = f'{daemon.id}/{self._incarnation}'
         return Daemon(identity, rollout, Random(seed))
@@ -305,6 +310,11 @@
         log_event(logger, effect.name, effect.fields, level)
         self.metrics.count('events_total', event=effect.name.replace('-', '_'))
 
+    @_carry_out.register
+    def _continue(self, effect: Continue) -> None:
+        # The reactor looks at its sockets before a call without delay.
+        self._reactor.callLater(0, self.submit, Advance())
+
     @_carry_out.register
     def _exit(self, effect: Exit) -> None:
         self._listener.stop_accepting()
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -16,6 +16,7 @@
 from .effects import CloseStream, Effect, Exit, OpenStream, Outbox, Record, Send
 from .entrances import Entrance
 from .events import (
+    Advance,
     Announced,
     CallerGone,
     CallerRequest,
@@ -65,7 +66,7 @@
 )
 from .paths import Paths
 from .promises import KeyRecordsTaken, Promise, PromiseRequest
-from .rollouts import Rollout
+from .rollouts import RETENTION, Rollout
 from .verdicts import Verdicts
 from .writes import Terms
 
@@ -95,6 +96,8 @@
     seeds: tuple[str, ...]
     stop_limit: timedelta
     terms: Terms | None = None
+    #: Time for which the log keeps a record.
+    retention: timedelta = RETENTION
 
 
 class Daemon:
@@ -115,7 +118,9 @@
         self.last_hop = LastHop(
             own.daemon, self.outbox, Verdicts(TICK), self.crashes
         )
-        self.keyed = KeyedWrites(own, self.paths, self.outbox, identity.terms)
+        self.keyed = KeyedWrites(
+            own, self.paths, self.outbox, identity.terms, identity.retention
+        )
         self.entrance = Entrance(
             own, self.last_hop, self.paths, self.outbox, rng, self.keyed
         )
@@ -326,6 +331,11 @@
     daemon.keyed.log_event(event, now)
 
 
+@handle.register
+def _advance(event: Advance, daemon: Daemon, now: timedelta) -> None:
+    daemon.distribution.advance()
+
+
 @handle.register
 def _stop_requested(
     event: StopRequested, daemon: Daemon, now: timedelta
@@ -461,7 +471,7 @@
 def _homes_snapshot(
     message: HomesSnapshot, daemon: Daemon, sender: Sender, now: timedelta
 ) -> None:
-    daemon.keyed.snapshot(message)
+    daemon.keyed.snapshot(message, now)
 
 
 @receive.register(BundleOffer)
