Let the present slowness and errors of peers ride on dispatches

Cause: the expected time was a median over 96 answers of one route, so in an overload of all upstreams the first ones reached the limit before it rose. Change: the median is multiplied by the median ratio of the last 24 answers of other upstreams over all routes; the share of errors of other upstreams (without the worst) raises the healthy share. ExpectedTimes is merged into baselines, which the entrance uses. Errors no longer shape service times.

--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -101,9 +101,10 @@
         candidate = pick.candidate
         request = RequestId(self._next_request)
         self._next_request += 1
-        expected_ms = self._baselines.expected_ms(
-            waiting.route.name, candidate.upstream
+        expected = self._baselines.expect(
+            waiting.route.service, waiting.route.name, candidate.upstream
         )
+        expected_ms = expected.service_ms
         attempt = Attempt(request, candidate, pick.forced, now, expected_ms)
         attempt.queue_ms = _queue_ms(candidate)
         if candidate.nearness is Nearness.other_region:
@@ -131,6 +132,7 @@
             idempotent=waiting.idempotent,
             key=key,
             expected_ms=expected_ms,
+            peer_errors=expected.error_share,
             forced=pick.forced,
             echo=route.echo_header,
             team=waiting.caller.team or '',
--- a/greengagemux/baselines.py
+++ b/greengagemux/baselines.py
@@ -1,84 +1,166 @@
-"""Service times of a route over its upstreams, as an entrance sees them."""
+"""What an entrance expects of an upstream, learned from its peers.
 
-from dataclasses import dataclass, field
-from statistics import median
+The long view is the median service time of each route. The recent view is
+one number for each service, the slowness of its latest answers over all
+routes, so that a slow-down of the whole service shows within a few answers
+and is not held against one upstream.
+"""
 
-from .ids import RouteName, UpstreamId
+import statistics
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
 
-#: Step of the running median relative to its value.
-MEDIAN_STEP = 0.05
-#: Answers between two computations of the median over upstreams.
-REFRESH_ANSWERS = 16
-#: Answers an upstream must have given before it counts as a peer.
-MATURE_ANSWERS = 5
+from .ids import RouteName, ServiceName, UpstreamId
 
+#: Answers of a route over which its median is taken.
+MEDIAN_WINDOW = 96
+MEDIAN_MIN = 8
+#: New answers of a route after which its medians are taken again.
+MEDIAN_REFRESH = 16
+#: Latest answers of a service that show its present slowness.
+RECENT_WINDOW = 24
+RECENT_MIN = 8
+#: Smaller rises are noise of a median of few answers.
+SLOWNESS_MIN = 1.25
+#: Latest answers of a service that show its present share of errors.
+ERROR_WINDOW = 64
 
-@dataclass(slots=True)
-class _Track:
-    """Running median of one upstream, moved by a step for each answer."""
 
-    median_ms: float
-    answers: int = 0
+@dataclass(frozen=True, slots=True)
+class Expectation:
+    """What peers show: service time (0 if unknown) and share of errors."""
 
-    def add(self, service_ms: float) -> None:
-        self.answers += 1
-        step = self.median_ms * MEDIAN_STEP
-        if service_ms > self.median_ms:
-            self.median_ms += step
-        elif service_ms < self.median_ms:
-            self.median_ms -= step
+    service_ms: float = 0
+    error_share: float = 0
 
 
-@dataclass(slots=True)
 class _RouteTimes:
-    tracks: dict[UpstreamId, _Track] = field(default_factory=dict)
-    expected_ms: dict[UpstreamId, float] = field(default_factory=dict)
-    answers: int = 0
+    """Latest service times of one route."""
+
+    def __init__(self) -> None:
+        self._latest: deque[tuple[UpstreamId, float]] = deque(
+            maxlen=MEDIAN_WINDOW,
+        )
+        self._medians: dict[UpstreamId | None, float] = {}
+        self._unread = 0
+
+    def add(self, upstream: UpstreamId, service_ms: float) -> None:
+        self._latest.append((upstream, service_ms))
+        self._unread += 1
+        if self._unread >= MEDIAN_REFRESH:
+            self.refresh()
+
+    def refresh(self) -> None:
+        self._medians.clear()
+        self._unread = 0
+
+    def median(self, without: UpstreamId | None = None) -> float:
+        known = self._medians.get(without)
+        if known is not None:
+            return known
+        median = _median(self._latest, without, MEDIAN_MIN)
+        if median:
+            self._medians[without] = median
+        return median
+
+    def forget(self, upstream: UpstreamId) -> None:
+        left = [each for each in self._latest if each[0] != upstream]
+        self._latest = deque(left, maxlen=MEDIAN_WINDOW)
+        self.refresh()
+
+
+class _Recent:
+    """Latest answers of one service over all its routes."""
+
+    def __init__(self) -> None:
+        self._ratios: deque[tuple[UpstreamId, float]] = deque(
+            maxlen=RECENT_WINDOW,
+        )
+        self._errors: deque[tuple[UpstreamId, bool]] = deque(
+            maxlen=ERROR_WINDOW,
+        )
+
+    def add(self, upstream: UpstreamId, ratio: float, *, error: bool) -> None:
+        self._errors.append((upstream, error))
+        if ratio:
+            self._ratios.append((upstream, ratio))
+
+    def slowness(self, without: UpstreamId) -> float:
+        ratio = _median(self._ratios, without, RECENT_MIN)
+        return ratio if ratio >= SLOWNESS_MIN else 1
+
+    def error_share(self, without: UpstreamId) -> float:
+        """Return the share of errors of all but one and the worst other.
+
+        The worst is left out because its errors may be its own.
+        """
+        answers = 0
+        errors: dict[UpstreamId, int] = {}
+        for upstream, error in self._errors:
+            if upstream != without:
+                answers += 1
+                errors[upstream] = errors.get(upstream, 0) + error
+        if not answers:
+            return 0
+        return (sum(errors.values()) - max(errors.values())) / answers
 
 
 class Baselines:
-    """Median service time of each route over the other upstreams."""
+    """Expectations of one entrance, by service and route."""
 
     def __init__(self) -> None:
         """Start without answers."""
         self._routes: dict[RouteName, _RouteTimes] = {}
+        self._recent: dict[ServiceName, _Recent] = {}
 
     def add(
-        self, route: RouteName, upstream: UpstreamId, service_ms: float
+        self,
+        service: ServiceName,
+        route: RouteName,
+        upstream: UpstreamId,
+        service_ms: float,
+        *,
+        error: bool = False,
     ) -> None:
-        """Add the service time of an answer."""
+        """Add an answer; only successes shape the service times."""
+        recent = self._recent.setdefault(service, _Recent())
+        if error:
+            recent.add(upstream, 0, error=True)
+            return
         times = self._routes.setdefault(route, _RouteTimes())
-        track = times.tracks.get(upstream)
-        if track is None:
-            track = _Track(max(service_ms, 0.1))
-            times.tracks[upstream] = track
-        track.add(service_ms)
-        times.answers += 1
-        if times.answers % REFRESH_ANSWERS == 0:
-            times.expected_ms.clear()
-
-    def expected_ms(self, route: RouteName, upstream: UpstreamId) -> float:
-        """Return the median over the other upstreams, or 0 if unknown."""
+        median = times.median()
+        ratio = service_ms / median if median else 0
+        recent.add(upstream, ratio, error=False)
+        times.add(upstream, service_ms)
+
+    def expect(
+        self,
+        service: ServiceName,
+        route: RouteName,
+        upstream: UpstreamId,
+    ) -> Expectation:
+        """Return what the other upstreams of the service show."""
         times = self._routes.get(route)
-        if times is None:
-            return 0
-        known = times.expected_ms.get(upstream)
-        if known is None:
-            known = _median_without(times, upstream)
-            times.expected_ms[upstream] = known
-        return known
+        recent = self._recent.get(service)
+        if times is None or recent is None:
+            return Expectation()
+        slowness = recent.slowness(upstream)
+        return Expectation(
+            times.median(upstream) * slowness,
+            recent.error_share(upstream),
+        )
 
     def forget(self, upstream: UpstreamId) -> None:
         """Forget an upstream that has left."""
         for times in self._routes.values():
-            times.tracks.pop(upstream, None)
-            times.expected_ms.clear()
+            times.forget(upstream)
 
 
-def _median_without(times: _RouteTimes, upstream: UpstreamId) -> float:
-    others = [
-        track.median_ms
-        for name, track in times.tracks.items()
-        if name != upstream and track.answers >= MATURE_ANSWERS
-    ]
-    return median(others) if others else 0
+def _median(
+    latest: Iterable[tuple[UpstreamId, float]],
+    without: UpstreamId | None,
+    least: int,
+) -> float:
+    others = [found for source, found in latest if source != without]
+    return statistics.median(others) if len(others) >= least else 0
--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -9,13 +9,11 @@
 
 import itertools
 import math
-import statistics
-from collections import deque
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from types import MappingProxyType
 
-from .ids import RouteName, UpstreamId
+from .ids import RouteName
 
 
 class SampleKind(Enum):
@@ -65,6 +63,8 @@
 FAILURE_GAIN = 1 / 4000
 #: A learned share of failures is raised by this margin.
 FAILURE_MARGIN = 1.5
+#: An upstream that fails more than this is sick even if its peers are.
+HEALTHY_SHARE_MAX = 0.5
 #: Weight of one sample in the long-run service time of a route.
 BASELINE_GAIN = 0.02
 BASELINE_SAMPLES = 30
@@ -72,11 +72,6 @@
 SILENT_TAIL = 0.003
 SILENCE_MIN_MS = 250
 SILENCE_UNKNOWN_MS = 2000
-#: Answers of a route over which an entrance takes the median.
-MEDIAN_WINDOW = 96
-MEDIAN_MIN = 8
-#: New answers of a route after which its medians are taken again.
-MEDIAN_REFRESH = 16
 #: Weights of one sample in the recent and the longer view of expected_ms.
 RECENT_GAIN = 0.2
 LONGER_GAIN = 0.02
@@ -111,9 +106,10 @@
     """One piece of evidence.
 
     ``service_ms`` runs from the call to the upstream until its end, or
-    until now for ``silent``. ``expected_ms`` is the median of the route
-    over other upstreams, 0 when unknown. ``fresh`` tells that the
-    connection was opened for this request.
+    until now for ``silent``. ``expected_ms`` is the present service time
+    of the route on other upstreams, 0 when unknown. ``fresh`` tells that
+    the connection was opened for this request. ``peer_errors`` is the
+    present share of errors of other upstreams.
     """
 
     kind: SampleKind
@@ -121,6 +117,7 @@
     service_ms: float
     expected_ms: float = 0
     fresh: bool = False
+    peer_errors: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -332,8 +329,10 @@
             return KEPT_SILENT_SHARE
         if sample.kind not in {SampleKind.success, SampleKind.error}:
             return HEALTHY_SHARES[sample.kind]
-        learned = self._failure_share * FAILURE_MARGIN
-        return max(HEALTHY_SHARES[SampleKind.error], learned)
+        shared = max(self._failure_share, sample.peer_errors)
+        learned = shared * FAILURE_MARGIN
+        bounded = min(learned, HEALTHY_SHARE_MAX)
+        return max(HEALTHY_SHARES[SampleKind.error], bounded)
 
     def _observe_time(
         self,
@@ -367,58 +366,3 @@
             times.refresh()
             self._routes[route] = times
         return times
-
-
-class _Window:
-    """Latest service times of one route."""
-
-    def __init__(self) -> None:
-        self._latest: deque[tuple[UpstreamId, float]] = deque(
-            maxlen=MEDIAN_WINDOW,
-        )
-        self._medians: dict[UpstreamId, float] = {}
-        self._unread = 0
-
-    def note(self, upstream: UpstreamId, service_ms: float) -> None:
-        """Add an answer."""
-        self._latest.append((upstream, service_ms))
-        self._unread += 1
-        if self._unread >= MEDIAN_REFRESH:
-            self._medians.clear()
-            self._unread = 0
-
-    def median(self, upstream: UpstreamId) -> float:
-        """Return the median over other upstreams, 0 when unknown."""
-        known = self._medians.get(upstream)
-        if known is not None:
-            return known
-        others = [took for source, took in self._latest if source != upstream]
-        median = float(0)
-        if len(others) >= MEDIAN_MIN:
-            median = statistics.median(others)
-            self._medians[upstream] = median
-        return median
-
-
-class ExpectedTimes:
-    """Median service time of each route, kept by an entrance."""
-
-    def __init__(self) -> None:
-        """Start without answers."""
-        self._windows: dict[RouteName, _Window] = {}
-
-    def note(
-        self,
-        upstream: UpstreamId,
-        route: RouteName,
-        service_ms: float,
-    ) -> None:
-        """Take in the service time of a successful answer."""
-        if route not in self._windows:
-            self._windows[route] = _Window()
-        self._windows[route].note(upstream, service_ms)
-
-    def expected_ms(self, upstream: UpstreamId, route: RouteName) -> float:
-        """Return the median over other upstreams, 0 when unknown."""
-        window = self._windows.get(route)
-        return window.median(upstream) if window else 0
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -390,9 +390,11 @@
             return
         if not waiting.forwarded:
             self._baselines.add(
+                waiting.route.service,
                 waiting.route.name,
                 attempt.candidate.upstream,
                 message.service_ms,
+                error=message.status >= _HTTP_ERROR,
             )
         if message.status >= _HTTP_ERROR and waiting.idempotent:
             waiting.fallback = message
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -506,6 +506,7 @@
             in_ms(now - job.started),
             job.dispatch.expected_ms,
             fresh=job.fresh,
+            peer_errors=job.dispatch.peer_errors,
         )
         upstream = job.dispatch.upstream
         self._apply(self.verdicts.observe(upstream, sample, now))
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -129,6 +129,7 @@
     ``team`` is the team of the caller; empty for none. ``retry`` marks a
     request that another upstream may have run or has refused. A ``movable``
     request is refused rather than queued behind others of its class.
+    ``peer_errors`` is the present share of errors of other upstreams.
     """
 
     request: RequestId
@@ -151,6 +152,7 @@
     team: str = ''
     retry: bool = False
     movable: bool = False
+    peer_errors: float = 0
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- a/greengagemux/trials.py
+++ b/greengagemux/trials.py
@@ -14,8 +14,9 @@
 from random import Random
 from typing import Any
 
+from .baselines import Baselines, Expectation
 from .choices import Candidate, Nearness, UsableView, age_loads, choose
-from .detectors import ErrorRates, ExpectedTimes, Sample, SampleKind
+from .detectors import ErrorRates, Sample, SampleKind
 from .faults import HANGING, ROUTES, FakeUpstream, FaultKind, Result, Route
 from .ids import DaemonId, ServiceName, UpstreamId
 from .messages import Load, UpstreamState
@@ -41,6 +42,7 @@
 _Action = Callable[..., None]
 _Due = tuple[float, int, _Action, tuple[Any, ...]]
 
+_ANSWERED = frozenset((SampleKind.success, SampleKind.error))
 _UP = UpstreamState.serving
 _SICK = UpstreamState.sick
 
@@ -92,7 +94,7 @@
     started_s: float
     fresh: bool
     ends: Result
-    expected_ms: float
+    expected: Expectation
     done: bool = False
     counted: bool = False
     paused_s: float = 0
@@ -102,7 +104,7 @@
 class _Entrance:
     place: int
     view: UsableView
-    expected: ExpectedTimes = field(default_factory=ExpectedTimes)
+    baselines: Baselines = field(default_factory=Baselines)
 
 
 @dataclass(slots=True, eq=False)
@@ -268,9 +270,14 @@
     def _answer(self, call: _Call, service_ms: float, load: Load) -> None:
         call.candidate.outstanding -= 1
         call.candidate.report(load)
-        if call.ends.kind is SampleKind.success:
-            call.request.entrance.expected.note(
-                call.hop.upstream, call.request.route.name, service_ms
+        kind = call.ends.kind
+        if kind in _ANSWERED:
+            call.request.entrance.baselines.add(
+                SERVICE,
+                call.request.route.name,
+                call.hop.upstream,
+                service_ms,
+                error=kind is SampleKind.error,
             )
 
     # Calls at the last hop.
@@ -293,8 +300,8 @@
         if silent:
             ends = Result(SampleKind.success, math.inf, hurt=True)
         self.tally.hurt += int(ends.hurt)
-        expected = request.entrance.expected.expected_ms(
-            hop.upstream, request.route.name
+        expected = request.entrance.baselines.expect(
+            SERVICE, request.route.name, hop.upstream
         )
         call = _Call(request, hop, candidate, self.now_s, fresh, ends, expected)
         hop.calls.append(call)
@@ -309,7 +316,7 @@
         limit_ms = call.hop.policy.silence_limit_ms(
             call.hop.upstream,
             call.request.route.name,
-            call.expected_ms,
+            call.expected.service_ms,
             timedelta(seconds=call.started_s),
             self.now(),
         )
@@ -392,8 +399,9 @@
             kind,
             call.request.route.name,
             service_ms,
-            call.expected_ms,
+            call.expected.service_ms,
             call.fresh,
+            call.expected.error_share,
         )
         hop = call.hop
         changes = hop.policy.observe(hop.upstream, sample, self.now())
--- a/tests/test_detectors.py
+++ b/tests/test_detectors.py
@@ -1,25 +1,27 @@
 """Guards the sequential test against false and missing evidence."""
 
 import math
+from dataclasses import replace
 from random import Random
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from greengagemux.baselines import Baselines
 from greengagemux.detectors import (
     FAILURE_SHARES,
     HEALTHY_SHARES,
     Detector,
     ErrorRates,
-    ExpectedTimes,
     Sample,
     SampleKind,
 )
 from greengagemux.experiments import efficiency_rows
-from greengagemux.ids import RouteName, UpstreamId
+from greengagemux.ids import RouteName, ServiceName, UpstreamId
 
 ROUTE = RouteName('stock')
+SERVICE = ServiceName('ledger')
 RATES = ErrorRates()
 _kinds = st.sampled_from([*SampleKind, *(SampleKind.success for _ in range(9))])
 
@@ -138,9 +140,50 @@
 
 def test_expected_time_leaves_out_the_upstream_itself() -> None:
     """A slow upstream must not raise its own yardstick."""
-    times = ExpectedTimes()
+    baselines = Baselines()
     for number in range(60):
         slow = number % 2 == 0
         name = UpstreamId('slow' if slow else 'fine')
-        times.note(name, ROUTE, 500 if slow else 20)
-    assert times.expected_ms(UpstreamId('slow'), ROUTE) == 20
+        baselines.add(SERVICE, ROUTE, name, 500 if slow else 20)
+    slow_one = baselines.expect(SERVICE, ROUTE, UpstreamId('slow'))
+    assert slow_one.service_ms == 20
+
+
+def test_expected_time_follows_the_whole_service() -> None:
+    """A slow-down of all upstreams must show within a few answers."""
+    baselines = Baselines()
+    for number in range(200):
+        baselines.add(SERVICE, ROUTE, UpstreamId(f'u{number % 8}'), 20)
+    other = RouteName('report')
+    for number in range(200):
+        baselines.add(SERVICE, other, UpstreamId(f'u{number % 8}'), 200)
+    for number in range(16):
+        baselines.add(SERVICE, ROUTE, UpstreamId(f'u{number % 8}'), 60)
+    found = baselines.expect(SERVICE, other, UpstreamId('u0'))
+    assert found.service_ms == pytest.approx(600)
+
+
+def test_errors_of_peers_excuse_errors() -> None:
+    """Errors everywhere must not be held against one upstream."""
+    baselines = Baselines()
+    for number in range(400):
+        name = UpstreamId(f'u{number % 8}')
+        baselines.add(SERVICE, ROUTE, name, 20, error=number % 5 == 0)
+    share = baselines.expect(SERVICE, ROUTE, UpstreamId('u0')).error_share
+    for known, found in ((share, False), (0, True)):
+        detector = Detector(RATES)
+        for number in range(60):
+            kind = SampleKind.success if number % 5 else SampleKind.error
+            sample = replace(_sample(kind), peer_errors=known)
+            reading = detector.observe(sample, learn=False)
+        assert (reading.share >= 1) == found
+
+
+def test_errors_of_one_peer_excuse_nothing() -> None:
+    """One failing peer must not raise what is expected of the others."""
+    baselines = Baselines()
+    for number in range(80):
+        name = UpstreamId(f'u{number % 8}')
+        baselines.add(SERVICE, ROUTE, name, 20, error=number % 8 == 1)
+    found = baselines.expect(SERVICE, ROUTE, UpstreamId('u0'))
+    assert not found.error_share
