--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -72,11 +72,6 @@
 SILENT_TAIL = 0.003
 SILENCE_MIN_MS = 250
 SILENCE_UNKNOWN_MS = 2000
-#: Weights of one sample in the recent and the longer view of expected_ms.
-RECENT_GAIN = 0.2
-LONGER_GAIN = 0.02
-#: A rise of expected_ms by this factor shows that all upstreams slow down.
-RISE_FACTOR = 1.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,8 +162,6 @@
     unread: int = 0
     own_log_ms: float = 0
     own_samples: int = 0
-    recent_log_ms: float = 0
-    longer_log_ms: float = 0
 
     def refresh(self) -> None:
         total = sum(self.counts)
@@ -196,16 +189,6 @@
         own = math.log(max(service_ms, 0.1))
         self.own_log_ms += gain * (own - self.own_log_ms)
 
-    def follow(self, expected_ms: float) -> bool:
-        """Take in an expected time; return whether it is rising."""
-        log_ms = math.log(expected_ms)
-        if not self.longer_log_ms:
-            self.recent_log_ms = log_ms
-            self.longer_log_ms = log_ms
-        self.recent_log_ms += RECENT_GAIN * (log_ms - self.recent_log_ms)
-        self.longer_log_ms += LONGER_GAIN * (log_ms - self.longer_log_ms)
-        return self.recent_log_ms - self.longer_log_ms > math.log(RISE_FACTOR)
-
     def expected(self, given_ms: float) -> float:
         if given_ms > 0:
             return given_ms
@@ -239,8 +222,6 @@
         self.slow_scores = _zeros(len(SLOW_SHIFTS))
         self.counts: dict[SampleKind, int] = {}
         self._failure_share = float(0)
-        #: Whether the last sample's expected time was rising.
-        self.rising = False
         self._routes: dict[RouteName, _RouteTimes] = {}
 
     def observe(
@@ -347,12 +328,10 @@
             times.learn_own(sample.service_ms)
         if not expected:
             return
-        rising = times.follow(expected)
-        self.rising = rising
         place = _place(sample.service_ms / expected)
         for test, evidence in enumerate(times.evidence):
             found = evidence[place]
-            if found > 0 and (hold or rising):
+            if found > 0 and hold:
                 continue
             score = self.slow_scores[test] + found
             self.slow_scores[test] = max(score, 0)
--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -377,9 +377,6 @@
         return _explain(case, now, self._in_trouble(case.service, now))
 
     def _weigh(self, case: _Case, sample: Sample, now: timedelta) -> None:
-        # One upstream's view of expected_ms is too noisy to count alone.
-        if case.detector.rising and case.service in self._doubted:
-            self._trouble_until[case.service] = now + TROUBLE_HOLD
         troubled = self._in_trouble(case.service, now)
         reading = case.detector.observe(
             sample,
