--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -9,13 +9,11 @@
 
 import itertools
 import math
-import statistics
-from collections import deque
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from types import MappingProxyType
 
-from .ids import RouteName, UpstreamId
+from .ids import RouteName
 
 
 class SampleKind(Enum):
@@ -65,6 +63,8 @@
 FAILURE_GAIN = 1 / 4000
 #: A learned share of failures is raised by this margin.
 FAILURE_MARGIN = 1.5
+#: An upstream that fails more than this is sick even if its peers are.
+HEALTHY_SHARE_MAX = 0.5
 #: Weight of one sample in the long-run service time of a route.
 BASELINE_GAIN = 0.02
 BASELINE_SAMPLES = 30
@@ -72,16 +72,6 @@
 SILENT_TAIL = 0.003
 SILENCE_MIN_MS = 250
 SILENCE_UNKNOWN_MS = 2000
-#: Answers of a route over which an entrance takes the median.
-MEDIAN_WINDOW = 96
-MEDIAN_MIN = 8
-#: New answers of a route after which its medians are taken again.
-MEDIAN_REFRESH = 16
-#: Weights of one sample in the recent and the longer view of expected_ms.
-RECENT_GAIN = 0.2
-LONGER_GAIN = 0.02
-#: A rise of expected_ms by this factor shows that all upstreams slow down.
-RISE_FACTOR = 1.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,9 +101,10 @@
     """One piece of evidence.
 
     ``service_ms`` runs from the call to the upstream until its end, or
-    until now for ``silent``. ``expected_ms`` is the median of the route
-    over other upstreams, 0 when unknown. ``fresh`` tells that the
-    connection was opened for this request.
+    until now for ``silent``. ``expected_ms`` is the present service time
+    of the route on other upstreams, 0 when unknown. ``fresh`` tells that
+    the connection was opened for this request. ``peer_errors`` is the
+    present share of errors of other upstreams.
     """
 
     kind: SampleKind
@@ -121,6 +112,7 @@
     service_ms: float
     expected_ms: float = 0
     fresh: bool = False
+    peer_errors: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,8 +162,6 @@
     unread: int = 0
     own_log_ms: float = 0
     own_samples: int = 0
-    recent_log_ms: float = 0
-    longer_log_ms: float = 0
 
     def refresh(self) -> None:
         total = sum(self.counts)
@@ -199,16 +189,6 @@
         own = math.log(max(service_ms, 0.1))
         self.own_log_ms += gain * (own - self.own_log_ms)
 
-    def follow(self, expected_ms: float) -> bool:
-        """Take in an expected time; return whether it is rising."""
-        log_ms = math.log(expected_ms)
-        if not self.longer_log_ms:
-            self.recent_log_ms = log_ms
-            self.longer_log_ms = log_ms
-        self.recent_log_ms += RECENT_GAIN * (log_ms - self.recent_log_ms)
-        self.longer_log_ms += LONGER_GAIN * (log_ms - self.longer_log_ms)
-        return self.recent_log_ms - self.longer_log_ms > math.log(RISE_FACTOR)
-
     def expected(self, given_ms: float) -> float:
         if given_ms > 0:
             return given_ms
@@ -242,8 +222,6 @@
         self.slow_scores = _zeros(len(SLOW_SHIFTS))
         self.counts: dict[SampleKind, int] = {}
         self._failure_share = float(0)
-        #: Whether the last sample's expected time was rising.
-        self.rising = False
         self._routes: dict[RouteName, _RouteTimes] = {}
 
     def observe(
@@ -332,8 +310,10 @@
             return KEPT_SILENT_SHARE
         if sample.kind not in {SampleKind.success, SampleKind.error}:
             return HEALTHY_SHARES[sample.kind]
-        learned = self._failure_share * FAILURE_MARGIN
-        return max(HEALTHY_SHARES[SampleKind.error], learned)
+        shared = max(self._failure_share, sample.peer_errors)
+        learned = shared * FAILURE_MARGIN
+        bounded = min(learned, HEALTHY_SHARE_MAX)
+        return max(HEALTHY_SHARES[SampleKind.error], bounded)
 
     def _observe_time(
         self,
@@ -348,12 +328,10 @@
             times.learn_own(sample.service_ms)
         if not expected:
             return
-        rising = times.follow(expected)
-        self.rising = rising
         place = _place(sample.service_ms / expected)
         for test, evidence in enumerate(times.evidence):
             found = evidence[place]
-            if found > 0 and (hold or rising):
+            if found > 0 and hold:
                 continue
             score = self.slow_scores[test] + found
             self.slow_scores[test] = max(score, 0)
@@ -367,58 +345,3 @@
             times.refresh()
             self._routes[route] = times
         return times
-
-
-class _Window:
-    """Latest service times of one route."""
-
-    def __init__(self) -> None:
-        self._latest: deque[tuple[UpstreamId, float]] = deque(
-            maxlen=MEDIAN_WINDOW,
-        )
-        self._medians: dict[UpstreamId, float] = {}
-        self._unread = 0
-
-    def note(self, upstream: UpstreamId, service_ms: float) -> None:
-        """Add an answer."""
-        self._latest.append((upstream, service_ms))
-        self._unread += 1
-        if self._unread >= MEDIAN_REFRESH:
-            self._medians.clear()
-            self._unread = 0
-
-    def median(self, upstream: UpstreamId) -> float:
-        """Return the median over other upstreams, 0 when unknown."""
-        known = self._medians.get(upstream)
-        if known is not None:
-            return known
-        others = [took for source, took in self._latest if source != upstream]
-        median = float(0)
-        if len(others) >= MEDIAN_MIN:
-            median = statistics.median(others)
-            self._medians[upstream] = median
-        return median
-
-
-class ExpectedTimes:
-    """Median service time of each route, kept by an entrance."""
-
-    def __init__(self) -> None:
-        """Start without answers."""
-        self._windows: dict[RouteName, _Window] = {}
-
-    def note(
-        self,
-        upstream: UpstreamId,
-        route: RouteName,
-        service_ms: float,
-    ) -> None:
-        """Take in the service time of a successful answer."""
-        if route not in self._windows:
-            self._windows[route] = _Window()
-        self._windows[route].note(upstream, service_ms)
-
-    def expected_ms(self, upstream: UpstreamId, route: RouteName) -> float:
-        """Return the median over other upstreams, 0 when unknown."""
-        window = self._windows.get(route)
-        return window.median(upstream) if window else 0
