--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -8,6 +8,7 @@
 import click
 
 from . import bundlecommands, commands
+from .checks import verify
 from .settings import Address, Settings, SettingsError, read_settings
 from .timelines import timeline
 
@@ -118,3 +119,4 @@
 
 main.add_command(bundlecommands.bundle)
 main.add_command(timeline)
+main.add_command(verify)
--- a/greengagemux_standins/cli.py
+++ b/greengagemux_standins/cli.py
@@ -13,9 +13,11 @@
 
 from .cutters import LinkOrder, Relay
 from .demos import demo
+from .links import linked_daemon
 from .logstores import LogSettings, LogStore
 from .servers import Network
 from .slots import MS_PER_SECOND, Capacity
+from .soaks import soak
 from .upstreams import Upstream, UpstreamSettings
 
 CRASH_STATUS = 70
@@ -30,7 +32,9 @@
 
 
 main.add_command(demo)
+main.add_command(linked_daemon)
 main.add_command(load_command)
+main.add_command(soak)
 
 
 def _prefixes(
@@ -59,6 +63,11 @@
         click.Option(['--cold-factor'], default=float(4), show_default=True),
         click.Option(['--seed'], default=0, show_default=True),
         click.Option(['--answer-bytes'], default=256, show_default=True),
+        click.Option(
+            ['--ledger-file'],
+            default='',
+            help='File that executions are appended to.',
+        ),
         click.Option(
             ['--slow-prefix'],
             multiple=True,
@@ -94,10 +103,15 @@
             ['--appends-per-second'], default=0, help='0 for no limit.'
         ),
         click.Option(['--seed'], default=0, show_default=True),
+        click.Option(
+            ['--records-file'],
+            default='',
+            help='File that keeps the records; without one, memory only.',
+        ),
     ],
 )
 def log(**options: Any) -> None:
-    """Run the append-only log; its records are kept in memory only."""
+    """Run the append-only log."""
     _run(LogStore(LogSettings(**options), cast('Network', _reactor)))
 
 
@@ -140,6 +154,7 @@
         admin_address=options['admin'],
         port=options['port'],
         answer_bytes=options['answer_bytes'],
+        ledger_file=options['ledger_file'],
         slow_prefixes=options['slow_prefix'],
         capacity=Capacity(
             slots=options['slots'],
--- a/greengagemux_standins/demos.py
+++ b/greengagemux_standins/demos.py
@@ -95,7 +95,7 @@
 
 
 @contextmanager
-def _termination_raises() -> Iterator[None]:
+def termination_raises() -> Iterator[None]:
     """Turn SIGTERM into an exit, so that child processes are ended."""
     previous = signal.signal(signal.SIGTERM, _leave)
     try:
@@ -145,7 +145,7 @@
     Ends with status 1 after a hung request, a wrong answer or a request that
     ran against what its caller was told.
     """
-    with _termination_raises(), Processes(run_dir) as processes:
+    with termination_raises(), Processes(run_dir) as processes:
         try:
             passed = _demonstrate(run_dir, processes, options)
         except (LaunchError, FailureError, ValueError) as error:
--- a/greengagemux_standins/fleets.py
+++ b/greengagemux_standins/fleets.py
@@ -301,7 +301,7 @@
         public_key = self._make_keys()
         self._publish()
         for daemon in self.layout.daemons:
-            text = settings_text(self.layout, daemon, public_key)
+            text = self.settings(daemon, public_key)
             self._path(f'{daemon.name}.ini').write_text(text)
             self.start_daemon(daemon.name)
         for place in self.layout.upstreams:
@@ -314,16 +314,34 @@
 
     def start_daemon(self, name: str) -> int:
         """Start a daemon, also after it was killed."""
-        return self.processes.start(
-            name, self._filled(self.commands.serve, settings=f'{name}.ini')
-        )
+        return self.processes.start(name, self.daemon_arguments(name))
 
     def start_upstream(self, name: str) -> int:
         """Start an upstream stand-in, also after it crashed."""
+        return self.processes.start(name, self.upstream_arguments(name))
+
+    def start_log(self) -> int:
+        """Start the log, also after it was killed."""
+        return self.processes.start('log', self.log_arguments())
+
+    def settings(self, daemon: Daemon, public_key: str) -> str:
+        """Return the settings of a daemon."""
+        return settings_text(self.layout, daemon, public_key)
+
+    def daemon_arguments(self, name: str) -> tuple[str, ...]:
+        """Return what the interpreter runs as a daemon."""
+        return self._filled(self.commands.serve, settings=f'{name}.ini')
+
+    def upstream_arguments(self, name: str) -> tuple[str, ...]:
+        """Return what the interpreter runs as an upstream."""
         place = self.place(name)
         seed = self.seed + self.layout.upstreams.index(place)
-        arguments = upstream_arguments(self.layout, place, seed)
-        return self.processes.start(name, (*self.commands.upstream, *arguments))
+        options = upstream_arguments(self.layout, place, seed)
+        return (*self.commands.upstream, *options)
+
+    def log_arguments(self) -> tuple[str, ...]:
+        """Return what the interpreter runs as the log."""
+        return (*self.commands.log, f'--port={self.layout.log_port}')
 
     def stop(self) -> list[str]:
         """Stop daemons, then upstreams, then the log.
@@ -356,8 +374,7 @@
         return msgspec.json.decode(fetch(url), type=LedgerPage)
 
     def _start_log(self) -> None:
-        port = f'--port={self.layout.log_port}'
-        self.processes.start('log', (*self.commands.log, port))
+        self.start_log()
         self._wait('log', f'{self.layout.log_url}/streams/bundles')
 
     def _make_keys(self) -> str:
@@ -405,14 +422,19 @@
     return True
 
 
-def fetch(url: str, shape: dict[str, Any] | None = None) -> bytes:
-    """Return the body of a ``GET``, or of a ``POST`` of JSON.
+def fetch(
+    url: str,
+    shape: dict[str, Any] | None = None,
+    raw: bytes | None = None,
+    limit_s: float = _HTTP_TIMEOUT_S,
+) -> bytes:
+    """Return the body of a ``GET``, or of a ``POST`` of JSON or raw bytes.
 
     Raises ``OSError`` when there is no answer with status 200.
     """
-    posted = None if shape is None else json.dumps(shape).encode()
+    posted = raw if shape is None else json.dumps(shape).encode()
     request = Request(url, posted)  # noqa: S310
-    with _opener.open(request, timeout=_HTTP_TIMEOUT_S) as answer:
+    with _opener.open(request, timeout=limit_s) as answer:
         if answer.status != OK:
             raise URLError(f'{url}: status {answer.status}')
         body: bytes = answer.read()
--- a/greengagemux_standins/ledgers.py
+++ b/greengagemux_standins/ledgers.py
@@ -1,7 +1,9 @@
 """Executions counted by an upstream stand-in."""
 
 from collections import OrderedDict
-from typing import NamedTuple
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import BinaryIO, NamedTuple
 
 import msgspec
 import xxhash
@@ -60,6 +62,23 @@
     runs: list[Run]
 
 
+class Entry(msgspec.Struct, frozen=True):
+    """One line of a ledger file; ``event`` is ``started`` or ``finished``."""
+
+    event: str
+    tag: str
+    idempotency: str
+    method: str
+
+
+def read_entries(paths: Iterable[Path]) -> Iterator[Entry]:
+    """Yield the entries of ledger files; a cut last line is left out."""
+    for path in paths:
+        for line in path.read_bytes().splitlines(keepends=True):
+            if line.endswith(b'\n'):
+                yield msgspec.json.decode(line, type=Entry)
+
+
 def fingerprint(method: bytes, target: bytes, body: bytes) -> str:
     """Return the xxh3-64 of a request as hex digits."""
     digest = xxhash.xxh3_64()
@@ -71,9 +90,21 @@
 class Ledger:
     """Counts executions by request."""
 
-    def __init__(self, upstream: str, entry_limit: int = ENTRY_LIMIT) -> None:
-        """Keep at most ``entry_limit`` requests."""
+    def __init__(
+        self,
+        upstream: str,
+        entry_limit: int = ENTRY_LIMIT,
+        path: str = '',
+    ) -> None:
+        """Keep at most ``entry_limit`` requests.
+
+        Executions are also written to the file ``path``, so that they are
+        known after a kill. Each line is written before the work goes on.
+        """
         self._upstream = upstream
+        self._file: BinaryIO | None = None
+        if path:
+            self._file = Path(path).open('ab', buffering=0)
         self._entry_limit = entry_limit
         self._runs: OrderedDict[WorkKey, Run] = OrderedDict()
         self.started = 0
@@ -88,11 +119,13 @@
         """Count an execution that begins."""
         self.started += 1
         self._run(key).started += 1
+        self._write('started', key)
 
     def finish(self, key: WorkKey) -> None:
         """Count an execution that reached its end."""
         self.finished += 1
         self._run(key).finished += 1
+        self._write('finished', key)
 
     def stop(self, key: WorkKey) -> None:
         """Count an execution that was cut short."""
@@ -113,6 +146,11 @@
             runs=list(self._runs.values()) if with_runs else [],
         )
 
+    def _write(self, event: str, key: WorkKey) -> None:
+        if self._file is not None:
+            entry = Entry(event, key.tag, key.idempotency, key.method)
+            self._file.write(msgspec.json.encode(entry) + b'\n')
+
     def _run(self, key: WorkKey) -> Run:
         run = self._runs.get(key)
         if run is None:
--- a/greengagemux_standins/logstores.py
+++ b/greengagemux_standins/logstores.py
@@ -12,7 +12,8 @@
 from enum import Enum
 from functools import partial
 from itertools import islice
-from typing import Annotated, Any, NamedTuple
+from pathlib import Path
+from typing import Annotated, Any, BinaryIO, NamedTuple
 
 import msgspec
 from twisted.internet.defer import Deferred, succeed
@@ -29,7 +30,8 @@
     """Settings of the log stand-in; 0 means no limit.
 
     A record is retained until there are more than ``retain_records`` or it is
-    older than ``retain_ms``.
+    older than ``retain_ms``. Records are kept in ``records_file``, if one is
+    named, and read from it by the next process.
     """
 
     port: int = 0
@@ -40,6 +42,7 @@
     read_limit: int = 1_000
     wait_limit_ms: int = 30_000
     seed: int = 0
+    records_file: str = ''
 
 
 class Outage(Enum):
@@ -162,6 +165,9 @@
         )
         self._server = servers.HttpServer(network, self._respond, settings.port)
         self.faults = LogFaults()
+        self._file: BinaryIO | None = None
+        if settings.records_file:
+            self._load(Path(settings.records_file))
 
     @property
     def address(self) -> str:
@@ -229,6 +235,15 @@
         else:
             _refuse(request, servers.METHOD_NOT_ALLOWED, 'GET or POST')
 
+    def _load(self, path: Path) -> None:
+        """Take over the records of an earlier process, which was killed."""
+        if path.exists():
+            for line in path.read_bytes().splitlines():
+                name, encoded = msgspec.json.decode(line)
+                payload = base64.b64decode(encoded)
+                self.stream(name).append(payload, self._network.seconds())
+        self._file = path.open('ab', buffering=0)
+
     def _append(self, request: servers.Request, name: str) -> None:
         payload = servers.body_of(request)
         limit = self._settings.record_limit_bytes
@@ -239,6 +254,8 @@
             _refuse(request, servers.TOO_MANY_REQUESTS, 'append limit')
             return
         offset = self.stream(name).append(payload, self._network.seconds())
+        if self._file is not None:
+            self._file.write(_line(name, payload))
         self._wake(name)
         if self._rng.random() < self.faults.lose_replies:
             servers.abort(request.channel)
@@ -295,6 +312,11 @@
         )
 
 
+def _line(name: str, payload: bytes) -> bytes:
+    pair = (name, base64.b64encode(payload).decode())
+    return msgspec.json.encode(pair) + b'\n'
+
+
 def _encoded(entry: Entry) -> dict[str, object]:
     text = base64.b64encode(entry.payload).decode()
     return {'offset': entry.offset, 'data': text}
--- a/greengagemux_standins/processes.py
+++ b/greengagemux_standins/processes.py
@@ -102,6 +102,10 @@
         self._signal(name, signal.SIGKILL)
         self._child(name).wait()
 
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop, and do not wait for it."""
+        self._signal(name, signal.SIGTERM)
+
     def pause(self, name: str) -> None:
         """Stop a process until ``resume``."""
         self._signal(name, signal.SIGSTOP)
--- /dev/null
+++ b/greengagemux_standins/soakfleets.py
@@ -0,0 +1,149 @@
+"""A fleet whose regions are joined by relays and that survives kills."""
+
+import random
+import socket
+from contextlib import ExitStack
+from pathlib import Path
+
+from greengagemux import signatures
+
+from .fleets import Daemon, Fleet, Layout, fetch
+from .servers import LOOPBACK
+
+SECOND_OPERATOR = 'bob'
+
+_RELAY_OFFSET = 300
+_PORTS_PER_RELAY = 2
+#: Ports below this are not used by the kernel for outgoing connections.
+_BASES = range(20_000, 31_000, 1000)
+_LATENCY_MS = 8
+
+
+def free_base_port(seed: int | None = None) -> int:
+    """Return a base whose block of ports is free now.
+
+    Raises ``OSError`` when there is none.
+    """
+    bases = list(_BASES)
+    random.Random(seed).shuffle(bases)
+    for base in bases:
+        if _all_free(range(base, base + 600)):
+            return base
+    raise OSError('no block of ports is free')
+
+
+def _all_free(ports: range) -> bool:
+    with ExitStack() as opened:
+        for port in ports:
+            one = opened.enter_context(socket.socket())
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                one.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
+
+
+class LinkedFleet(Fleet):
+    """A fleet with one relay before each daemon for the other region.
+
+    The log has a relay too, for the region in which it is not. Ledgers and
+    the records of the log are kept in files, so that they survive a kill.
+    """
+
+    @property
+    def relays(self) -> tuple[str, ...]:
+        """Names of the relays."""
+        daemons = [f'link-{one.name}' for one in self.layout.daemons]
+        return (*daemons, 'link-log')
+
+    def control(self, relay: str) -> str:
+        """Return the URL at which a relay takes orders."""
+        port = self._relay_port(relay) + 1
+        return f'http://{LOOPBACK}:{port}/_fault'
+
+    def set_link(self, relay: str, **order: object) -> None:
+        """Set the faults of a relay; its latency stays."""
+        both = {'forward_ms': _LATENCY_MS, 'backward_ms': _LATENCY_MS}
+        fetch(self.control(relay), {**both, **order})
+
+    def start(self) -> None:
+        """Start the relays, then the fleet."""
+        self._private, self._public = signatures.keygen()
+        targets = {f'link-{one.name}': one for one in self.layout.daemons}
+        for relay in self.relays:
+            daemon = targets.get(relay)
+            address = daemon.peer_address if daemon else self._log_address
+            port = self._relay_port(relay)
+            self.processes.start(
+                relay,
+                (
+                    *('-m', 'greengagemux_standins', 'cutter'),
+                    f'--target={address}',
+                    f'--port={port}',
+                    f'--control-port={port + 1}',
+                    f'--forward-ms={_LATENCY_MS}',
+                    f'--backward-ms={_LATENCY_MS}',
+                ),
+            )
+        super().start()
+
+    def sign(self, text: str, operator: str) -> bytes:
+        """Return a bundle record signed by one of the two operators."""
+        private = self._private
+        if operator != SECOND_OPERATOR:
+            private = self._path('operator.key').read_text().strip()
+        return signatures.sign(text, operator, private)
+
+    def settings(self, daemon: Daemon, public_key: str) -> str:
+        """Name the second operator as well."""
+        text = super().settings(daemon, public_key)
+        mark = '[operators]\n'
+        return text.replace(mark, f'{mark}{SECOND_OPERATOR} = {self._public}\n')
+
+    def daemon_arguments(self, name: str) -> tuple[str, ...]:
+        """Reach the other region through relays."""
+        (own,) = (one for one in self.layout.daemons if one.name == name)
+        links = [
+            f'--link={other.peer_address}='
+            f'{LOOPBACK}:{self._relay_port(f"link-{other.name}")}'
+            for other in self.layout.daemons
+            if other.region != own.region
+        ]
+        if own.region != self.layout.daemons[0].region:
+            relay = self._relay_port('link-log')
+            links.append(f'--link={self._log_address}={LOOPBACK}:{relay}')
+        settings = self._path(f'{name}.ini')
+        return (
+            *('-m', 'greengagemux_standins', 'linked-daemon'),
+            f'--settings={settings}',
+            *links,
+        )
+
+    def upstream_arguments(self, name: str) -> tuple[str, ...]:
+        """Keep the ledger in a file."""
+        path = self.ledger_path(name)
+        return (*super().upstream_arguments(name), f'--ledger-file={path}')
+
+    def log_arguments(self) -> tuple[str, ...]:
+        """Keep the records in a file."""
+        path = self._path('log.records')
+        return (*super().log_arguments(), f'--records-file={path}')
+
+    def ledger_path(self, name: str) -> Path:
+        """Return the ledger file of an upstream."""
+        return self._path(f'{name}.ledger')
+
+    def stop(self) -> list[str]:
+        """Stop the fleet, then the relays."""
+        left = super().stop()
+        return [*left, *self._stop_group(list(self.relays))]
+
+    @property
+    def _log_address(self) -> str:
+        return f'{LOOPBACK}:{self.layout.log_port}'
+
+    def _relay_port(self, relay: str) -> int:
+        place = self.relays.index(relay)
+        layout: Layout = self.layout
+        return layout.log_port + _RELAY_OFFSET + _PORTS_PER_RELAY * place
--- a/greengagemux_standins/upstreams.py
+++ b/greengagemux_standins/upstreams.py
@@ -61,7 +61,7 @@
 
     ``slow_prefixes`` are targets with the factor of their service time.
     ``admin_address`` is that of the daemon beside it; without one it does
-    not announce itself.
+    not announce itself. Executions are also written to ``ledger_file``.
     """
 
     upstream: str
@@ -74,6 +74,7 @@
     connection_limit: int = 400
     connection_cost_ms: float = 1
     probe_cost_ms: float = 25
+    ledger_file: str = ''
 
 
 @dataclass(eq=False, slots=True)
@@ -105,7 +106,7 @@
         self._server = servers.HttpServer(
             network, self._respond, settings.port, settings.connection_limit
         )
-        self.ledger = Ledger(settings.upstream)
+        self.ledger = Ledger(settings.upstream, path=settings.ledger_file)
         self.pool = SlotPool(settings.capacity, self.ledger, network)
         self._faults = Faults()
         self._faults_since = network.seconds()
