--- a/greengagemux/checks.py
+++ b/greengagemux/checks.py
@@ -36,7 +36,7 @@
         'key-dispatched': 'second dispatches of keys are not checked',
         'read-dispatched': 'reads after a drain are not checked',
         'request-answered': 'late answers are not checked',
-        'upstream-state': 'work after a drain is not checked',
+        'upstream-added': 'work after a drain is not checked',
         'bundle-in-force': 'bundles are not checked',
     }
 )
@@ -192,17 +192,24 @@
 
 
 class LeavingUpstreams(Rule):
-    """An upstream that drains gets no new work after 3 s (R5)."""
+    """An upstream that drains gets no new work after 3 s (R5).
+
+    An upstream that returns is added again, which ends its drain.
+    """
 
     name = 'work-after-drain'
 
     def __init__(self) -> None:
         """Start with no upstream seen."""
         self._since: dict[tuple[str, str], datetime] = {}
+        self._adds_noted = False
 
     def see(self, event: TimelineEvent, fields: Mapping[str, Any]) -> str:
         """Return when the upstream of a dispatch began to drain."""
         place = (event.process, str(fields.get('upstream')))
+        if event.name == 'upstream-added':
+            self._adds_noted = True
+            self._since.pop(place, None)
         if event.name == 'upstream-state':
             self._since.pop(place, None)
             if fields.get('state') == _DRAINING:
@@ -210,6 +217,9 @@
         since = self._since.get(place)
         if event.name not in _DISPATCHES or since is None:
             return ''
+        if not self._adds_noted:
+            # Its return cannot be told from work after the drain.
+            return ''
         if event.when - since <= LEAVING_LIMIT:
             return ''
         return f'{place[1]} drains since {since.isoformat()}'
--- a/greengagemux_standins/ledgers.py
+++ b/greengagemux_standins/ledgers.py
@@ -1,5 +1,6 @@
 """Executions counted by an upstream stand-in."""
 
+import time
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from pathlib import Path
@@ -63,8 +64,13 @@
 
 
 class Entry(msgspec.Struct, frozen=True):
-    """One line of a ledger file; ``event`` is ``started`` or ``finished``."""
+    """One line of a ledger file; ``event`` is ``started`` or ``finished``.
 
+    ``at_s`` is the monotonic time of the host.
+    """
+
+    at_s: float
+    upstream: str
     event: str
     tag: str
     idempotency: str
@@ -148,8 +154,15 @@
 
     def _write(self, event: str, key: WorkKey) -> None:
         if self._file is not None:
-            entry = Entry(event, key.tag, key.idempotency, key.method)
-            self._file.write(msgspec.json.encode(entry) + b'\n')
+            entry = Entry(
+                time.monotonic(),
+                self._upstream,
+                event,
+                key.tag,
+                key.idempotency,
+                key.method,
+            )
+            self._file.write(b'%b\n' % msgspec.json.encode(entry))
 
     def _run(self, key: WorkKey) -> Run:
         run = self._runs.get(key)
--- a/greengagemux_standins/logstores.py
+++ b/greengagemux_standins/logstores.py
@@ -314,7 +314,7 @@
 
 def _line(name: str, payload: bytes) -> bytes:
     pair = (name, base64.b64encode(payload).decode())
-    return msgspec.json.encode(pair) + b'\n'
+    return b'%b\n' % msgspec.json.encode(pair)
 
 
 def _encoded(entry: Entry) -> dict[str, object]:
--- a/greengagemux_standins/soakchecks.py
+++ b/greengagemux_standins/soakchecks.py
@@ -10,11 +10,15 @@
 
 from .ledgers import Entry
 from .soakcallers import Told
-from .soakfaults import Fault
+from .soakfaults import RESTART_S, Fault
 
 #: A process that was just started or resumed has a backlog to work off.
 RECOVERY_S = 2.0
 
+#: An upstream that is leaving gets no new work after this time (R5).
+LEAVING_S = 3.0
+
+_DRAIN = 'upstream-drain'
 _WRITES = frozenset(('keyed', 'plain'))
 _EXCUSE_HANG = frozenset(('daemon-kill', 'daemon-pause', 'daemon-stop'))
 _EXCUSE_LOSS = frozenset(('daemon-kill',))
@@ -59,9 +63,17 @@
     verdict = Verdict()
     started: Counter[str] = Counter()
     finished: Counter[str] = Counter()
+    drains = _Drains(faults)
     for entry in entries:
-        counter = started if entry.event == 'started' else finished
-        counter[entry.tag] += 1
+        if entry.event != 'started':
+            finished[entry.tag] += 1
+            continue
+        started[entry.tag] += 1
+        late_s = drains.late_s(entry)
+        if late_s:
+            verdict.broken['work-after-drain'].append(
+                f'{entry.upstream}: {entry.tag} {late_s:.2f} s after its drain'
+            )
     excuses = _Excuses(faults, names)
     for one in told:
         _judge_end(verdict, one, excuses)
@@ -71,11 +83,33 @@
             verdict.broken[kind].append(f'{shown}: {one.reason}')
         if one.outcome is Result.completed and not finished[one.tag]:
             verdict.broken['completed-without-run'].append(shown)
+    verdict.broken['doubled-write'] += _doubled(told, started)
+    return verdict
+
+
+def _doubled(told: Sequence[Told], started: Counter[str]) -> list[str]:
     writes = {one.tag for one in told if one.kind in _WRITES}
-    verdict.broken['doubled-write'] += [
-        f'{tag}: {started[tag]} runs' for tag in writes if started[tag] > 1
+    return [
+        f'{write}: {started[write]} runs'
+        for write in writes
+        if started[write] > 1
     ]
-    return verdict
+
+
+class _Drains:
+    """Tells how long after its limit an upstream that drains got work."""
+
+    def __init__(self, faults: Sequence[Fault]) -> None:
+        self._drains = [one for one in faults if one.kind == _DRAIN]
+
+    def late_s(self, entry: Entry) -> float:
+        for drain in self._drains:
+            own = drain.target == entry.upstream
+            passed_s = entry.at_s - drain.since_s
+            ended = entry.at_s > drain.until_s - RESTART_S
+            if own and passed_s > LEAVING_S and not ended:
+                return passed_s
+        return 0
 
 
 def judge_bundles(polled: Sequence[Polled]) -> list[str]:
--- a/greengagemux_standins/soakfaults.py
+++ b/greengagemux_standins/soakfaults.py
@@ -15,15 +15,19 @@
 
 INTERVAL_S = 0.9
 PAUSE_LIMIT_S = 8.0
+#: From the start of a process until its fault counts as ended.
+RESTART_S = 1.5
 #: Daemons and upstreams disturbed at once; the rest has to serve.
 DAEMONS_AT_ONCE = 2
 UPSTREAMS_AT_ONCE = 4
 
 _POLL_S = 0.02
+_Order = dict[str, object]
+_Orders = tuple[tuple[str, _Order], ...]
 _BUNDLES = 'bundles'
 
 #: Standing faults and actions of an upstream; health reports claim health.
-UPSTREAM_FAULTS: tuple[tuple[str, dict[str, object]], ...] = (
+UPSTREAM_FAULTS: _Orders = (
     ('hang', {'hang': True}),
     ('slow', {'slow': 10}),
     ('errors', {'errors': 1}),
@@ -37,7 +41,7 @@
     ('silent', {'silent': True}),
     ('reset-connections', {'reset_connections': True}),
 )
-LOG_FAULTS: tuple[tuple[str, dict[str, object]], ...] = (
+LOG_FAULTS: _Orders = (
     ('refuse', {'outage': 'refuse'}),
     ('reset', {'outage': 'reset'}),
     ('hang', {'outage': 'hang'}),
@@ -193,7 +197,7 @@
         else:
             self._fleet.start_upstream(name)
         # A started process needs a while until it listens again.
-        self._after(1.5, partial(self._end, name))
+        self._after(RESTART_S, partial(self._end, name))
 
     def _pause_daemon(self) -> bool:
         return self._pause('daemon-pause', self._daemon())
