--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -9,6 +9,7 @@
 
 from . import bundlecommands, commands
 from .outcomes import FailureError
+from .checks import verify
 from .settings import Address, Settings, SettingsError, read_settings
 from .timelines import timeline
 
@@ -124,3 +125,4 @@
 
 main.add_command(bundlecommands.bundle)
 main.add_command(timeline)
+main.add_command(verify)
