--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -11,16 +11,27 @@
 from greengagemux import ids
 from greengagemux.answers import Origin
 from greengagemux.bundles import Service
+from greengagemux.candidates import Candidates
+from greengagemux.choices import Candidate
 from greengagemux.clocks import ZERO, ms
 from greengagemux.effects import AbortCall, CallUpstream, Outbox
+from greengagemux.entrances import _hedge_after
 from greengagemux.events import Announced, CallerGone, UpstreamAnswered
 from greengagemux.lasthops import LastHop
-from greengagemux.messages import Dispatch, Priority, UpstreamState
+from greengagemux.messages import (
+    Dispatch,
+    Load,
+    MemberRecord,
+    Priority,
+    UpstreamState,
+)
 from greengagemux.outcomes import Outcome, Reason
 from greengagemux.overloads import SCENARIOS, Trial
 from greengagemux.overloadworlds import Layout
 from greengagemux.regionlinks import LinkBudget
+from greengagemux.paths import Paths
 from greengagemux.reducers import TICK
+from greengagemux.requests import Attempt
 from greengagemux.throttles import SENT_PER_ACCEPTED, TOLERATED, Throttles
 from greengagemux.verdicts import Verdicts
 
@@ -321,6 +332,17 @@
     assert 0.9 <= moved / (30 * 1_000_000 / members) <= 1.1
 
 
+def test_link_counts_the_answer_that_came() -> None:
+    """An answer above the mean must be taken from the budget."""
+    link = _link(8000)
+    now = timedelta(seconds=5)
+    assert link.allows(Priority.waiting, now)
+    link.settle(
+        ids.RouteName('r'), link.charge(ids.RouteName('r'), 0), 2_000_000
+    )
+    assert not link.allows(Priority.waiting, now)
+
+
 def test_closed_link_refuses_as_region_link() -> None:
     """With a budget of 0 no request may cross, and the reason says so."""
     fleet = FakeFleet(4)
@@ -403,6 +425,41 @@
         assert all(not p.waiting for p in last.daemon.paths.by_daemon.values())
 
 
+def test_overload_is_offered_seldom() -> None:
+    """Entrances must not offer refused work to one last hop after another."""
+    layout = Layout(upstreams=4, entrances=8)
+    found = Trial(layout, SCENARIOS['internal'], 1, ms(2000)).run()
+    assert found['goodput'] > 0.95
+    assert found['offers_per_request'] < 0.95
+
+
+def test_queue_counts_by_class() -> None:
+    """Queues of internal requests must not repel people."""
+    candidate = Candidate(UP, OWN, LEDGER, 4, UpstreamState.serving)
+    paths = Paths(Outbox(), Random(1))
+    own = MemberRecord(OWN, ids.Incarnation(1), 1, '', '', '')  # type: ignore[arg-type]
+    candidates = Candidates(own, paths)
+    candidates.view(LEDGER).put(candidate)
+    load = Load(4, 30, 4, 10, UpstreamState.serving, (1, 5, 30))
+    candidates.report(candidate, load)
+    shown = []
+    for priority in Priority:
+        candidates.view_of(LEDGER, priority)
+        shown.append(candidate.queued)
+    candidates.report(candidate, load)
+    assert shown == [1, 5, 30]
+    assert candidate.queued == 30
+
+
+def test_wait_in_queue_is_not_hedged() -> None:
+    """A second attempt must not start while the first waits its turn."""
+    candidate = Candidate(UP, OWN, LEDGER, 4, UpstreamState.serving)
+    attempt = Attempt(ids.RequestId(1), candidate, False, ZERO, 40)
+    idle = _hedge_after(attempt)
+    attempt.queue_ms = 500
+    assert _hedge_after(attempt) >= idle + ms(500)
+
+
 def test_experiment_repeats_with_its_seed() -> None:
     """Figures must not depend on anything but the seed."""
     layout = Layout(upstreams=3, entrances=6)
