--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -8,8 +8,8 @@
 import click
 
 from . import bundlecommands, commands
-from .outcomes import FailureError
 from .checks import verify
+from .outcomes import FailureError
 from .settings import Address, Settings, SettingsError, read_settings
 from .timelines import timeline
 
--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -9,8 +9,6 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import (
     ConnectError,
-)
-from twisted.internet.error import (
     ConnectionClosed,
 )
 from twisted.internet.error import (
--- a/greengagemux/signatures.py
+++ b/greengagemux/signatures.py
@@ -3,8 +3,8 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from hashlib import sha256
 from enum import Enum
+from hashlib import sha256
 from typing import Final
 
 import msgspec
--- a/greengagemux/spreads.py
+++ b/greengagemux/spreads.py
@@ -137,9 +137,7 @@
             other.daemon: place
             for place, other in enumerate(self._records)
             if place != number
-            and (
-                other.region == own.region or (relay and _is_relay(place))
-            )
+            and (other.region == own.region or (relay and _is_relay(place)))
         }
 
     def _first_readers(self) -> list[int]:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -6,7 +6,6 @@
 import sys
 from collections import Counter
 from collections.abc import Iterator
-
 from pathlib import Path
 
 import pytest
