Probe upstreams in doubt, and at once after a reset

Cause: in a trial with real processes the request after a crash met the dead upstream and was refused, because the crash was only known by a call; the probes that the verdicts allow were never sent. Ruled out: rerouting refused connections outside the retry budget; a full outage would then multiply calls. Change: effect ProbeUpstream and event Probed; a reset is followed by a probe, and a refused connection means that the process ended; a connect that fails otherwise is told apart as unreachable. The new test fails when the probe after a reset is taken out.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -277,8 +277,10 @@
 
 
 def _fault(reason: TwistedFailure) -> CallFault:
-    if reason.check(UpstreamRefusedError, ConnectError):
+    if reason.check(UpstreamRefusedError):
         return CallFault.refused
+    if reason.check(ConnectError):
+        return CallFault.unreachable
     if reason.check(TooLargeError):
         return CallFault.too_large
     if reason.check(TruncatedError):
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -27,6 +27,7 @@
     Effect,
     Exit,
     OpenStream,
+    ProbeUpstream,
     ReadLog,
     Record,
     Respond,
@@ -41,6 +42,7 @@
 from .messages import PROTOCOL_VERSION, Hello, MemberRecord
 from .metrics import Metrics
 from .outcomes import Failure, FailureError
+from .probes import Prober
 from .reducers import TICK, Daemon, Identity, reduce
 from .rollouts import RETENTION, Rollout
 from .settings import Address, Settings
@@ -98,6 +100,7 @@
             reactor, clock, self.submit, self._count_cutoff
         )
         self._calls = UpstreamCalls(reactor, self.submit)
+        self._prober = Prober(reactor, self.submit)
         self._hub = StreamHub(
             reactor,
             self.submit,
@@ -286,6 +289,10 @@
     def _call_upstream(self, effect: CallUpstream) -> None:
         self._calls.call(effect)
 
+    @_carry_out.register
+    def _probe_upstream(self, effect: ProbeUpstream) -> None:
+        self._prober.probe(effect)
+
     @_carry_out.register
     def _abort_call(self, effect: AbortCall) -> None:
         self._calls.abort(effect.call)
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -4,7 +4,14 @@
 from datetime import timedelta
 from typing import Any
 
-from .ids import CallId, DaemonId, ExchangeId, LogOffset, StreamId
+from .ids import (
+    CallId,
+    DaemonId,
+    ExchangeId,
+    LogOffset,
+    StreamId,
+    UpstreamId,
+)
 from .messages import Headers, Message
 
 
@@ -65,6 +72,14 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeUpstream:
+    """Ask an upstream for its health on a new connection."""
+
+    upstream: UpstreamId
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class AbortCall:
     """Cancel a call by closing its connection."""
@@ -115,6 +130,7 @@
     | CloseStream
     | CallUpstream
     | DropConnections
+    | ProbeUpstream
     | AbortCall
     | AppendLog
     | ReadLog
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -88,6 +88,7 @@
     """How a call to an upstream failed."""
 
     refused = 'refused'
+    unreachable = 'unreachable'
     reset = 'reset'
     truncated = 'truncated'
     malformed = 'malformed'
@@ -118,6 +119,15 @@
     failure: Failure
 
 
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """A probe ended; ``refused`` means that the process does not listen."""
+
+    upstream: UpstreamId
+    alive: bool
+    refused: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Announced:
     """An upstream announced itself to the daemon beside it."""
@@ -185,6 +195,7 @@
     | PeerMessage
     | UpstreamAnswered
     | UpstreamFailed
+    | Probed
     | Announced
     | LogRead
     | LogAppended
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -21,11 +21,18 @@
     CallUpstream,
     DropConnections,
     Outbox,
+    ProbeUpstream,
     Record,
     Send,
 )
 from .epochs import StreamEpochs
-from .events import Announced, CallFault, UpstreamAnswered, UpstreamFailed
+from .events import (
+    Announced,
+    CallFault,
+    Probed,
+    UpstreamAnswered,
+    UpstreamFailed,
+)
 from .headers import DEADLINE, REQUEST_ID, echoes, get, is_intact
 from .ids import (
     CallId,
@@ -414,6 +421,8 @@
         kind = _FAULT_SAMPLES.get(event.fault)
         if kind is not None:
             self._observe(job, kind, now)
+        if event.fault is CallFault.refused:
+            self._apply(self.verdicts.crashed(upstream.upstream, now))
         reason = _FAULT_REASONS.get(event.fault, Reason.upstream_failed)
         outcome = Outcome.unknown if event.sent else Outcome.not_run
         refusal = Refusal(
@@ -426,6 +435,15 @@
         self._end(job, refusal, now)
         self._fill(upstream, now)
 
+    def probed(self, event: Probed, now: timedelta) -> None:
+        """Take in the result of a probe."""
+        if event.refused:
+            self._apply(self.verdicts.crashed(event.upstream, now))
+        changes = self.verdicts.probed(
+            event.upstream, alive=event.alive, now=now
+        )
+        self._apply(changes)
+
     def tick(self, now: timedelta) -> None:
         """Expire leases, deadlines and kept answers."""
         for upstream in tuple(self.upstreams.values()):
@@ -439,6 +457,8 @@
         for waiting in self.upstreams.values():
             self._fill(waiting, now)
             self._preempt(waiting, now)
+            if self.verdicts.may_probe(waiting.upstream, now):
+                self._probe(waiting)
         self._finished.trim(now)
 
     def _may_call(self, upstream: Upstream, message: Dispatch) -> bool:
@@ -663,6 +683,8 @@
         if last is not None and now - last < CRASH_WINDOW:
             return
         upstream.crashed_at = now
+        # Whether the process has ended is known before the next request.
+        self._probe(upstream)
         hit = [job, *upstream.running.values()]
         self._crashes.crashed(
             upstream.service,
@@ -700,6 +722,9 @@
         upstream.queue.discard(first)
         self._start(upstream, first, now)
 
+    def _probe(self, upstream: Upstream) -> None:
+        self._outbox.emit(ProbeUpstream(upstream.upstream, upstream.address))
+
     def _release(self, job: Job, upstream: Upstream) -> None:
         if job.call is None:
             return
@@ -795,6 +820,7 @@
 _FAULT_SAMPLES = MappingProxyType(
     {
         CallFault.refused: SampleKind.refused,
+        CallFault.unreachable: SampleKind.refused,
         CallFault.reset: SampleKind.reset,
         CallFault.truncated: SampleKind.truncated,
         CallFault.malformed: SampleKind.wrong,
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -26,6 +26,7 @@
     LogRead,
     PeerMessage,
     PeerUnreachable,
+    Probed,
     StopRequested,
     StreamClosed,
     StreamOpened,
@@ -316,6 +317,11 @@
     daemon.last_hop.failed(event, now)
 
 
+@handle.register
+def _probed(event: Probed, daemon: Daemon, now: timedelta) -> None:
+    daemon.last_hop.probed(event, now)
+
+
 @handle.register
 def _announced(event: Announced, daemon: Daemon, now: timedelta) -> None:
     daemon.last_hop.announce(event, now)
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -22,6 +22,7 @@
     Continue,
     Effect,
     OpenStream,
+    ProbeUpstream,
     ReadLog,
     Record,
     Respond,
@@ -374,6 +375,8 @@
                 self._send(pipe, effect.message)
         elif isinstance(effect, CallUpstream):
             self._call(node, effect)
+        elif isinstance(effect, ProbeUpstream):
+            self._probe(node, effect)
         elif isinstance(effect, AbortCall):
             node.calls.pop(effect.call, None)
         elif isinstance(effect, Respond):
@@ -529,6 +532,16 @@
 
         self.after(ms(upstream.service_ms), finish)
 
+    def _probe(self, node: Node, effect: ProbeUpstream) -> None:
+        upstream = node.upstreams[effect.address]
+        silent = upstream.hang and not upstream.dead
+        probed = events.Probed(
+            effect.upstream,
+            alive=not upstream.dead and not upstream.hang,
+            refused=upstream.dead,
+        )
+        self.after(ms(1000 if silent else 1), lambda: node.submit(probed))
+
     def crash(self, node: Node, upstream: FakeUpstream) -> None:
         """End the process of an upstream; running calls are reset."""
         upstream.dead = True
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -281,3 +281,22 @@
     fleet.wake('d1')
     fleet.run(2500)
     assert not leaving.runs
+
+
+def test_crashed_upstream_is_known_before_the_next_request() -> None:
+    """Requests after a crash must not meet the process that has ended."""
+    fleet = started(4)
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 100
+    _exchange, where = _ask_remote(fleet, b'write', b'/intake/1')
+    node = fleet.nodes[where]
+    for upstream in node.upstreams.values():
+        fleet.crash(node, upstream)
+        upstream.service_ms = 5
+    fleet.run(20)
+    asked = [
+        fleet.ask(f'd{turn % 4}', b'w%d' % turn, b'/intake/1')
+        for turn in range(8)
+    ]
+    fleet.run(1000)
+    assert {fleet.outcome(exchange) for exchange in asked} == {'completed'}
