Judge earlier errors again when peers turn out to fail

Cause: the first errors of an episode were weighed as if peers were well, and the share of the peers was too low (worst left out, few errors known). Change: the last 64 samples are weighed again with the present share of the peers; the worst peer counts as the next one; the window is 128 answers and one standard deviation is added.

--- a/greengagemux/baselines.py
+++ b/greengagemux/baselines.py
@@ -6,6 +6,7 @@
 and is not held against one upstream.
 """
 
+import math
 import statistics
 from collections import deque
 from collections.abc import Iterable
@@ -24,7 +25,7 @@
 #: Smaller rises are noise of a median of few answers.
 SLOWNESS_MIN = 1.25
 #: Latest answers of a service that show its present share of errors.
-ERROR_WINDOW = 64
+ERROR_WINDOW = 128
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,9 +92,11 @@
         return ratio if ratio >= SLOWNESS_MIN else 1
 
     def error_share(self, without: UpstreamId) -> float:
-        """Return the share of errors of all but one and the worst other.
+        """Return a cautious share of errors of the other upstreams.
 
-        The worst is left out because its errors may be its own.
+        The worst counts no more than the next, as its errors may be its
+        own. One standard deviation is added, because few errors tell
+        their share badly.
         """
         answers = 0
         errors: dict[UpstreamId, int] = {}
@@ -101,9 +104,11 @@
             if upstream != without:
                 answers += 1
                 errors[upstream] = errors.get(upstream, 0) + error
-        if not answers:
+        counts = sorted(errors.values())
+        if len(counts) < 2:  # noqa: WPS432
             return 0
-        return (sum(errors.values()) - max(errors.values())) / answers
+        shared = sum(counts) - counts[-1] + counts[-2]
+        return min((shared + math.sqrt(shared)) / answers, 1)
 
 
 class Baselines:
--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -9,6 +9,7 @@
 
 import itertools
 import math
+from collections import deque
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from types import MappingProxyType
@@ -65,6 +66,10 @@
 FAILURE_MARGIN = 1.5
 #: An upstream that fails more than this is sick even if its peers are.
 HEALTHY_SHARE_MAX = 0.5
+#: Latest samples judged again when peers turn out to fail as well.
+REWEIGHED_SAMPLES = 64
+#: Sums below this share of the limit are not worth the effort.
+REWEIGHED_SHARE = 0.25
 #: Weight of one sample in the long-run service time of a route.
 BASELINE_GAIN = 0.02
 BASELINE_SAMPLES = 30
@@ -197,6 +202,15 @@
         return math.exp(self.own_log_ms)
 
 
+def _add_failure(scores: list[float], sample: Sample, healthy: float) -> None:
+    failed = sample.kind is not SampleKind.success
+    for test, share in enumerate(FAILURE_SHARES):
+        ratio = (1 - share) / (1 - healthy)
+        if failed:
+            ratio = share / healthy
+        scores[test] = max(scores[test] + math.log(ratio), 0)
+
+
 def _evidence(healthy: list[float], shift: int) -> list[float]:
     slow = [1e-4 for _ in range(shift)] + healthy[:-shift]
     slow[-1] += sum(healthy[-shift:])
@@ -222,6 +236,7 @@
         self.slow_scores = _zeros(len(SLOW_SHIFTS))
         self.counts: dict[SampleKind, int] = {}
         self._failure_share = float(0)
+        self._latest: deque[Sample] = deque(maxlen=REWEIGHED_SAMPLES)
         self._routes: dict[RouteName, _RouteTimes] = {}
 
     def observe(
@@ -283,6 +298,7 @@
         self.failure_scores = _zeros(len(FAILURE_SHARES))
         self.slow_scores = _zeros(len(SLOW_SHIFTS))
         self.counts = {}
+        self._latest.clear()
 
     def silence_limit_ms(self, route: RouteName, expected_ms: float) -> float:
         """Return the age at which a running request counts as silent."""
@@ -297,13 +313,26 @@
         if learn:
             gap = int(failed) - self._failure_share
             self._failure_share += FAILURE_GAIN * gap
-        healthy = self._healthy_share(sample)
-        for test, share in enumerate(FAILURE_SHARES):
-            ratio = (1 - share) / (1 - healthy)
-            if failed:
-                ratio = share / healthy
-            score = self.failure_scores[test] + math.log(ratio)
-            self.failure_scores[test] = max(score, 0)
+        self._latest.append(sample)
+        _add_failure(self.failure_scores, sample, self._healthy_share(sample))
+        doubted = max(self.failure_scores) > REWEIGHED_SHARE * self.limit
+        if doubted and sample.peer_errors > HEALTHY_SHARES[SampleKind.error]:
+            self._reweigh(sample.peer_errors)
+
+    def _reweigh(self, peer_errors: float) -> None:
+        """Judge the latest samples by what is now known of the peers.
+
+        The first errors of an episode arrive before those of the peers are
+        known, so they were given too much weight.
+        """
+        scores = _zeros(len(FAILURE_SHARES))
+        for sample in self._latest:
+            known = replace(sample, peer_errors=peer_errors)
+            _add_failure(scores, sample, self._healthy_share(known))
+        self.failure_scores = [
+            min(old, new)
+            for old, new in zip(self.failure_scores, scores, strict=True)
+        ]
 
     def _healthy_share(self, sample: Sample) -> float:
         if sample.kind is SampleKind.silent and not sample.fresh:
--- a/tests/test_detectors.py
+++ b/tests/test_detectors.py
@@ -180,6 +180,17 @@
         assert (reading.share >= 1) == found
 
 
+def test_late_news_of_peers_excuses_earlier_errors() -> None:
+    """Errors that came before those of the peers were known must fade."""
+    detector = Detector(RATES)
+    kinds = [*[SampleKind.success] * 10, *[SampleKind.error] * 4]
+    for kind in kinds:
+        reading = detector.observe(_sample(kind), learn=False)
+    assert reading.share >= 1
+    late = replace(_sample(SampleKind.success), peer_errors=0.2)
+    assert detector.observe(late, learn=False).share < 0.5
+
+
 def test_errors_of_one_peer_excuse_nothing() -> None:
     """One failing peer must not raise what is expected of the others."""
     baselines = Baselines()
