Shorten the time as a suspect, end it on a tick

Cause: ejection waited 0.4 or 1.5 s and then for another sample. With what peers show on each dispatch the wait protects less. Change: 0.2 s gross, 1 s mild, judged on each tick.

--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -34,8 +34,8 @@
 TROUBLED_MIN = 2
 #: Slowness and errors eject only after this time as a suspect, in which
 #: peers' suspicions arrive and show a trouble of the whole service.
-CONFIRM_SEVERE = timedelta(milliseconds=400)
-CONFIRM_MILD = timedelta(milliseconds=1500)
+CONFIRM_SEVERE = timedelta(milliseconds=200)
+CONFIRM_MILD = timedelta(milliseconds=1000)
 #: The same for mild sickness while any peer is suspect or sick; bounded, so
 #: that two sick upstreams cannot shield each other.
 CONFIRM_SHARED = timedelta(seconds=10)
@@ -269,6 +269,7 @@
         self._stalls.notice(now)
         changes = []
         for case in self._cases.values():
+            self._confirm_suspect(case, now)
             _advance(case, now)
             changes += _changes(case)
         return changes
@@ -395,6 +396,15 @@
         elif case.state in _IN_SERVICE:
             _judge(case, reading, now, wait)
 
+    def _confirm_suspect(self, case: _Case, now: timedelta) -> None:
+        """Eject a suspect whose time has passed without another sample."""
+        if case.state is not UpstreamState.suspect:
+            return
+        if self._in_trouble(case.service, now):
+            return
+        reading = case.detector.reading()
+        _judge(case, reading, now, self._confirm(case.service, reading))
+
     def _confirm(self, service: ServiceName, reading: Reading) -> timedelta:
         if reading.severe:
             return CONFIRM_SEVERE
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -82,6 +82,15 @@
         assert (verdicts.state(U1) is UpstreamState.sick) == ejected
 
 
+def test_suspect_is_ejected_without_another_sample() -> None:
+    """A slow upstream must not stay in use until its next answer."""
+    verdicts = _verdicts()
+    now = _feed(verdicts, _sample(SampleKind.error), 3, START)
+    assert verdicts.state(U1) is UpstreamState.suspect
+    verdicts.tick(now + ms(300))
+    assert verdicts.state(U1) is UpstreamState.sick
+
+
 def test_own_stall_is_not_sickness() -> None:
     """A pause of this process must not count against its upstreams."""
     verdicts = _verdicts()
