Risk one live request per readmission

Cause: at 1 request a second most requests hurt fell on probation: two per readmission, and the delay only doubled. Change: one clear failure ends probation (limit 4 instead of 6) and doubles the delay twice; errors that peers return too count less on probation.

--- a/greengagemux/detectors.py
+++ b/greengagemux/detectors.py
@@ -65,7 +65,7 @@
 #: A learned share of failures is raised by this margin.
 FAILURE_MARGIN = 1.5
 #: An upstream that fails more than this is sick even if its peers are.
-HEALTHY_SHARE_MAX = 0.5
+HEALTHY_SHARE_MAX = 0.4
 #: Latest samples judged again when peers turn out to fail as well.
 REWEIGHED_SAMPLES = 64
 #: Sums below this share of the limit are not worth the effort.
@@ -314,7 +314,7 @@
             gap = int(failed) - self._failure_share
             self._failure_share += FAILURE_GAIN * gap
         self._latest.append(sample)
-        _add_failure(self.failure_scores, sample, self._healthy_share(sample))
+        _add_failure(self.failure_scores, sample, self.healthy_share(sample))
         doubted = max(self.failure_scores) > REWEIGHED_SHARE * self.limit
         if doubted and sample.peer_errors > HEALTHY_SHARES[SampleKind.error]:
             self._reweigh(sample.peer_errors)
@@ -328,13 +328,17 @@
         scores = _zeros(len(FAILURE_SHARES))
         for sample in self._latest:
             known = replace(sample, peer_errors=peer_errors)
-            _add_failure(scores, sample, self._healthy_share(known))
+            _add_failure(scores, sample, self.healthy_share(known))
         self.failure_scores = [
             min(old, new)
             for old, new in zip(self.failure_scores, scores, strict=True)
         ]
 
-    def _healthy_share(self, sample: Sample) -> float:
+    def healthy_share(self, sample: Sample) -> float:
+        """Return the share of healthy requests that end like a sample.
+
+        For a success it is the share of errors.
+        """
         if sample.kind is SampleKind.silent and not sample.fresh:
             return KEPT_SILENT_SHARE
         if sample.kind not in {SampleKind.success, SampleKind.error}:
--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -13,8 +13,6 @@
 
 from .clocks import MILLISECOND, ZERO, ms
 from .detectors import (
-    HEALTHY_SHARES,
-    KEPT_SILENT_SHARE,
     Detector,
     ErrorRates,
     Reading,
@@ -43,15 +41,18 @@
 TROUBLE_HOLD = timedelta(seconds=30)
 #: Slowness of an upstream that has just started proves nothing.
 SETTLE = timedelta(seconds=30)
-#: First wait before readmission; doubled by each ejection that follows.
+#: First wait before readmission; doubled by each ejection that follows, and
+#: doubled again if that was on probation: each probation of an upstream that
+#: is still sick costs a live request.
 READMIT_DELAY = timedelta(seconds=5)
 READMIT_DELAY_MAX = timedelta(minutes=5)
 #: One earlier ejection is forgotten after this time in service.
 FLAP_MEMORY = timedelta(minutes=10)
 #: An upstream on probation is assumed to fail this share if still sick.
 PROBATION_SHARE = 0.5
-#: Evidence of sickness that ends probation; about two failures.
-PROBATION_LIMIT = 6
+#: Evidence of sickness that ends probation; one failure that healthy
+#: upstreams hardly show, or two slow answers.
+PROBATION_LIMIT = 4
 #: Each earlier ejection asks for as many successes again, up to this factor.
 PROBATION_FACTOR_MAX = 4
 #: Successes on probation for each further request at the same time.
@@ -135,6 +136,8 @@
 
     def eject(self, severity: int, reason: str, now: timedelta) -> None:
         """Enter the sick state and set the time of readmission."""
+        if self.state is UpstreamState.probation:
+            self.ejections += 1
         delay = min(READMIT_DELAY * 2**self.ejections, READMIT_DELAY_MAX)
         self.ejections += 1
         self.severity = severity
@@ -458,11 +461,13 @@
 def _judge_probation(case: _Case, sample: Sample, now: timedelta) -> None:
     if sample.kind is SampleKind.success:
         slow = case.detector.slow_evidence(sample)
-        well = math.log((1 - PROBATION_SHARE) / (1 - _healthy(sample)))
+        healthy = case.detector.healthy_share(sample)
+        well = math.log((1 - PROBATION_SHARE) / (1 - healthy))
         case.recovery += slow if slow > 0 else well
         case.passed += int(slow <= 0)
     else:
-        case.recovery += math.log(PROBATION_SHARE / _healthy(sample))
+        healthy = case.detector.healthy_share(sample)
+        case.recovery += math.log(PROBATION_SHARE / healthy)
     if case.recovery >= PROBATION_LIMIT:
         case.eject(_severity(case), f'{sample.kind.value} on probation', now)
         return
@@ -473,14 +478,6 @@
         case.move(UpstreamState.serving, f'{case.passed} successes', now)
 
 
-def _healthy(sample: Sample) -> float:
-    if sample.kind is SampleKind.success:
-        return HEALTHY_SHARES[SampleKind.error]
-    if sample.kind is SampleKind.silent and not sample.fresh:
-        return KEPT_SILENT_SHARE
-    return HEALTHY_SHARES[sample.kind]
-
-
 def _advance(case: _Case, now: timedelta) -> None:
     if case.state is UpstreamState.sick and now >= case.readmit_at:
         case.detector.reset()
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -1,5 +1,6 @@
 """Guards the states of an upstream, from suspicion to readmission."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from greengagemux.clocks import ms
@@ -58,15 +59,36 @@
 
 
 def test_flapping_waits_longer() -> None:
-    """Each ejection must double the delay before readmission."""
+    """Each ejection must double the delay, one on probation twice."""
+    for kind, factor in ((SampleKind.wrong, 4), (SampleKind.success, 2)):
+        verdicts, now = _sick()
+        now += READMIT_DELAY
+        verdicts.tick(now)
+        now = _feed(verdicts, _sample(kind), 12 if factor == 2 else 1, now)
+        while verdicts.state(U1) is not UpstreamState.sick:
+            now = _feed(verdicts, _sample(SampleKind.wrong), 1, now)
+        verdicts.tick(now + factor * READMIT_DELAY - ms(1))
+        assert verdicts.state(U1) is UpstreamState.sick
+        verdicts.tick(now + factor * READMIT_DELAY)
+        assert verdicts.state(U1) is UpstreamState.probation
+
+
+def test_one_failure_ends_probation() -> None:
+    """A readmission must risk one live request, not several."""
     verdicts, now = _sick()
     now += READMIT_DELAY
     verdicts.tick(now)
-    now = _feed(verdicts, _sample(SampleKind.wrong), 2, now)
+    _feed(verdicts, _sample(SampleKind.error), 1, now)
     assert verdicts.state(U1) is UpstreamState.sick
-    verdicts.tick(now + READMIT_DELAY)
-    assert verdicts.state(U1) is UpstreamState.sick
-    verdicts.tick(now + 2 * READMIT_DELAY)
+
+
+def test_errors_of_peers_excuse_probation() -> None:
+    """Errors that all upstreams return must not prolong an ejection."""
+    verdicts, now = _sick()
+    now += READMIT_DELAY
+    verdicts.tick(now)
+    shared = replace(_sample(SampleKind.error), peer_errors=0.1)
+    _feed(verdicts, shared, 1, now)
     assert verdicts.state(U1) is UpstreamState.probation
 
 
