--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -41,10 +41,11 @@
 TROUBLE_HOLD = timedelta(seconds=30)
 #: Slowness of an upstream that has just started proves nothing.
 SETTLE = timedelta(seconds=30)
-#: First wait before readmission; doubled by each ejection that follows, and
-#: doubled again if that was on probation: each probation of an upstream that
-#: is still sick costs a live request.
-READMIT_DELAY = timedelta(seconds=5)
+#: First wait before readmission; doubled by each ejection that follows.
+READMIT_DELAY = timedelta(seconds=10)
+#: Further doublings after a failed probation, because each probation of an
+#: upstream that is still sick costs a live request.
+PROBATION_DOUBLINGS = 2
 READMIT_DELAY_MAX = timedelta(minutes=5)
 #: One earlier ejection is forgotten after this time in service.
 FLAP_MEMORY = timedelta(minutes=10)
@@ -137,7 +138,7 @@
     def eject(self, severity: int, reason: str, now: timedelta) -> None:
         """Enter the sick state and set the time of readmission."""
         if self.state is UpstreamState.probation:
-            self.ejections += 1
+            self.ejections += PROBATION_DOUBLINGS
         delay = min(READMIT_DELAY * 2**self.ejections, READMIT_DELAY_MAX)
         self.ejections += 1
         self.severity = severity
