--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -13,8 +13,6 @@
 
 from .clocks import MILLISECOND, ZERO, ms
 from .detectors import (
-    HEALTHY_SHARES,
-    KEPT_SILENT_SHARE,
     Detector,
     ErrorRates,
     Reading,
@@ -34,8 +32,8 @@
 TROUBLED_MIN = 2
 #: Slowness and errors eject only after this time as a suspect, in which
 #: peers' suspicions arrive and show a trouble of the whole service.
-CONFIRM_SEVERE = timedelta(milliseconds=400)
-CONFIRM_MILD = timedelta(milliseconds=1500)
+CONFIRM_SEVERE = timedelta(milliseconds=200)
+CONFIRM_MILD = timedelta(milliseconds=1000)
 #: The same for mild sickness while any peer is suspect or sick; bounded, so
 #: that two sick upstreams cannot shield each other.
 CONFIRM_SHARED = timedelta(seconds=10)
@@ -44,14 +42,18 @@
 #: Slowness of an upstream that has just started proves nothing.
 SETTLE = timedelta(seconds=30)
 #: First wait before readmission; doubled by each ejection that follows.
-READMIT_DELAY = timedelta(seconds=5)
+READMIT_DELAY = timedelta(seconds=10)
+#: Further doublings after a failed probation, because each probation of an
+#: upstream that is still sick costs a live request.
+PROBATION_DOUBLINGS = 2
 READMIT_DELAY_MAX = timedelta(minutes=5)
 #: One earlier ejection is forgotten after this time in service.
 FLAP_MEMORY = timedelta(minutes=10)
 #: An upstream on probation is assumed to fail this share if still sick.
 PROBATION_SHARE = 0.5
-#: Evidence of sickness that ends probation; about two failures.
-PROBATION_LIMIT = 6
+#: Evidence of sickness that ends probation; one failure that healthy
+#: upstreams hardly show, or two slow answers.
+PROBATION_LIMIT = 4
 #: Each earlier ejection asks for as many successes again, up to this factor.
 PROBATION_FACTOR_MAX = 4
 #: Successes on probation for each further request at the same time.
@@ -135,6 +137,8 @@
 
     def eject(self, severity: int, reason: str, now: timedelta) -> None:
         """Enter the sick state and set the time of readmission."""
+        if self.state is UpstreamState.probation:
+            self.ejections += PROBATION_DOUBLINGS
         delay = min(READMIT_DELAY * 2**self.ejections, READMIT_DELAY_MAX)
         self.ejections += 1
         self.severity = severity
@@ -269,6 +273,7 @@
         self._stalls.notice(now)
         changes = []
         for case in self._cases.values():
+            self._confirm_suspect(case, now)
             _advance(case, now)
             changes += _changes(case)
         return changes
@@ -395,6 +400,15 @@
         elif case.state in _IN_SERVICE:
             _judge(case, reading, now, wait)
 
+    def _confirm_suspect(self, case: _Case, now: timedelta) -> None:
+        """Eject a suspect whose time has passed without another sample."""
+        if case.state is not UpstreamState.suspect:
+            return
+        if self._in_trouble(case.service, now):
+            return
+        reading = case.detector.reading()
+        _judge(case, reading, now, self._confirm(case.service, reading))
+
     def _confirm(self, service: ServiceName, reading: Reading) -> timedelta:
         if reading.severe:
             return CONFIRM_SEVERE
@@ -448,11 +462,13 @@
 def _judge_probation(case: _Case, sample: Sample, now: timedelta) -> None:
     if sample.kind is SampleKind.success:
         slow = case.detector.slow_evidence(sample)
-        well = math.log((1 - PROBATION_SHARE) / (1 - _healthy(sample)))
+        healthy = case.detector.healthy_share(sample)
+        well = math.log((1 - PROBATION_SHARE) / (1 - healthy))
         case.recovery += slow if slow > 0 else well
         case.passed += int(slow <= 0)
     else:
-        case.recovery += math.log(PROBATION_SHARE / _healthy(sample))
+        healthy = case.detector.healthy_share(sample)
+        case.recovery += math.log(PROBATION_SHARE / healthy)
     if case.recovery >= PROBATION_LIMIT:
         case.eject(_severity(case), f'{sample.kind.value} on probation', now)
         return
@@ -463,14 +479,6 @@
         case.move(UpstreamState.serving, f'{case.passed} successes', now)
 
 
-def _healthy(sample: Sample) -> float:
-    if sample.kind is SampleKind.success:
-        return HEALTHY_SHARES[SampleKind.error]
-    if sample.kind is SampleKind.silent and not sample.fresh:
-        return KEPT_SILENT_SHARE
-    return HEALTHY_SHARES[sample.kind]
-
-
 def _advance(case: _Case, now: timedelta) -> None:
     if case.state is UpstreamState.sick and now >= case.readmit_at:
         case.detector.reset()
