--- a/greengagemux/checks.py
+++ b/greengagemux/checks.py
@@ -264,19 +264,17 @@
         return f'{fields.get("text", event.name)} {last}'.strip()
 
 
-def rules() -> tuple[Rule, ...]:
-    """Return one of each rule, with nothing seen."""
-    return (
-        SingleDispatch(),
-        SingleKey(),
-        StaleHome(),
-        BundlesStay(),
-        OneBundle(),
-        LeavingUpstreams(),
-        GracefulStops(),
-        PromptAnswers(),
-        NoErrors(),
-    )
+RULES: Final = (
+    SingleDispatch,
+    SingleKey,
+    StaleHome,
+    BundlesStay,
+    OneBundle,
+    LeavingUpstreams,
+    GracefulStops,
+    PromptAnswers,
+    NoErrors,
+)
 
 
 def verify_files(paths: Iterable[Path]) -> CheckReport:
@@ -287,7 +285,7 @@
     report = CheckReport()
     reading = Report()
     noted: Counter[str] = Counter()
-    applied = rules()
+    applied = [rule() for rule in RULES]
     for event in merge(tuple(paths), Criteria(), reading):
         noted[event.name] += 1
         found = event.line.get('fields')
--- a/greengagemux_standins/links.py
+++ b/greengagemux_standins/links.py
@@ -5,7 +5,8 @@
 reactor that connects to the relay instead.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -33,13 +34,18 @@
 
 def link(reactor: Any, links: Mapping[_Address, _Address]) -> None:
     """Let ``reactor`` connect to the relays of linked addresses."""
-    connect = reactor.connectTCP
-
-    def connect_linked(host: str, port: int, *rest: Any, **named: Any) -> Any:
-        host, port = links.get((host, port), (host, port))
-        return connect(host, port, *rest, **named)
-
-    reactor.connectTCP = connect_linked
+    reactor.connectTCP = partial(_connect, reactor.connectTCP, links)
+
+
+def _connect(
+    connect: Callable[..., Any],
+    links: Mapping[_Address, _Address],
+    host: str,
+    port: int,
+    *rest: Any,
+    **named: Any,
+) -> Any:
+    return connect(*links.get((host, port), (host, port)), *rest, **named)
 
 
 def _address(text: str) -> _Address:
--- a/greengagemux_standins/soakchecks.py
+++ b/greengagemux_standins/soakchecks.py
@@ -161,12 +161,18 @@
             late_ms = round((one.ended_s - one.sent_s) * 1000)
             verdict.broken['hung'].append(f'{shown}, {late_ms} ms')
     elif one.outcome is Result.lost:
-        if one.reason == _UNSENT or kinds & _EXCUSE_LOSS:
-            verdict.excused[f'{one.reason} at a disturbed entrance'] += 1
-        elif 'daemon-stop' in kinds:
-            verdict.broken['cut-off-by-planned-stop'].append(shown)
-        else:
-            verdict.broken['connection-lost'].append(f'{shown} {kinds}')
+        _judge_loss(verdict, one, kinds, shown)
+
+
+def _judge_loss(
+    verdict: Verdict, one: Told, kinds: set[str], shown: str
+) -> None:
+    if one.reason == _UNSENT or kinds & _EXCUSE_LOSS:
+        verdict.excused[f'{one.reason} at a disturbed entrance'] += 1
+    elif 'daemon-stop' in kinds:
+        verdict.broken['cut-off-by-planned-stop'].append(shown)
+    else:
+        verdict.broken['connection-lost'].append(f'{shown} {kinds}')
 
 
 def outcome_rows(told: Sequence[Told]) -> list[str]:
--- a/greengagemux_standins/soakfaults.py
+++ b/greengagemux_standins/soakfaults.py
@@ -24,6 +24,7 @@
 _POLL_S = 0.02
 _Order = dict[str, object]
 _Orders = tuple[tuple[str, _Order], ...]
+_Later = tuple[float, int, Callable[[], object]]
 _BUNDLES = 'bundles'
 
 #: Standing faults and actions of an upstream; health reports claim health.
@@ -80,7 +81,7 @@
         self._fleet = fleet
         self._rng = random.Random(f'{seed} faults')
         self._kinds = kinds or tuple(self._starters())
-        self._later: list[tuple[float, int, Callable[[], object]]] = []
+        self._later: list[_Later] = []
         self._count = 0
         self._disturbed: dict[str, _Open] = {}
         self._version = 1
--- a/greengagemux_standins/soakfleets.py
+++ b/greengagemux_standins/soakfleets.py
@@ -69,11 +69,11 @@
     ) -> None:
         """Make the key of the second operator."""
         super().__init__(layout, processes, run_dir, Commands(), seed)
-        self._private, self._public = signatures.keygen()
+        self._keys = signatures.keygen()
 
     def sign(self, text: str, operator: str) -> bytes:
         """Return a bundle record signed by one of the two operators."""
-        private = self._private
+        private = self._keys[0]
         if operator != SECOND_OPERATOR:
             private = self._path('operator.key').read_text().strip()
         return signatures.sign(text, operator, private)
@@ -82,7 +82,9 @@
         """Name the second operator as well."""
         text = super().settings(daemon, public_key)
         mark = '[operators]\n'
-        return text.replace(mark, f'{mark}{SECOND_OPERATOR} = {self._public}\n')
+        return text.replace(
+            mark, f'{mark}{SECOND_OPERATOR} = {self._keys[1]}\n'
+        )
 
     def upstream_arguments(self, name: str) -> tuple[str, ...]:
         """Keep the ledger in a file."""
