--- a/greengagemux_standins/soakfleets.py
+++ b/greengagemux_standins/soakfleets.py
@@ -1,9 +1,12 @@
 """A fleet whose regions are joined by relays and that survives kills."""
 
+import json
 import random
 import socket
 from contextlib import ExitStack
+from itertools import chain
 from pathlib import Path
+from typing import Any
 
 from greengagemux import signatures
 
@@ -22,6 +25,8 @@
 #: that another process does not choose the same block at the same time.
 _reserved: list[socket.socket] = []
 _LATENCY_MS = 8
+#: A read above the end of a stream returns its end.
+_FAR_OFFSET = 1_000_000
 
 
 def free_base_port() -> int:
@@ -100,6 +105,23 @@
         """Return the ledger file of an upstream."""
         return self._path(f'{name}.ledger')
 
+    def bundle(self, daemon: Daemon) -> dict[str, Any]:
+        """Return the bundle at a daemon; raises ``OSError``."""
+        url = f'http://{daemon.admin_address}/bundle'
+        found: dict[str, Any] = json.loads(fetch(url))
+        return found
+
+    def usable(self, daemon: Daemon) -> int:
+        """Return how many upstreams a daemon may use and reach."""
+        state = json.loads(fetch(f'http://{daemon.admin_address}/state'))
+        views = chain.from_iterable(state['services'].values())
+        return sum(each['usable'] and each['reachable'] for each in views)
+
+    def homes(self) -> int:
+        """Return the end of the log stream of homes."""
+        url = f'{self.layout.log_url}/streams/homes?from={_FAR_OFFSET}'
+        return int(json.loads(fetch(url))['next'])
+
 
 class LinkedFleet(DurableFleet):
     """A fleet with one relay before each daemon for the other region.
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,22 +1,19 @@
 """Scenarios with real processes and signals."""
 
 import json
-import random
 import re
 import threading
 import time
 from collections.abc import Callable, Iterator
-from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from greengagemux.checks import verify_files
-from greengagemux.loadclients import Answer
-from greengagemux.loadplans import Arrival, parse_plan
+from greengagemux.loadplans import parse_plan
 from greengagemux.loadreports import Result
-from greengagemux.loads import Planned, classify
+from greengagemux_standins.callerthreads import CallerThreads
 from greengagemux_standins.fleets import (
     AGENCY,
     OPERATOR,
@@ -27,7 +24,7 @@
 )
 from greengagemux_standins.ledgers import read_entries
 from greengagemux_standins.processes import Processes
-from greengagemux_standins.soakcallers import Told, kind_of, with_plain_writes
+from greengagemux_standins.soakcallers import with_plain_writes
 from greengagemux_standins.soakchecks import judge
 from greengagemux_standins.soakfaults import Fault
 from greengagemux_standins.soakfleets import (
@@ -41,15 +38,8 @@
 LIMIT_S = 60.0
 #: Two of the smaller service, so that one daemon may stop.
 UPSTREAMS = 6
-#: A caller gives up this long after its deadline; a busy machine is slow.
-LATE_S = 10.0
 #: One caller each; those of keyed writes may have to repeat for long.
 KINDS = ('read', 'read', 'plain', 'keyed', 'keyed')
-ATTEMPTS = 40
-REPEAT_AFTER_S = 0.25
-#: Attempts of a keyed write that are also made when the scenario ends; a
-#: planned handover takes less.
-ENOUGH = 20
 
 
 def _until(is_done: Callable[[], bool], what: str) -> None:
@@ -65,115 +55,18 @@
     def __init__(self, fleet: DurableFleet) -> None:
         self.fleet = fleet
         self.daemons = list(fleet.layout.daemons)
-        self.entrances = list(fleet.layout.daemons)
-        self.told: list[Told] = []
+        path = AGENCY.plan_path
+        plan = with_plain_writes(parse_plan(path.read_text(), str(path)))
+        self.callers = CallerThreads(plan, self.daemons, KINDS)
+        self.count = self.callers.count
         self.faults: list[Fault] = []
-        self.numbers = iter(range(10**9))
         self.offsets: list[int] = []
-        path = AGENCY.plan_path
-        plan = parse_plan(path.read_text(), str(path))
-        self.profiles = with_plain_writes(plan).profiles
-        self._ending = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._call, args=(place,))
-            for place in range(len(KINDS))
-        ]
-
-    def begin(self) -> None:
-        for thread in self._threads:
-            thread.start()
-
-    def end(self) -> None:
-        self._ending.set()
-        for thread in self._threads:
-            if thread.ident:
-                thread.join()
-
-    def count(self, kind: str = '', outcome: Result | None = None) -> int:
-        return sum(
-            kind in {'', one.kind} and outcome in {None, one.outcome}
-            for one in tuple(self.told)
-        )
-
-    def _call(self, place: int) -> None:
-        rng = random.Random(place)
-        kind = KINDS[place]
-        profiles = [one for one in self.profiles if kind_of(one) == kind]
-        while not self._ending.is_set():
-            profile = rng.choice(profiles)
-            number = next(self.numbers)
-            target = rng.choice(profile.targets).replace('{n}', str(number))
-            arrival = Arrival(number, 0, profile, target, 0, False)
-            planned = Planned(0, 'fleet', f't{number}', arrival)
-            for attempt in range(1, ATTEMPTS):
-                ended = self._attempt(
-                    planned, rng.choice(self.entrances), attempt
-                )
-                self.told.append(ended)
-                uncertain = ended.outcome in {Result.unknown, Result.lost}
-                unsent = ended.reason == 'connection-refused'
-                tired = self._ending.is_set() and attempt > ENOUGH
-                if tired or not uncertain:
-                    break
-                if not (unsent or profile.keyed):
-                    break
-                time.sleep(REPEAT_AFTER_S)
-
-    def _attempt(self, planned: Planned, daemon: Daemon, attempt: int) -> Told:
-        profile = planned.arrival.profile
-        sent_s = time.monotonic()
-        key = f'key-{planned.tag}' if profile.keyed else ''
-        headers = {
-            'X-Request-Tag': planned.tag,
-            'Authorization': f'Bearer {profile.token}',
-            'Greengage-Deadline-Ms': str(profile.deadline_ms),
-            **({'Idempotency-Key': key} if key else {}),
-        }
-        connection = HTTPConnection(
-            '127.0.0.1',
-            daemon.http_port,
-            timeout=profile.deadline_ms / 1000 + LATE_S,
-        )
-        try:
-            connection.request(
-                profile.method, planned.arrival.target, b'', headers
-            )
-            answer = connection.getresponse()
-            body = answer.read()
-            head = f'HTTP/1.1\r\n{answer.msg}'.replace('\n', '\r\n')
-            raw = Answer(answer.status, head.encode('latin-1'), body)
-            outcome, reason = classify(planned, raw)
-        except ConnectionRefusedError:
-            outcome, reason = Result.lost, 'connection-refused'
-        except TimeoutError:
-            outcome, reason = Result.hung, 'no answer'
-        except (OSError, HTTPException) as error:
-            outcome, reason = Result.lost, repr(error)
-        finally:
-            connection.close()
-        return Told(
-            planned.tag,
-            kind_of(profile),
-            key,
-            daemon.http_address,
-            attempt,
-            outcome,
-            reason,
-            sent_s,
-            time.monotonic(),
-        )
 
     def begin_fault(self, kind: str, daemon: Daemon) -> None:
         """Excuse lost callers of a daemon from now on."""
         now = time.monotonic()
         self.faults.append(Fault(kind, daemon.name, now, now + LIMIT_S * 5))
 
-    def bundle(self, daemon: Daemon) -> dict[str, object]:
-        found: dict[str, object] = json.loads(
-            fetch(f'http://{daemon.admin_address}/bundle')
-        )
-        return found
-
     def wait_ready(self, daemon: Daemon) -> None:
         url = f'http://{daemon.admin_address}/ready'
         _until(lambda: answers_ok(url), f'{daemon.name} is not ready')
@@ -182,23 +75,10 @@
         """Wait until all daemons may use all upstreams."""
         for daemon in self.daemons:
             _until(
-                lambda: self.usable(daemon) == UPSTREAMS,  # noqa: B023
+                lambda: self.fleet.usable(daemon) == UPSTREAMS,  # noqa: B023
                 f'{daemon.name} cannot use all upstreams',
             )
 
-    def usable(self, daemon: Daemon) -> int:
-        state = json.loads(fetch(f'http://{daemon.admin_address}/state'))
-        return sum(
-            each['usable'] and each['reachable']
-            for view in state['services'].values()
-            for each in view
-        )
-
-    def homes(self) -> int:
-        """Return the end of the log stream of homes."""
-        url = f'{self.fleet.layout.log_url}/streams/homes?from=1000000'
-        return int(json.loads(fetch(url))['next'])
-
     def lines(self, daemon: Daemon) -> str:
         return self.fleet.processes.log_path(daemon.name).read_text()
 
@@ -220,7 +100,7 @@
         try:
             yield made
         finally:
-            made.end()
+            made.callers.stop()
             _kill_all(processes)
 
 
@@ -232,7 +112,7 @@
 @given('a fleet of 3 daemons under load')
 def _load(run: Run) -> None:
     run.wait_usable()
-    run.begin()
+    run.callers.start()
     _until(lambda: run.count('keyed', Result.completed) > 10, 'no load')
 
 
@@ -261,7 +141,7 @@
 
 
 def _restart(run: Run, daemon: Daemon) -> None:
-    run.entrances = [one for one in run.daemons if one != daemon]
+    run.callers.entrances = [one for one in run.daemons if one != daemon]
     # Requests under way at this daemon have ended after a few more.
     _more(run, 4 * len(KINDS))
     run.fleet.processes.terminate(daemon.name)
@@ -293,7 +173,7 @@
     run.fleet.start_daemon(new.name)
     run.wait_ready(new)
     run.daemons.append(new)
-    run.entrances = [new]
+    run.callers.entrances = [new]
 
 
 @when('the log is killed')
@@ -338,10 +218,10 @@
 def _same_bundle(run: Run) -> None:
     for daemon in run.daemons:
         _until(
-            lambda: run.bundle(daemon)['version'] == 2,  # noqa: B023
+            lambda: run.fleet.bundle(daemon)['version'] == 2,  # noqa: B023
             f'{daemon.name} has no version 2',
         )
-        assert run.bundle(daemon)['offset'] == min(run.offsets)
+        assert run.fleet.bundle(daemon)['offset'] == min(run.offsets)
 
 
 @then('all daemons reject the other one')
@@ -350,28 +230,31 @@
         _until(
             lambda: (
                 max(run.offsets)  # noqa: B023
-                in [one['offset'] for one in run.bundle(daemon)['rejected']]
+                in [
+                    one['offset']
+                    for one in run.fleet.bundle(daemon)['rejected']
+                ]
             ),  # type: ignore[attr-defined]  # noqa: B023
             f'{daemon.name} does not reject',
         )
-        assert run.bundle(daemon)['offset'] == min(run.offsets)
+        assert run.fleet.bundle(daemon)['offset'] == min(run.offsets)
 
 
 @when('daemon 1 is frozen until its key slots have another home')
 def _freeze(run: Run) -> None:
     daemon = run.daemons[1]
-    run.entrances = [one for one in run.daemons if one != daemon]
+    run.callers.entrances = [one for one in run.daemons if one != daemon]
     run.begin_fault('daemon-pause', daemon)
-    before = run.homes()
+    before = run.fleet.homes()
     run.fleet.processes.pause(daemon.name)
-    _until(lambda: run.homes() > before, 'no takeover')
+    _until(lambda: run.fleet.homes() > before, 'no takeover')
 
 
 @when('daemon 1 goes on')
 def _thaw(run: Run) -> None:
     run.fleet.processes.resume(run.daemons[1].name)
     run.wait_ready(run.daemons[1])
-    run.entrances = list(run.daemons)
+    run.callers.entrances = list(run.daemons)
 
 
 @when('an upstream hangs until it is ejected')
@@ -387,12 +270,12 @@
 
 @then('every caller was told the truth in time')
 def _truth(run: Run) -> None:
-    run.end()
+    run.callers.stop()
     paths = [
         run.fleet.ledger_path(one.name) for one in run.fleet.layout.upstreams
     ]
     names = {one.http_address: one.name for one in run.daemons}
-    verdict = judge(run.told, read_entries(paths), run.faults, names)
+    verdict = judge(run.callers.told, read_entries(paths), run.faults, names)
     broken = {name: found for name, found in verdict.broken.items() if found}
     assert not broken
     assert run.count('', Result.completed) > 100
@@ -400,14 +283,16 @@
 
 @then('only callers of the killed daemon lost their connection')
 def _lost(run: Run) -> None:
-    lost = {one.entrance for one in run.told if one.outcome is Result.lost}
+    lost = {
+        one.entrance for one in run.callers.told if one.outcome is Result.lost
+    }
     assert lost <= {run.daemons[1].http_address}
 
 
 @then('no request failed')
 def _none_failed(run: Run) -> None:
     """The last outcome of each request counts, since keyed ones repeat."""
-    last = {one.tag: one for one in run.told}
+    last = {one.tag: one for one in run.callers.told}
     failed = [
         one for one in last.values() if one.outcome is not Result.completed
     ]
