--- a/greengagemux/keyed.py
+++ b/greengagemux/keyed.py
@@ -202,8 +202,12 @@
                 self._ask_snapshot(now)
 
     def connected(self, stream: StreamId) -> None:
-        """Ask a new peer for the table if records were lost."""
-        if not self.homes.table.complete:
+        """Ask a new peer for the table if records were lost or not read.
+
+        A daemon that starts while the log is away knows no home otherwise.
+        """
+        table = self.homes.table
+        if not table.complete or not table.following:
             self._outbox.emit(Send(stream, HomesWanted()))
 
     def receive(
@@ -222,8 +226,9 @@
         self._outbox.emit(Send(stream, HomesSnapshot(following, packed)))
 
     def snapshot(self, message: HomesSnapshot, now: timedelta) -> None:
-        """Take the table of a peer in place of lost records."""
-        if self.homes.table.complete:
+        """Take the table of a peer in place of lost or unread records."""
+        table = self.homes.table
+        if table.complete and table.following:
             return
         assignments = _table_decoder.decode(message.table)
         self.homes.restore(LogOffset(message.following), assignments, now)
--- a/greengagemux_standins/soakfaults.py
+++ b/greengagemux_standins/soakfaults.py
@@ -24,6 +24,7 @@
 _POLL_S = 0.02
 _Order = dict[str, object]
 _Orders = tuple[tuple[str, _Order], ...]
+_Later = tuple[float, int, Callable[[], object]]
 _BUNDLES = 'bundles'
 
 #: Standing faults and actions of an upstream; health reports claim health.
@@ -80,7 +81,7 @@
         self._fleet = fleet
         self._rng = random.Random(f'{seed} faults')
         self._kinds = kinds or tuple(self._starters())
-        self._later: list[tuple[float, int, Callable[[], object]]] = []
+        self._later: list[_Later] = []
         self._count = 0
         self._disturbed: dict[str, _Open] = {}
         self._version = 1
@@ -245,8 +246,8 @@
             return False
         kind, order = self._rng.choice(UPSTREAM_FAULTS)
         self._begin(f'upstream-{kind}', name)
-        self._fleet.set_fault(name, health='healthy', **order)
         self._after(self._rng.uniform(1, 6), partial(self._heal, name))
+        self._fleet.set_fault(name, health='healthy', **order)
         return True
 
     def _heal(self, name: str) -> None:
@@ -260,8 +261,8 @@
             return False
         self._begin('upstream-crash', name)
         digit = self._rng.randrange(10)
-        self._fleet.set_fault(name, crash_body=f'{digit}x')
         self._after(3, partial(self._end_crash, name))
+        self._fleet.set_fault(name, crash_body=f'{digit}x')
         return True
 
     def _end_crash(self, name: str) -> None:
@@ -276,8 +277,8 @@
             return False
         self._begin('link-cut', relay)
         cut = self._rng.choice(('forward', 'backward', 'both'))
-        self._fleet.set_link(relay, cut=cut)
         self._after(self._rng.uniform(0.3, 6), partial(self._mend, relay))
+        self._fleet.set_link(relay, cut=cut)
         return True
 
     def _silence_link(self) -> bool:
@@ -285,8 +286,8 @@
         if not relay:
             return False
         self._begin('link-silence', relay)
-        self._fleet.set_link(relay, silence=-1)
         self._after(2, partial(self._end, relay))
+        self._fleet.set_link(relay, silence=-1)
         return True
 
     def _mend(self, relay: str) -> None:
@@ -299,8 +300,8 @@
         kind, order = self._rng.choice(LOG_FAULTS)
         self._begin(f'log-{kind}', 'log')
         url = f'{self._fleet.layout.log_url}/_fault'
-        fetch(url, order)
         self._after(self._rng.uniform(1, 8), partial(self._heal_log, url))
+        fetch(url, order)
         return True
 
     def _heal_log(self, url: str) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,3 +23,25 @@
         default=200,
         help='idle connections of callers that are held (default: 200)',
     )
+    parser.addoption(
+        '--known-red',
+        action='store_true',
+        help='also run the tests listed in KNOWN-RED.txt',
+    )
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Name the marker of tests that fail because of a known fault."""
+    config.addinivalue_line('markers', 'known_red: listed in KNOWN-RED.txt')
+
+
+def pytest_collection_modifyitems(
+    config: pytest.Config, items: list[pytest.Item]
+) -> None:
+    """Leave out the tests listed in KNOWN-RED.txt unless asked for."""
+    if config.getoption('--known-red'):
+        return
+    left_out = [one for one in items if one.get_closest_marker('known_red')]
+    config.hook.pytest_deselected(items=left_out)
+    for one in left_out:
+        items.remove(one)
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -156,3 +156,30 @@
     fleet.run(100)
     assert fleet.outcome(refused) == 'unknown'
     assert fleet.answers[refused].status == 400
+
+
+def test_new_daemon_learns_the_homes_from_peers() -> None:
+    """A daemon that starts while the log is away must reach the homes."""
+    fleet = _with_homes()
+    fleet.log_down = True
+    fleet.kill('d3')
+    fleet.run(1000)
+    fleet.nodes['d3'].start()
+    fleet.run(6000)
+    asked = []
+    for turn in range(30):
+        asked.append(_write(fleet, 'd3', b'k%d' % turn))
+        fleet.run(20)
+    fleet.run(500)
+    reachable = 0
+    keyed = fleet.nodes['d0'].daemon.keyed
+    for turn, exchange in enumerate(asked):
+        key = f'k{turn}'
+        slot = keyed.slot_of('ledger', 'anonymous', key)
+        record = keyed.homes.table.get(slot).record
+        assert fleet.runs(b'write-' + key.encode()) <= 1
+        # Without the log, a slot stops when its home or successor is lost.
+        if 'd3' not in {record.home.daemon, record.successor.daemon}:
+            reachable += 1
+            assert fleet.outcome(exchange) == 'completed'
+    assert reachable
