--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -298,3 +298,29 @@
     """Each command must document its exit codes."""
     for words in ((), ('serve',), ('drain',), ('bundle', 'publish')):
         assert 'cannot be reached' in _run(*words, '--help').stdout
+
+
+def test_bundle_that_cannot_follow_is_refused(tmp_path: Path) -> None:
+    """A changed key_slots must be found before the record is in the log."""
+    old, new, key = (tmp_path / name for name in ('old', 'new', 'key'))
+    assert _run('bundle', 'keygen', '--out', key).exit_code == 0
+    text = '[bundle]\nversion = {0}\nfollows = {1}\n[service a]\n'
+    old.write_text(text.format(2, 1))
+    out = tmp_path / 'record'
+    signing = ('--operator', 'alice', '--key-file', key, '--out', out)
+    faults = (
+        (f'{text.format(3, 2)}key_slots = 9\n', 'must stay 16'),
+        (text.format(4, 3), 'must be 2'),
+    )
+    for faulty, reason in faults:
+        new.write_text(faulty)
+        for command in (('check', new), ('sign', new, *signing)):
+            refused = _run('bundle', *command, '--follows', old)
+            assert refused.exit_code == 1
+            assert reason in refused.output
+    assert not out.exists()
+    new.write_text(text.format(3, 2))
+    assert _run('bundle', 'check', new, '--follows', old).exit_code == 0
+    assert (
+        _run('bundle', 'sign', new, *signing, '--follows', old).exit_code == 0
+    )
