--- a/greengagemux/distribution.py
+++ b/greengagemux/distribution.py
@@ -91,7 +91,7 @@
         """Read the log if this is a reader, and repair lost offers."""
         self._live = live
         if self._offers:
-            self._fetch(now)
+            self._fetch_again(now)
         if now >= self._read_due:
             self._read(live, now)
         if now < self._repair_due:
@@ -139,8 +139,10 @@
         """Take in a message of a peer about bundles."""
         self._live = live
         if isinstance(message, BundleOffer):
-            self._offers.append((stream, message))
-            self._fetch(now)
+            if self.rollout.waits_for(message, now):
+                self._offers.append((stream, message))
+            else:
+                self._fetch(message, stream, now)
         elif isinstance(message, BundleFetch):
             self._answer(message, stream)
         else:
@@ -155,16 +157,21 @@
         if not self._continued:
             self.advance()
 
-    def _fetch(self, now: timedelta) -> None:
-        """Request an offered bundle from one peer at a time."""
+    def _fetch_again(self, now: timedelta) -> None:
+        """Ask the next peer if the one that was asked is silent."""
         while self._offers:
             stream, offer = self._offers[0]
             if self.rollout.waits_for(offer, now):
                 return
             self._offers.popleft()
-            fetch = self.rollout.on_offer(offer, now)
-            if fetch is not None:
-                self._outbox.emit(Send(stream, fetch))
+            self._fetch(offer, stream, now)
+
+    def _fetch(
+        self, offer: BundleOffer, stream: StreamId, now: timedelta
+    ) -> None:
+        fetch = self.rollout.on_offer(offer, now)
+        if fetch is not None:
+            self._outbox.emit(Send(stream, fetch))
 
     def _answer(self, fetch: BundleFetch, stream: StreamId) -> None:
         if self.rollout.sends_full(fetch):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -44,6 +44,9 @@
     node.tick({}, FETCH_LIMIT - ms(1))
     asked = [each for each in outbox.drain() if isinstance(each, Send)]
     assert asked == [Send(1, BundleFetch(b'digest'))]
+    # A newer version is requested without delay.
+    node.receive(BundleOffer(4, 5, b'newer'), 1, {}, ms(2))
+    assert Send(1, BundleFetch(b'newer')) in outbox.drain()
     node.tick({}, FETCH_LIMIT)
     assert Send(2, BundleFetch(b'digest')) in outbox.drain()
 
