Age reported loads once a second at the entrance

Cause: nothing called choices.age_loads, so an upstream that was busy at its last report could be avoided until a next report that never came.

--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -14,7 +14,14 @@
 from .baselines import Baselines
 from .bundles import Bundle, Caller, Route
 from .candidates import Candidates
-from .choices import Nearness, Pick, UsableSet, UsableView, choose
+from .choices import (
+    Nearness,
+    Pick,
+    UsableSet,
+    UsableView,
+    age_loads,
+    choose,
+)
 from .clocks import ms
 from .effects import Outbox, Record, Send
 from .events import CallerGone, CallerRequest
@@ -65,6 +72,8 @@
 HEDGE_QUEUE_FACTOR = 3
 #: Without an expected service time a second attempt waits this long.
 HEDGE_UNKNOWN_AFTER = timedelta(seconds=1)
+#: Loads that were not reported again for this time count half.
+AGE_INTERVAL = timedelta(seconds=1)
 
 #: A keyed write that passed its deadline is awaited beyond the time for
 #: which the last hop lets it run on.
@@ -107,6 +116,7 @@
         )
         self._origins: dict[Origin, Waiting] = {}
         self._asked_home = 0
+        self._aged_at = timedelta()
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
 
     @property
@@ -276,6 +286,7 @@
 
     def tick(self, now: timedelta) -> None:
         """Answer requests whose deadline passed, hedge slow ones."""
+        self._age_loads(now)
         while self._deadlines and self._deadlines[0][0] <= now:
             exchange = heapq.heappop(self._deadlines)[1]
             waiting = self._waiting.get(exchange)
@@ -285,6 +296,13 @@
             if slow.idempotent and _is_slow(slow, now):
                 self._retry(slow, now)
 
+    def _age_loads(self, now: timedelta) -> None:
+        if now - self._aged_at < AGE_INTERVAL:
+            return
+        self._aged_at = now
+        for view in self.views.values():
+            age_loads(view.candidates.values())
+
     def _refuse(
         self, event: CallerRequest, reason: Reason, key: Hashable = None
     ) -> None:
--- a/greengagemux/experiments.py
+++ b/greengagemux/experiments.py
@@ -265,6 +265,7 @@
 @experiment.command()
 @_with(
     click.option('--seeds', default=100, show_default=True),
+    click.option('--first-seed', default=0, show_default=True),
     click.option('--upstreams', default=8, show_default=True),
     click.option('--slots', default=3, show_default=True),
     click.option('--rate', 'rates', multiple=True, type=float),
@@ -363,7 +364,8 @@
     rate: float,
     naive: bool,
 ) -> Iterable[Setup]:
-    for seed in range(options['seeds']):
+    first = options['first_seed']
+    for seed in range(first, first + options['seeds']):
         yield Setup(
             options['upstreams'],
             options['slots'],
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -281,3 +281,16 @@
     fleet.wake('d1')
     fleet.run(2500)
     assert not leaving.runs
+
+
+def test_entrance_ages_reported_loads() -> None:
+    """An upstream that was busy once must not be avoided for good."""
+    fleet = started(1)
+    entrance = next(iter(fleet.nodes.values())).daemon.entrance
+    for view in entrance.views.values():
+        for candidate in view.candidates.values():
+            candidate.in_flight = 64
+    fleet.run(5000)
+    for view in entrance.views.values():
+        assert view.candidates
+        assert all(c.in_flight < 8 for c in view.candidates.values())
