--- a/tests/test_detectors.py
+++ b/tests/test_detectors.py
@@ -183,8 +183,8 @@
 def test_late_news_of_peers_excuses_earlier_errors() -> None:
     """Errors that came before those of the peers were known must fade."""
     detector = Detector(RATES)
-    kinds = [*[SampleKind.success] * 10, *[SampleKind.error] * 4]
-    for kind in kinds:
+    for number in range(14):
+        kind = SampleKind.success if number < 10 else SampleKind.error
         reading = detector.observe(_sample(kind), learn=False)
     assert reading.share >= 1
     late = replace(_sample(SampleKind.success), peer_errors=0.2)
