--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -300,3 +300,16 @@
     ]
     fleet.run(1000)
     assert {fleet.outcome(exchange) for exchange in asked} == {'completed'}
+
+
+def test_entrance_ages_reported_loads() -> None:
+    """An upstream that was busy once must not be avoided for good."""
+    fleet = started(1)
+    entrance = next(iter(fleet.nodes.values())).daemon.entrance
+    for view in entrance.views.values():
+        for candidate in view.candidates.values():
+            candidate.in_flight = 64
+    fleet.run(5000)
+    for view in entrance.views.values():
+        assert view.candidates
+        assert all(c.in_flight < 8 for c in view.candidates.values())
