Release callers at a planned stop; keep the newest stream of a path

Ruled out: closing all connections at once; a request may be on its way. Change: answers close their connections from the stop on, idle ones are closed when no more are accepted, nothing is read after the end; streams carry the number of the own hello; parked requests are placed again when a path fails; a superseded dispatch is refused; no-home is never "not run".

--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -29,6 +29,7 @@
     ProbeUpstream,
     ReadLog,
     Record,
+    ReleaseCallers,
     Respond,
     Send,
 )
@@ -361,9 +362,13 @@
         # The reactor looks at its sockets before a call without delay.
         self._reactor.callLater(0, self.submit, Advance())
 
+    @_carry_out.register
+    def _release_callers(self, effect: ReleaseCallers) -> None:
+        self._listener.release(accept=effect.accept)
+
     @_carry_out.register
     def _exit(self, effect: Exit) -> None:
-        self._listener.stop_accepting()
+        self._listener.disconnect_all()
         for timer in self._timers:
             timer.stop()
         for port in self._ports:
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -118,6 +118,16 @@
     """Submit ``Advance`` after other waiting events: work goes on."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReleaseCallers:
+    """Close each connection of a caller after its next answer.
+
+    Without ``accept`` no new connections are taken.
+    """
+
+    accept: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Exit:
     """End the process; all work is finished."""
@@ -136,6 +146,7 @@
     | ReadLog
     | Record
     | Continue
+    | ReleaseCallers
     | Exit
 )
 
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -283,6 +283,9 @@
             for attempt in tuple(waiting.attempts.values()):
                 if attempt.stream and attempt.daemon == path.daemon:
                     self._lose(waiting, attempt, path, now)
+            if not (waiting.attempts or waiting.done or waiting.forwarded):
+                # Parked until a path opens, and this one did not.
+                self._place(waiting, now)
 
     def tick(self, now: timedelta) -> None:
         """Answer requests whose deadline passed, hedge slow ones."""
@@ -341,7 +344,7 @@
     def _place(self, waiting: Waiting, now: timedelta) -> None:
         ticket = waiting.ticket
         if ticket is not None and not self._keyed.may_run(ticket, now):
-            self._conclude(waiting, Reason.no_home)
+            self._lose_home(waiting)
             return
         view = self._candidates.view_of(waiting.route.service, waiting.priority)
         remote = self._link.allows(waiting.priority, now)
@@ -366,6 +369,17 @@
             return
         self._attempts.send(waiting, pick, path, now)
 
+    def _lose_home(self, waiting: Waiting) -> None:
+        """End a write whose slot was lost before it was dispatched.
+
+        It did not run here, but another try may have run at the new home.
+        """
+        not_run = Refusal(RequestId(0), Reason.no_home, Outcome.not_run)
+        self._keyed.finish(waiting, not_run)
+        waiting.ticket = None
+        waiting.may_have_run = True
+        self._conclude(waiting, Reason.no_home)
+
     def _exclude_unopened(
         self, waiting: Waiting, pick: Pick, now: timedelta
     ) -> None:
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -47,12 +47,14 @@
     """A stream with a peer is ready; ``outbound`` if opened from here.
 
     ``address`` is the one it was opened to; empty for an inbound stream.
+    ``number`` is that of this daemon's own ``Hello``.
     """
 
     stream: StreamId
     hello: Hello
     outbound: bool
     address: str = ''
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -325,6 +325,7 @@
         self._outbox.emit(
             Record('dispatch-superseded', {'peer': origin.daemon})
         )
+        self._refuse(origin, stream, Reason.late)
         return False
 
     def answer_for(
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -232,6 +232,16 @@
         self.listener.count_cutoff(Cutoff.idle)
         super().timeoutConnection()  # type: ignore[no-untyped-call]
 
+    def close_idle(self) -> None:
+        """Close the connection unless a request arrives or is answered."""
+        if not self._answering and not self.listener.is_reading(self):
+            self.end()
+
+    def end(self) -> None:
+        """Read nothing more, and close once all answers are written."""
+        self._refused = True
+        self.transport.loseConnection()
+
     def cut_off(self, why: Cutoff) -> None:
         """End the connection at once."""
         self._refused = True
@@ -355,6 +365,10 @@
         """Note that a request arrives on a connection."""
         self._reading.setdefault(channel, self.clock.monotonic())
 
+    def is_reading(self, channel: CallerChannel) -> bool:
+        """Return whether a request has arrived in part."""
+        return channel in self._reading
+
     def read(self, channel: CallerChannel) -> None:
         """Note that a request has arrived whole or was refused."""
         self._reading.pop(channel, None)
@@ -373,11 +387,24 @@
         """Number of connections of callers."""
         return len(self._channels)
 
-    def stop_accepting(self) -> None:
-        """Accept no new connections; answers close the existing ones."""
+    def release(self, *, accept: bool) -> None:
+        """Let answers close their connections, and accept new ones or not.
+
+        Connections without a request are closed once none are accepted.
+        """
         self._closing = True
+        if accept:
+            return
         if self._port is not None:
             self._port.stopListening()
+        for channel in tuple(self._channels):
+            channel.close_idle()
+
+    def disconnect_all(self) -> None:
+        """Read nothing more and close all connections."""
+        self.release(accept=False)
+        for channel in tuple(self._channels):
+            channel.end()
 
 
 def _older(
--- a/greengagemux/paths.py
+++ b/greengagemux/paths.py
@@ -48,6 +48,7 @@
     backoff: timedelta = RETRY_FIRST
     waiting: int = 0
     refused: bool = False
+    number: int = 0
 
     @property
     def quiet(self) -> bool:
@@ -109,6 +110,12 @@
         if path is None:
             path = Path(hello.daemon, event.address)
             self.by_daemon[hello.daemon] = path
+        if event.number < path.number:
+            # The peer takes requests only on the newest stream it was
+            # greeted on, and this one was opened before another.
+            self._outbox.emit(CloseStream(stream))
+            return None
+        path.number = event.number
         if path.stream is not None:
             self._by_stream.pop(path.stream, None)
             self._outbox.emit(CloseStream(path.stream))
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -13,7 +13,16 @@
 from .convictions import Convictions
 from .crashes import CrashReports
 from .distribution import Distribution
-from .effects import CloseStream, Effect, Exit, OpenStream, Outbox, Record, Send
+from .effects import (
+    CloseStream,
+    Effect,
+    Exit,
+    OpenStream,
+    Outbox,
+    Record,
+    ReleaseCallers,
+    Send,
+)
 from .entrances import Entrance
 from .events import (
     Advance,
@@ -132,6 +141,8 @@
         self.incarnations: dict[StreamId, Incarnation] = {}
         self.inbound: set[StreamId] = set()
         self.stopping_since: timedelta | None = None
+        #: Whether callers' connections are no longer accepted.
+        self.released = False
         self.slots_known = False
         self.slots_due: timedelta | None = None
         self.seeds_due = ZERO
@@ -351,6 +362,7 @@
     daemon.stopping_since = now
     daemon.members.set_own(daemon.last_hop.records(), True, now)
     daemon.keyed.stop()
+    daemon.outbox.emit(ReleaseCallers(accept=True))
     daemon.outbox.emit(Record('stopping'))
 
 
@@ -516,6 +528,10 @@
     waited = now - since
     if waited < STOP_NOTICE:
         return
+    if not daemon.released:
+        daemon.released = True
+        daemon.outbox.emit(ReleaseCallers(accept=False))
+        return
     busy = daemon.entrance.busy or daemon.last_hop.busy
     idle = not busy and not daemon.keyed.busy
     if idle or waited >= daemon.identity.stop_limit:
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -111,6 +111,11 @@
         """Whether the peer opened the stream."""
         return not self._address
 
+    @property
+    def own_number(self) -> int:
+        """Number of this daemon's own ``Hello``; 0 before it."""
+        return self._own_hello.number if self._own_hello else 0
+
     def connectionMade(self) -> None:
         """Say hello."""
         self.transport.setTcpNoDelay(True)
@@ -407,7 +412,10 @@
     def greeted(self, stream: PeerStream, hello: Hello, address: str) -> None:
         """Report a stream whose peer said hello."""
         self._streams[stream.stream] = stream
-        self.submit(StreamOpened(stream.stream, hello, bool(address), address))
+        number = stream.own_number
+        self.submit(
+            StreamOpened(stream.stream, hello, bool(address), address, number)
+        )
 
     def lost(
         self, stream: PeerStream, hello: Hello | None, failure: Failure
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -488,6 +488,7 @@
                     target.hello(far.stream),
                     outbound=True,
                     address=target.name,
+                    number=near.stream,
                 )
             )
 
--- a/tests/test_certificates.py
+++ b/tests/test_certificates.py
@@ -244,7 +244,7 @@
     with pytest.raises(httpcalls.UnreachableError, match='No such file'):
         httpcalls.call('GET', url, authority=fleet.directory / 'none')
     port.stopListening()
-    edge.listener.stop_accepting()
+    edge.listener.release(accept=False)
     turn()
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,11 @@
 import pytest
 from fakes_fleet import FakeFleet, started
 
+from greengagemux.effects import Exit, ReleaseCallers
+from greengagemux.events import StopRequested, StreamOpened, Tick
+from greengagemux.ids import StreamId
+from greengagemux.reducers import TICK, reduce
+
 
 def _others(fleet: FakeFleet, name: str) -> list[str]:
     return [other for other in fleet.nodes if other != name]
@@ -135,7 +140,6 @@
 
 def test_planned_stop_cuts_off_nothing() -> None:
     """A stopping daemon ends what runs, and work moves elsewhere."""
-    from greengagemux.events import StopRequested
 
     fleet = started(4)
     for upstream in fleet.upstreams:
@@ -313,3 +317,53 @@
     for view in entrance.views.values():
         assert view.candidates
         assert all(c.in_flight < 8 for c in view.candidates.values())
+
+
+def test_late_greeting_does_not_replace_a_newer_stream() -> None:
+    """Requests on a stream that the peer takes for old would be dropped."""
+    fleet = started(2)
+    paths = fleet.nodes['d0'].daemon.paths
+    path = paths.by_daemon['d1']
+    newest = path.stream
+    late = StreamOpened(
+        StreamId(99),
+        fleet.nodes['d1'].hello(99),
+        outbound=True,
+        address='d1',
+        number=path.number - 1,
+    )
+    fleet.nodes['d0'].submit(late)
+    assert path.stream == newest
+    fleet.run(100)
+    asked = [fleet.ask('d0', b'r%d' % turn) for turn in range(30)]
+    fleet.run(1000)
+    assert {fleet.outcome(exchange) for exchange in asked} == {'completed'}
+
+
+def test_request_without_a_way_is_refused_before_its_deadline() -> None:
+    """A caller must not wait when no path to the service can open."""
+    fleet = started(2)
+    for upstream in fleet.nodes['d0'].upstreams.values():
+        fleet.crash(fleet.nodes['d0'], upstream)
+    fleet.run(4000)
+    fleet.kill('d1')
+    fleet.run(50)
+    exchange = fleet.ask('d0', b'read')
+    fleet.run(1200)
+    assert fleet.outcome(exchange) in {'not-run', 'unknown'}
+
+
+def test_stopping_daemon_releases_its_callers() -> None:
+    """Callers on open connections must leave a daemon that stops."""
+    fleet = started(2)
+    node = fleet.nodes['d0']
+    effects = reduce(node.daemon, StopRequested(), fleet.now)
+    assert ReleaseCallers(accept=True) in effects
+    fleet.run(1900)
+    seen = []
+    for _ in range(10):
+        fleet.clock.advance(TICK)
+        tick = Tick(fleet.clock.wall())
+        seen += reduce(node.daemon, tick, fleet.now)
+    assert ReleaseCallers(accept=False) in seen
+    assert seen.index(ReleaseCallers(accept=False)) < seen.index(Exit())
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -60,7 +60,7 @@
     monkeypatch.setattr(listeners, 'LINGER_S', 0.02)
     made = _Edge()
     yield made
-    made.listener.stop_accepting()
+    made.listener.release(accept=False)
     for channel in tuple(made.listener._channels):
         channel.transport.abortConnection()
     turn_until(lambda: not made.listener.connections)
