Split the last hop; refuse what waited in sockets during a pause

Ruled out: reading the age of a request from its socket; the system does not tell it. Change: jobs holds requests and upstreams, upstreams their announcements and leases; an entrance refuses requests for 250 ms after a stall; the time line records added upstreams, dispatched reads and keys, ended keys, answers and what a stop waited for.

--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -354,6 +354,8 @@
     @_carry_out.register
     def _record(self, effect: Record) -> None:
         level = logging.DEBUG if effect.detail else logging.INFO
+        if not logger.isEnabledFor(level):
+            return
         log_event(logger, effect.name, effect.fields, level)
         self.metrics.count('events_total', event=effect.name.replace('-', '_'))
 
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -154,11 +154,13 @@
 class Outbox:
     """Collects the effects of one event in order."""
 
-    __slots__ = ('_effects',)
+    __slots__ = ('_effects', 'now')
 
     def __init__(self) -> None:
         """Start empty."""
         self._effects: list[Effect] = []
+        #: Monotonic time of the event.
+        self.now = timedelta()
 
     def emit(self, effect: Effect) -> None:
         """Add an effect."""
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -22,7 +22,7 @@
     age_loads,
     choose,
 )
-from .clocks import ms
+from .clocks import in_ms, ms
 from .effects import Outbox, Record, Send
 from .events import CallerGone, CallerRequest
 from .ids import (
@@ -155,6 +155,11 @@
 
     def request(self, event: CallerRequest, now: timedelta) -> None:
         """Accept a request of a caller, or refuse it at once."""
+        if self._last_hop.hosted.recovering(now):
+            # It may have waited while this process was paused, and its
+            # caller may have been answered elsewhere.
+            self._refuse(event, Reason.late)
+            return
         admitted = self._accounts.admit(event)
         if isinstance(admitted, Reason):
             self._refuse(event, admitted)
@@ -296,8 +301,8 @@
             if waiting is not None:
                 self._expire(waiting, now)
         for slow in tuple(self._waiting.values()):
-            if slow.idempotent and _is_slow(slow, now):
-                self._retry(slow, now)
+            if _is_slow(slow, now) and self._may_retry(slow):
+                self._retry_spent(slow, now)
 
     def _age_loads(self, now: timedelta) -> None:
         if now - self._aged_at < AGE_INTERVAL:
@@ -544,10 +549,6 @@
             return
         self._attempts.reattach(attempt, path)
 
-    def _retry(self, waiting: Waiting, now: timedelta) -> None:
-        if self._may_retry(waiting):
-            self._retry_spent(waiting, now)
-
     def _may_retry(self, waiting: Waiting) -> bool:
         if not waiting.idempotent or waiting.retries >= ATTEMPT_LIMIT - 1:
             return False
@@ -617,6 +618,20 @@
         self._finish(waiting)
 
     def _reply(self, waiting: Waiting, message: Answer | Refusal) -> None:
+        outcome = Outcome.completed
+        if isinstance(message, Refusal):
+            outcome = message.outcome
+        self._outbox.emit(
+            Record(
+                'request-answered',
+                {
+                    'request': waiting.exchange,
+                    'outcome': outcome.value,
+                    'late_ms': in_ms(self._outbox.now - waiting.deadline),
+                },
+                detail=True,
+            )
+        )
         origin = waiting.origin
         if origin:
             self._last_hop.answer_for(
--- a/greengagemux/keyed.py
+++ b/greengagemux/keyed.py
@@ -257,11 +257,27 @@
         digest = fingerprint(waiting.method, waiting.target, waiting.body)
         decision = self.homes.begin(slot, caller, waiting.key, digest, now)
         if isinstance(decision, Run):
-            return Ticket(slot, decision.term)
+            ticket = Ticket(slot, decision.term)
+            self._note_dispatch(ticket, waiting)
+            return ticket
         if isinstance(decision, Replay):
             return decision.record.answer or _completed_before()
         return _REASONS[type(decision)]
 
+    def _note_dispatch(self, ticket: Ticket, waiting: Waiting) -> None:
+        self._outbox.emit(
+            Record(
+                'key-dispatched',
+                {
+                    'key': _hash(ticket.slot, waiting),
+                    'exchange': waiting.exchange,
+                    'service': ticket.slot[0],
+                    'slot': ticket.slot[1],
+                    'epoch': ticket.term,
+                },
+            )
+        )
+
     def may_run(self, ticket: Ticket, now: timedelta) -> bool:
         """Return whether a write may be dispatched now."""
         return self.homes.dispatch(ticket.slot, ticket.term, now)
@@ -275,6 +291,15 @@
         outcome = Outcome.completed
         if isinstance(message, Refusal):
             outcome = message.outcome
+        self._outbox.emit(
+            Record(
+                'key-ended',
+                {
+                    'key': _hash(ticket.slot, waiting),
+                    'outcome': outcome.value,
+                },
+            )
+        )
         self.homes.finish(
             ticket.slot,
             ticket.term,
@@ -413,6 +438,12 @@
     )
 
 
+def _hash(slot: Slot, waiting: Waiting) -> str:
+    """Return what stands for a key in the time line."""
+    name = f'{slot[0]}\n{waiting.caller.name}\n{waiting.key}'
+    return xxhash.xxh3_64_hexdigest(name.encode())
+
+
 def _hosts(record: MemberRecord, service: ServiceName) -> bool:
     if record.leaving:
         return False
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -1,21 +1,17 @@
 """Lifecycle of requests at the last hop, beside their upstreams."""
 
-from collections import deque
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
 from datetime import timedelta
 from types import MappingProxyType
 
 import xxhash
 from msgspec import structs
 
-from .admissions import Queue
 from .answers import FinishedJobs, Origin
-from .bundles import RETRIES_PCT, Service
 from .clocks import ZERO, in_ms, ms
 from .convictions import Verdict, fingerprint
 from .crashes import CRASH_WINDOW, CrashReports
-from .detectors import ErrorRates, Sample, SampleKind
+from .detectors import Sample, SampleKind
 from .effects import (
     AbortCall,
     CallUpstream,
@@ -33,148 +29,72 @@
     UpstreamAnswered,
     UpstreamFailed,
 )
-from .headers import DEADLINE, REQUEST_ID, echoes, get, is_intact
+from .headers import DEADLINE, REQUEST_ID
 from .ids import (
     CallId,
     DaemonId,
-    ServiceName,
     StreamId,
     UpstreamId,
 )
+from .jobs import (
+    Job,
+    Upstream,
+    ahead_ms_of,
+    fault_in,
+    has_slot,
+    interruptible,
+    learn_wait,
+    load_of,
+    new_job,
+    not_run,
+    overloaded,
+    unknown,
+)
 from .messages import (
     Answer,
     Dispatch,
-    Load,
     Message,
     NotSeen,
     Priority,
     Refusal,
     Running,
     Suspects,
-    UpstreamRecord,
     UpstreamState,
 )
 from .outcomes import Outcome, Reason
-from .retries import Budget
-from .verdicts import StateChange, Verdicts
-
-#: An upstream that stops announcing itself is gone after this long.
-ANNOUNCE_LEASE = timedelta(seconds=3)
-#: A process that did nothing for this long was paused or starved.
-STALL = timedelta(seconds=1)
-#: Announcements that arrive this soon after a stall may have waited during
-#: it, and may be older than a drain that has not been announced yet.
-STALL_BACKLOG = timedelta(milliseconds=250)
+from .upstreams import Upstreams
+from .verdicts import Verdicts
+
 #: How long a write may run on after its deadline, so that its result is known.
 WRITE_GRACE = timedelta(seconds=5)
 #: Weight of the newest service time in the running mean.
 SERVICE_TIME_WEIGHT = 0.1
-#: Service time assumed before the first answer of an upstream.
-INITIAL_SERVICE_MS = 10.0
 #: A person interrupts an internal request that has run for less than this
 #: share of the mean service time, because little work is lost.
 CHEAP_SHARE = 0.2
 #: A person who has waited for this many times the mean interval between two
 #: free slots interrupts any; most slots become free earlier by themselves.
 PREEMPT_INTERVALS = 1.5
-#: Part of the permitted retries that an upstream receives steadily; the rest
-#: covers retries saved up before an outage.
-STEADY_RETRIES = 0.85
-#: Retries saved up for one upstream; its detector needs three calls on new
-#: connections to tell that the upstream hangs.
-SAVED_RETRIES = 4
-#: Weight of the newest wait in the ratio of waits to queues met.
-WAIT_WEIGHT = 0.1
-WAIT_FACTOR_MAX = 10
-#: Calls of one request that may be given up; then it runs to its end.
-GIVEN_UP_LIMIT = 3
-#: Work lost to interruptions as a share of started work: goodput under
-#: overload must stay at 95% of capacity.
-LOST_SHARE = 0.037
-#: Added to a request that was refused because of load.
-RETRY_AFTER_MS = 1000
 
 _HTTP_ERROR = 500
-_DRAINING = UpstreamState.draining
-
-
-@dataclass(slots=True, eq=False)
-class Job:
-    """A request from its dispatch to its end."""
-
-    origin: Origin
-    stream: StreamId | None
-    dispatch: Dispatch
-    arrived: timedelta
-    deadline: timedelta
-    priority: Priority
-    size_bytes: int
-    fingerprint: int
-    alone: bool = False
-    call: CallId | None = None
-    started: timedelta = ZERO
-    fresh: bool = False
-    silent: bool = False
-    given_up: int = 0
-    ahead_ms: float = 0
-
-    @property
-    def identity(self) -> bytes:
-        """Identity of the request over the whole fleet."""
-        origin = self.origin
-        name = f'{origin.daemon}/{origin.incarnation}/{origin.request}'
-        return name.encode()
-
-    @property
-    def account(self) -> str:
-        """Account of the caller."""
-        return self.dispatch.caller
 
-    @property
-    def team(self) -> str:
-        """Team of the account, or the account itself without one."""
-        return self.dispatch.team or f'account {self.dispatch.caller}'
-
-    @property
-    def cost_ms(self) -> float:
-        """Expected service time; 0 when it is not known."""
-        return self.dispatch.expected_ms
-
-
-@dataclass(slots=True, eq=False)
-class Upstream:
-    """An upstream beside this daemon."""
-
-    upstream: UpstreamId
-    service: ServiceName
-    address: str
-    slots: int
-    announced: UpstreamState
-    expires: timedelta
-    queue: Queue[Job]
-    state: UpstreamState
-    running: dict[CallId, Job] = field(default_factory=dict)
-    service_ms: float = INITIAL_SERVICE_MS
-    wait_factors: dict[Priority, float] = field(
-        default_factory=lambda: dict.fromkeys(Priority, 1.0)
-    )
-    retries: Budget = field(default_factory=lambda: Budget(0))
-    confirmed: bool = True
-    crashed_at: timedelta | None = None
-    trials: deque[Job] = field(default_factory=deque)
-
-    preemptions: Budget = field(default_factory=lambda: Budget(LOST_SHARE))
 
-    @property
-    def on_trial(self) -> bool:
-        """Whether a suspected request waits to run or runs alone."""
-        if self.trials:
-            return True
-        return any(job.alone for job in self.running.values())
+_FAULT_REASONS = MappingProxyType(
+    {
+        CallFault.reset: Reason.connection_lost,
+        CallFault.too_large: Reason.answer_too_large,
+    }
+)
 
-    def takes_work(self, now: timedelta) -> bool:
-        """Return whether its lease allows new work."""
-        return self.confirmed and self.expires > now
+_FAULT_SAMPLES = MappingProxyType(
+    {
+        CallFault.refused: SampleKind.refused,
+        CallFault.unreachable: SampleKind.refused,
+        CallFault.reset: SampleKind.reset,
+        CallFault.truncated: SampleKind.truncated,
+        CallFault.malformed: SampleKind.wrong,
+    }
+)
 
 
 class LastHop:
@@ -194,83 +114,36 @@
         self.verdicts = verdicts
         self._crashes = crashes
         self._convictions = crashes.convictions
-        self._services: Mapping[ServiceName, Service] = {}
-        self._retry_share = STEADY_RETRIES * RETRIES_PCT / 100
-        self.upstreams: dict[UpstreamId, Upstream] = {}
+        #: The upstreams and their states.
+        self.hosted = Upstreams(outbox, verdicts)
         self._jobs: dict[Origin, Job] = {}
         self._calls: dict[CallId, Job] = {}
         self._finished = FinishedJobs()
         self._next_call = 1
         #: Which streams of peers may bring requests.
         self.epochs = StreamEpochs()
-        self._seen_at: timedelta | None = None
-        self._backlog_until = ZERO
         #: Replies to requests of this daemon's own entrance.
         self.local_replies: list[Message] = []
-        #: Whether upstream records changed since they were last announced.
-        self.changed = False
 
-    def configure(
-        self,
-        services: Mapping[ServiceName, Service],
-        retries_pct: float = RETRIES_PCT,
-    ) -> None:
-        """Apply the services of a new bundle."""
-        self._services = services
-        self._retry_share = STEADY_RETRIES * retries_pct / 100
-        for name, service in services.items():
-            rates = ErrorRates(service.false_alarm, service.miss)
-            self.verdicts.configure(name, rates)
-        for upstream in self.upstreams.values():
-            self._bound_queue(upstream)
-            upstream.retries.share = self._retry_share
+    @property
+    def upstreams(self) -> Mapping[UpstreamId, Upstream]:
+        """The upstreams beside this daemon."""
+        return self.hosted.by_id
+
+    def announce(self, event: Announced, now: timedelta) -> None:
+        """Take in what an upstream says of itself."""
+        old = self.upstreams.get(event.upstream)
+        if old is not None and old.address != event.address:
+            self._expire(old, now)
+        upstream = self.hosted.announce(event, now)
+        if upstream is not None:
+            self._fill(upstream, now)
 
     @property
     def busy(self) -> bool:
         """Whether requests are queued or running."""
         return bool(self._jobs)
 
-    def records(self) -> tuple[UpstreamRecord, ...]:
-        """Return what this daemon announces of its upstreams."""
-        return tuple(
-            UpstreamRecord(
-                upstream=each.upstream,
-                service=each.service,
-                slots=each.slots,
-                state=each.state,
-                severity=self.verdicts.severity(each.upstream),
-            )
-            for each in self.upstreams.values()
-        )
-
-    def announce(self, event: Announced, now: timedelta) -> None:
-        """Renew the lease of an upstream and take over its state."""
-        if now < self._backlog_until and event.state is not _DRAINING:
-            return
-        known = self.upstreams.get(event.upstream)
-        if known is None or known.address != event.address:
-            self._add(event, now)
-            return
-        known.expires = now + ANNOUNCE_LEASE
-        known.confirmed = True
-        if known.announced is event.state and known.slots == event.slots:
-            return
-        known.announced = event.state
-        known.slots = event.slots
-        self._announce_state(known, now)
-        self._fill(known, now)
-
-    def notice(self, now: timedelta) -> None:
-        """Distrust all leases after a stall of this process."""
-        stalled = self._seen_at is not None and now - self._seen_at >= STALL
-        self._seen_at = now
-        if not stalled:
-            return
-        self._outbox.emit(Record('stalled'))
-        self._backlog_until = now + STALL_BACKLOG
-        for upstream in self.upstreams.values():
-            upstream.confirmed = False
-
     def dispatch(
         self,
         origin: Origin,
@@ -301,7 +174,7 @@
             reason = Reason.draining if draining else Reason.sick
             self._refuse(origin, stream, reason, upstream)
             return
-        job = _job(origin, stream, message, now)
+        job = new_job(origin, stream, message, now)
         verdict = self._convictions.check(job.fingerprint, now)
         if verdict is Verdict.convicted:
             self._refuse(origin, stream, Reason.crashes_upstreams, upstream)
@@ -351,7 +224,7 @@
             return
         if job.call is None:
             self._discard(job)
-            self._end(job, _refusal(job, Reason.deadline), now)
+            self._end(job, not_run(job, Reason.deadline), now)
         elif job.dispatch.idempotent:
             self._abort(job, Reason.deadline, now)
 
@@ -383,10 +256,10 @@
         if job.fresh and job.silent:
             # The kept connections have gone silent and new ones work.
             self._outbox.emit(DropConnections(upstream.address))
-        fault = _fault_in(event, job)
+        fault = fault_in(event, job)
         if fault:
             self._observe(job, SampleKind.wrong, now)
-            self._end(job, _unknown(job, Reason.upstream_failed, fault), now)
+            self._end(job, unknown(job, Reason.upstream_failed, fault), now)
             self._fill(upstream, now)
             return
         kind = SampleKind.success
@@ -423,7 +296,7 @@
         if kind is not None:
             self._observe(job, kind, now)
         if event.fault is CallFault.refused:
-            self._apply(self.verdicts.crashed(upstream.upstream, now))
+            self.hosted.apply(self.verdicts.crashed(upstream.upstream, now))
         reason = _FAULT_REASONS.get(event.fault, Reason.upstream_failed)
         outcome = Outcome.unknown if event.sent else Outcome.not_run
         refusal = Refusal(
@@ -439,18 +312,18 @@
     def probed(self, event: Probed, now: timedelta) -> None:
         """Take in the result of a probe."""
         if event.refused:
-            self._apply(self.verdicts.crashed(event.upstream, now))
+            self.hosted.apply(self.verdicts.crashed(event.upstream, now))
         changes = self.verdicts.probed(
             event.upstream, alive=event.alive, now=now
         )
-        self._apply(changes)
+        self.hosted.apply(changes)
 
     def tick(self, now: timedelta) -> None:
         """Expire leases, deadlines and kept answers."""
         for upstream in tuple(self.upstreams.values()):
             if upstream.expires <= now:
                 self._expire(upstream, now)
-        self._apply(self.verdicts.tick(now))
+        self.hosted.apply(self.verdicts.tick(now))
         for running in tuple(self._calls.values()):
             self._check_silence(running, now)
         for job in self._late(now):
@@ -473,53 +346,6 @@
         upstream.retries.earn()
         return True
 
-    def _add(self, event: Announced, now: timedelta) -> None:
-        old = self.upstreams.get(event.upstream)
-        if old is not None:
-            self._expire(old, now)
-        upstream = Upstream(
-            upstream=event.upstream,
-            service=event.service,
-            address=event.address,
-            slots=event.slots,
-            announced=event.state,
-            expires=now + ANNOUNCE_LEASE,
-            queue=Queue(0, 0),
-            state=event.state,
-            retries=Budget(self._retry_share, saved_limit=SAVED_RETRIES),
-        )
-        self._bound_queue(upstream)
-        self.upstreams[event.upstream] = upstream
-        self._announce_state(upstream, now)
-        self.changed = True
-
-    def _bound_queue(self, upstream: Upstream) -> None:
-        service = self._services.get(upstream.service)
-        if service is not None:
-            upstream.queue.limit = service.queue_limit
-            upstream.queue.limit_bytes = service.queue_limit_bytes
-
-    def _announce_state(self, upstream: Upstream, now: timedelta) -> None:
-        changes = self.verdicts.announced(
-            upstream.upstream,
-            upstream.service,
-            upstream.slots,
-            upstream.announced,
-            now,
-        )
-        self._apply(changes)
-        self.changed = True
-
-    def _apply(self, changes: list[StateChange]) -> None:
-        for change in changes:
-            upstream = self.upstreams.get(change.upstream)
-            if upstream is None:
-                continue
-            self.changed = True
-            if upstream.state is not change.state:
-                upstream.state = change.state
-                self._note_state(upstream, change.reason)
-
     def _observe(self, job: Job, kind: SampleKind, now: timedelta) -> None:
         sample = Sample(
             kind,
@@ -530,7 +356,7 @@
             peer_errors=job.dispatch.peer_errors,
         )
         upstream = job.dispatch.upstream
-        self._apply(self.verdicts.observe(upstream, sample, now))
+        self.hosted.apply(self.verdicts.observe(upstream, sample, now))
 
     def _check_silence(self, job: Job, now: timedelta) -> None:
         """Count a request that is too old, and try a new connection once.
@@ -566,26 +392,10 @@
     def _expire(self, upstream: Upstream, now: timedelta) -> None:
         if upstream.announced is not UpstreamState.draining:
             upstream.announced = UpstreamState.draining
-            self._announce_state(upstream, now)
+            self.hosted.announce_state(upstream, now)
         self._refuse_queued(upstream, Reason.draining, now)
         if not upstream.running:
-            self.upstreams.pop(upstream.upstream)
-            self.verdicts.retire(upstream.upstream)
-            self._outbox.emit(DropConnections(upstream.address))
-            self.changed = True
-
-    def _note_state(self, upstream: Upstream, reason: str) -> None:
-        self._outbox.emit(
-            Record(
-                'upstream-state',
-                {
-                    'upstream': upstream.upstream,
-                    'service': upstream.service,
-                    'state': upstream.state.value,
-                    'reason': reason,
-                },
-            )
-        )
+            self.hosted.remove(upstream)
 
     def _admit(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         if job.dispatch.movable and upstream.queue.ahead(job.priority):
@@ -596,16 +406,16 @@
             upstream.trials.append(job)
             self._fill(upstream, now)
             return
-        if not upstream.queue and _has_slot(upstream):
+        if not upstream.queue and has_slot(upstream):
             self._start(upstream, job, now)
             return
-        job.ahead_ms = _ahead_ms(upstream, job)
+        job.ahead_ms = ahead_ms_of(upstream, job)
         wait_ms = job.ahead_ms * upstream.wait_factors[job.priority]
         if wait_ms + job.cost_ms > in_ms(job.deadline - now):
-            self._end(job, _overloaded(job, upstream), now)
+            self._end(job, overloaded(job, upstream), now)
             return
         for refused in upstream.queue.offer(job):
-            self._end(refused, _overloaded(refused, upstream), now)
+            self._end(refused, overloaded(refused, upstream), now)
 
     def _start(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         call = CallId(self._next_call)
@@ -618,16 +428,19 @@
         self._convictions.started(job.fingerprint)
         message = job.dispatch
         remaining_ms = max(1, int(in_ms(job.deadline - now)))
+        name = 'read-dispatched'
         if not message.idempotent:
-            self._outbox.emit(
-                Record(
-                    'write-dispatched',
-                    {
-                        'request': job.identity.decode(),
-                        'upstream': upstream.upstream,
-                    },
-                )
+            name = 'write-dispatched'
+        self._outbox.emit(
+            Record(
+                name,
+                {
+                    'request': job.identity.decode(),
+                    'upstream': upstream.upstream,
+                },
+                detail=message.idempotent,
             )
+        )
         self._outbox.emit(
             CallUpstream(
                 call=call,
@@ -651,13 +464,13 @@
         if upstream.trials:
             self._try_alone(upstream, now)
             return
-        while upstream.queue and _has_slot(upstream):
+        while upstream.queue and has_slot(upstream):
             job = upstream.queue.take()
             if job is None:
                 return
-            _learn_wait(upstream, job, now)
+            learn_wait(upstream, job, now)
             if job.deadline - ms(job.cost_ms) <= now:
-                self._end(job, _refusal(job, Reason.deadline), now)
+                self._end(job, not_run(job, Reason.deadline), now)
                 continue
             self._start(upstream, job, now)
 
@@ -673,7 +486,7 @@
         upstream.trials.popleft()
         verdict = self._convictions.check(job.fingerprint, now)
         if verdict is Verdict.convicted:
-            self._end(job, _refusal(job, Reason.crashes_upstreams), now)
+            self._end(job, not_run(job, Reason.crashes_upstreams), now)
             self._fill(upstream, now)
         else:
             self._start(upstream, job, now)
@@ -703,7 +516,7 @@
         first = upstream.queue.oldest(Priority.waiting)
         if first is None:
             return
-        running = filter(_interruptible, reversed(upstream.running.values()))
+        running = filter(interruptible, reversed(upstream.running.values()))
         job = next(running, None)
         if job is None or job.call is None:
             return
@@ -769,10 +582,10 @@
         while upstream.queue:
             job = upstream.queue.take()
             if job is not None:
-                self._end(job, _refusal(job, reason), now)
+                self._end(job, not_run(job, reason), now)
         while upstream.trials:
             tried = upstream.trials.popleft()
-            self._end(tried, _refusal(tried, reason), now)
+            self._end(tried, not_run(tried, reason), now)
 
     def _discard(self, job: Job) -> None:
         upstream = self.upstreams.get(job.dispatch.upstream)
@@ -789,7 +602,7 @@
             self._outbox.emit(AbortCall(job.call))
             self._convictions.finished(job.fingerprint, answered=False, now=now)
         self._release(job, upstream)
-        self._end(job, _unknown(job, reason, ''), now)
+        self._end(job, unknown(job, reason, ''), now)
         self._fill(upstream, now)
 
     def _late(self, now: timedelta) -> Iterator[Job]:
@@ -804,123 +617,8 @@
             return
         if job.call is None:
             self._discard(job)
-            self._end(job, _refusal(job, Reason.deadline), now)
+            self._end(job, not_run(job, Reason.deadline), now)
             return
         grace = ZERO if job.dispatch.idempotent else WRITE_GRACE
         if job.deadline + grace <= now:
             self._abort(job, Reason.deadline, now)
-
-
-_FAULT_REASONS = MappingProxyType(
-    {
-        CallFault.reset: Reason.connection_lost,
-        CallFault.too_large: Reason.answer_too_large,
-    }
-)
-
-_FAULT_SAMPLES = MappingProxyType(
-    {
-        CallFault.refused: SampleKind.refused,
-        CallFault.unreachable: SampleKind.refused,
-        CallFault.reset: SampleKind.reset,
-        CallFault.truncated: SampleKind.truncated,
-        CallFault.malformed: SampleKind.wrong,
-    }
-)
-
-
-def load_of(upstream: Upstream) -> Load:
-    """Return the load that is reported with each answer."""
-    return Load(
-        in_flight=len(upstream.running),
-        queued=len(upstream.queue),
-        slots=upstream.slots,
-        service_ms=upstream.service_ms,
-        state=upstream.state,
-        ahead=tuple(map(upstream.queue.ahead, Priority)),
-    )
-
-
-def _job(
-    origin: Origin, stream: StreamId | None, message: Dispatch, now: timedelta
-) -> Job:
-    return Job(
-        origin=origin,
-        stream=stream,
-        dispatch=message,
-        arrived=now,
-        deadline=now + ms(message.remaining_ms),
-        priority=message.priority,
-        size_bytes=len(message.body) + len(message.target),
-        fingerprint=fingerprint(message.method, message.target, message.body),
-    )
-
-
-def _has_slot(upstream: Upstream) -> bool:
-    if upstream.on_trial:
-        return False
-    return len(upstream.running) < upstream.slots
-
-
-def _interruptible(job: Job) -> bool:
-    if job.priority is not Priority.internal:
-        return False
-    if job.given_up >= GIVEN_UP_LIMIT:
-        return False
-    return job.dispatch.idempotent and not job.silent
-
-
-def _learn_wait(upstream: Upstream, job: Job, now: timedelta) -> None:
-    """Compare the wait of a request with the queue it met.
-
-    Later requests of more urgent classes make the wait of others longer.
-    """
-    if not job.ahead_ms or job.given_up:
-        return
-    factor = upstream.wait_factors[job.priority]
-    found = min(in_ms(now - job.arrived) / job.ahead_ms, WAIT_FACTOR_MAX)
-    factor += WAIT_WEIGHT * (found - factor)
-    upstream.wait_factors[job.priority] = factor
-
-
-def _ahead_ms(upstream: Upstream, job: Job) -> float:
-    ahead = upstream.queue.ahead(job.priority) + 1
-    return ahead * upstream.service_ms / max(1, upstream.slots)
-
-
-def _refusal(job: Job, reason: Reason) -> Refusal:
-    return Refusal(
-        request=job.origin.request, reason=reason, outcome=Outcome.not_run
-    )
-
-
-def _fault_in(event: UpstreamAnswered, job: Job) -> str:
-    """Return what shows that an answer is wrong, or nothing."""
-    message = job.dispatch
-    identity = get(event.headers, REQUEST_ID.lower())
-    if identity is not None and identity != job.identity:
-        return 'the answer is for another request'
-    if not echoes(message.headers, event.headers, message.echo):
-        return f'{message.echo} is not that of the request'
-    if message.method != b'HEAD' and not is_intact(event.headers, event.body):
-        return 'the body does not have its declared digest'
-    return ''
-
-
-def _unknown(job: Job, reason: Reason, detail: str) -> Refusal:
-    return Refusal(
-        request=job.origin.request,
-        reason=reason,
-        outcome=Outcome.unknown,
-        detail=detail,
-    )
-
-
-def _overloaded(job: Job, upstream: Upstream) -> Refusal:
-    return Refusal(
-        request=job.origin.request,
-        reason=Reason.overloaded,
-        outcome=Outcome.not_run,
-        retry_after_ms=RETRY_AFTER_MS,
-        load=load_of(upstream),
-    )
--- a/greengagemux/overloadworlds.py
+++ b/greengagemux/overloadworlds.py
@@ -208,7 +208,7 @@
         self.hosts = [Host(self, each) for each in range(layout.entrances)]
         self.upstreams: list[Upstream] = []
         for host in self.hosts:
-            host.last_hop.configure(bundle.services, bundle.retries_pct)
+            host.last_hop.hosted.configure(bundle.services, bundle.retries_pct)
             host.entrance.configure(bundle)
         self._start_upstreams()
         self._share_members()
@@ -300,7 +300,7 @@
             data_centre=own.data_centre,
             region=own.region,
             peer_address=own.peer_address,
-            upstreams=host.last_hop.records(),
+            upstreams=host.last_hop.hosted.records(),
         )
 
     def _join(self, opener: Host, peer: Host) -> None:
@@ -320,8 +320,8 @@
         replies = host.last_hop.local_replies
         while replies:
             host.entrance.reply(host.record.daemon, replies.pop(0), self.now)
-        if host.last_hop.changed:
-            host.last_hop.changed = False
+        if host.last_hop.hosted.changed:
+            host.last_hop.hosted.changed = False
             self._spread(host)
         for effect in host.outbox.drain():
             self._carry_out(host, effect)
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -178,15 +178,15 @@
         while last_hop.local_replies:
             reply = last_hop.local_replies.pop(0)
             self.entrance.reply(self.own.daemon, reply, now)
-        if last_hop.changed:
-            last_hop.changed = False
-            self.members.set_own(last_hop.records(), self.stopping, now)
+        if last_hop.hosted.changed:
+            last_hop.hosted.changed = False
+            self.members.set_own(last_hop.hosted.records(), self.stopping, now)
         changed = self.members.changes()
         if changed:
             self._members_changed(changed, now)
         bundle = self.distribution.take_change()
         if bundle is not None:
-            last_hop.configure(bundle.services, bundle.retries_pct)
+            last_hop.hosted.configure(bundle.services, bundle.retries_pct)
             self.entrance.configure(bundle)
             self.keyed.configure(bundle.services)
             if self.slots_due is None:
@@ -220,7 +220,8 @@
 
 def reduce(daemon: Daemon, event: Event, now: timedelta) -> list[Effect]:
     """Apply an event at monotonic time ``now`` and return the effects."""
-    daemon.last_hop.notice(now)
+    daemon.outbox.now = now
+    daemon.last_hop.hosted.notice(now)
     handle(event, daemon, now)
     daemon.settle(now)
     return daemon.outbox.drain()
@@ -360,7 +361,7 @@
     if daemon.stopping:
         return
     daemon.stopping_since = now
-    daemon.members.set_own(daemon.last_hop.records(), True, now)
+    daemon.members.set_own(daemon.last_hop.hosted.records(), True, now)
     daemon.keyed.stop()
     daemon.outbox.emit(ReleaseCallers(accept=True))
     daemon.outbox.emit(Record('stopping'))
@@ -532,8 +533,12 @@
         daemon.released = True
         daemon.outbox.emit(ReleaseCallers(accept=False))
         return
-    busy = daemon.entrance.busy or daemon.last_hop.busy
-    idle = not busy and not daemon.keyed.busy
+    busy = {
+        'entrance_busy': daemon.entrance.busy,
+        'last_hop_busy': daemon.last_hop.busy,
+        'keyed_busy': daemon.keyed.busy,
+    }
+    idle = not any(busy.values())
     if idle or waited >= daemon.identity.stop_limit:
-        daemon.outbox.emit(Record('stopped', {'idle': idle}))
+        daemon.outbox.emit(Record('stopped', {'idle': idle, **busy}))
         daemon.outbox.emit(Exit())
--- /dev/null
+++ b/greengagemux/upstreams.py
@@ -0,0 +1,181 @@
+"""Upstreams beside this daemon: announcements, leases and states."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+from .admissions import Queue
+from .bundles import RETRIES_PCT, Service
+from .clocks import ZERO
+from .detectors import ErrorRates
+from .effects import DropConnections, Outbox, Record
+from .events import Announced
+from .ids import ServiceName, UpstreamId
+from .jobs import Upstream
+from .messages import UpstreamRecord, UpstreamState
+from .retries import Budget
+from .verdicts import StateChange, Verdicts
+
+#: An upstream that stops announcing itself is gone after this long.
+ANNOUNCE_LEASE = timedelta(seconds=3)
+#: A process that did nothing for this long was paused or starved.
+STALL = timedelta(seconds=1)
+#: What arrives this soon after a stall may have waited during it. An
+#: announcement may be older than a drain that has not been announced yet.
+STALL_BACKLOG = timedelta(milliseconds=250)
+#: Part of the permitted retries that an upstream receives steadily; the rest
+#: covers retries saved up before an outage.
+STEADY_RETRIES = 0.85
+#: Retries saved up for one upstream; its detector needs three calls on new
+#: connections to tell that the upstream hangs.
+SAVED_RETRIES = 4
+
+
+class Upstreams:
+    """The upstreams that announce themselves to this daemon."""
+
+    def __init__(self, outbox: Outbox, verdicts: Verdicts) -> None:
+        """Start with no upstream announced."""
+        self._outbox = outbox
+        self._verdicts = verdicts
+        self._services: Mapping[ServiceName, Service] = {}
+        self._retry_share = STEADY_RETRIES * RETRIES_PCT / 100
+        self._seen_at: timedelta | None = None
+        self._backlog_until = ZERO
+        self.by_id: dict[UpstreamId, Upstream] = {}
+        #: Whether the records changed since they were last announced.
+        self.changed = False
+
+    def configure(
+        self,
+        services: Mapping[ServiceName, Service],
+        retries_pct: float = RETRIES_PCT,
+    ) -> None:
+        """Apply the services of a new bundle."""
+        self._services = services
+        self._retry_share = STEADY_RETRIES * retries_pct / 100
+        for name, service in services.items():
+            rates = ErrorRates(service.false_alarm, service.miss)
+            self._verdicts.configure(name, rates)
+        for upstream in self.by_id.values():
+            self._bound_queue(upstream)
+            upstream.retries.share = self._retry_share
+
+    def records(self) -> tuple[UpstreamRecord, ...]:
+        """Return what this daemon announces of its upstreams."""
+        return tuple(
+            UpstreamRecord(
+                upstream=each.upstream,
+                service=each.service,
+                slots=each.slots,
+                state=each.state,
+                severity=self._verdicts.severity(each.upstream),
+            )
+            for each in self.by_id.values()
+        )
+
+    def notice(self, now: timedelta) -> None:
+        """Distrust all leases after a stall of this process."""
+        stalled = self._seen_at is not None and now - self._seen_at >= STALL
+        self._seen_at = now
+        if not stalled:
+            return
+        self._outbox.emit(Record('stalled'))
+        self._backlog_until = now + STALL_BACKLOG
+        for upstream in self.by_id.values():
+            upstream.confirmed = False
+
+    def recovering(self, now: timedelta) -> bool:
+        """Return whether what arrives now may have waited during a stall."""
+        return now < self._backlog_until
+
+    def announce(self, event: Announced, now: timedelta) -> Upstream | None:
+        """Renew a lease; return the upstream if it may take work now."""
+        draining = event.state is UpstreamState.draining
+        if self.recovering(now) and not draining:
+            return None
+        known = self.by_id.get(event.upstream)
+        if known is None or known.address != event.address:
+            known = self._add(event, now)
+        known.expires = now + ANNOUNCE_LEASE
+        known.confirmed = True
+        if known.announced is not event.state or known.slots != event.slots:
+            known.announced = event.state
+            known.slots = event.slots
+            self.announce_state(known, now)
+        return known
+
+    def announce_state(self, upstream: Upstream, now: timedelta) -> None:
+        """Lay what an upstream says of itself over the evidence."""
+        changes = self._verdicts.announced(
+            upstream.upstream,
+            upstream.service,
+            upstream.slots,
+            upstream.announced,
+            now,
+        )
+        self.apply(changes)
+        self.changed = True
+
+    def apply(self, changes: list[StateChange]) -> None:
+        """Take over states that the evidence changed."""
+        for change in changes:
+            upstream = self.by_id.get(change.upstream)
+            if upstream is None:
+                continue
+            self.changed = True
+            if upstream.state is not change.state:
+                upstream.state = change.state
+                self._note_state(upstream, change.reason)
+
+    def remove(self, upstream: Upstream) -> None:
+        """Forget an upstream that has left."""
+        self.by_id.pop(upstream.upstream)
+        self._verdicts.retire(upstream.upstream)
+        self._outbox.emit(DropConnections(upstream.address))
+        self.changed = True
+
+    def _add(self, event: Announced, now: timedelta) -> Upstream:
+        upstream = Upstream(
+            upstream=event.upstream,
+            service=event.service,
+            address=event.address,
+            slots=event.slots,
+            announced=event.state,
+            expires=now + ANNOUNCE_LEASE,
+            queue=Queue(0, 0),
+            state=event.state,
+            retries=Budget(self._retry_share, saved_limit=SAVED_RETRIES),
+        )
+        self._bound_queue(upstream)
+        self.by_id[event.upstream] = upstream
+        self._outbox.emit(
+            Record(
+                'upstream-added',
+                {
+                    'upstream': upstream.upstream,
+                    'service': upstream.service,
+                    'state': upstream.announced.value,
+                },
+            )
+        )
+        self.announce_state(upstream, now)
+        return upstream
+
+    def _bound_queue(self, upstream: Upstream) -> None:
+        service = self._services.get(upstream.service)
+        if service is not None:
+            upstream.queue.limit = service.queue_limit
+            upstream.queue.limit_bytes = service.queue_limit_bytes
+
+    def _note_state(self, upstream: Upstream, reason: str) -> None:
+        self._outbox.emit(
+            Record(
+                'upstream-state',
+                {
+                    'upstream': upstream.upstream,
+                    'service': upstream.service,
+                    'state': upstream.state.value,
+                    'reason': reason,
+                },
+            )
+        )
--- a/greengagemux/views.py
+++ b/greengagemux/views.py
@@ -6,7 +6,7 @@
 from .administration import BundleView, RejectedRecord
 from .chains import RecordOutcome
 from .clocks import in_ms
-from .lasthops import Upstream
+from .jobs import Upstream
 from .paths import Path
 from .reducers import Daemon
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -33,7 +33,7 @@
 MUTATIONS = (
     Mutation(
         'answers that do not echo their request are passed on',
-        'lasthops',
+        'jobs',
         'if not echoes(',
         'if False and not echoes(',
         'whole_answers',
@@ -68,14 +68,14 @@
     ),
     Mutation(
         'leases are not checked at dispatch',
-        'lasthops',
+        'jobs',
         'return self.confirmed and self.expires > now',
         'return True',
         'leaving_upstreams',
     ),
     Mutation(
         'leases are trusted after a stall',
-        'lasthops',
+        'upstreams',
         'if not stalled:',
         'if True:',
         'leaving_upstreams',
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -367,3 +367,16 @@
         seen += reduce(node.daemon, tick, fleet.now)
     assert ReleaseCallers(accept=False) in seen
     assert seen.index(ReleaseCallers(accept=False)) < seen.index(Exit())
+
+
+def test_woken_entrance_refuses_what_waited_in_its_sockets() -> None:
+    """A caller that gave up must not have its old request run later."""
+    fleet = started(2)
+    fleet.pause('d0')
+    exchange = fleet.ask('d0', b'write', b'/intake/1')
+    fleet.run(3000)
+    fleet.wake('d0')
+    fleet.run(1000)
+    assert fleet.outcome(exchange) == 'not-run'
+    assert fleet.reason(exchange) == 'late'
+    assert fleet.runs(b'write') == 0
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -54,7 +54,7 @@
         )
         self.hop = LastHop(OWN, self.outbox, Verdicts(TICK), crashes)
         service = Service(LEDGER, queue_limit=queue_limit)
-        self.hop.configure({LEDGER: service})
+        self.hop.hosted.configure({LEDGER: service})
         self.requests = 0
         self.calls: dict[ids.CallId, int] = {}
         self.started: list[int] = []
