Choose free ports for the demonstration and the latency command

Cause: two fleets on one machine met on the same default ports, and one answered the load of the other. Ruled out: other fixed ports; any can be in use. Conclusion: runs side by side no longer mix.

--- a/greengagemux_standins/cli.py
+++ b/greengagemux_standins/cli.py
@@ -14,6 +14,7 @@
 from .capacities import capacity
 from .cutters import LinkOrder, Relay
 from .demos import demo
+from .latencies import latency
 from .links import linked_daemon
 from .logstores import LogSettings, LogStore
 from .servers import Network
@@ -34,6 +35,7 @@
 
 main.add_command(capacity)
 main.add_command(demo)
+main.add_command(latency)
 main.add_command(linked_daemon)
 main.add_command(load_command)
 main.add_command(soak)
--- a/greengagemux_standins/demos.py
+++ b/greengagemux_standins/demos.py
@@ -19,6 +19,7 @@
 from .checks import Violations, compare
 from .fleets import DEPLOYMENTS, Fleet, layout
 from .ledgers import LedgerPage
+from .ports import free_base_port
 from .processes import LaunchError, Processes
 
 #: Kinds of sickness with their standing faults; each claims to be healthy.
@@ -114,7 +115,11 @@
         ),
         click.Option(['--daemons'], default=4, show_default=True),
         click.Option(['--upstreams'], default=8, show_default=True),
-        click.Option(['--base-port'], default=21_000, show_default=True),
+        click.Option(
+            ['--base-port'],
+            default=0,
+            help='First port; 0 for a free block.',
+        ),
         click.Option(['--rate'], default=float(100), show_default=True),
         click.Option(['--duration-s'], default=float(15), show_default=True),
         click.Option(['--seed'], default=1, show_default=True),
@@ -162,7 +167,7 @@
             DEPLOYMENTS[options['deployment']],
             options['daemons'],
             options['upstreams'],
-            options['base_port'],
+            options['base_port'] or free_base_port(),
         ),
         processes,
         run_dir,
--- a/greengagemux_standins/latencies.py
+++ b/greengagemux_standins/latencies.py
@@ -14,6 +14,7 @@
 import click
 
 from .fleets import Commands, Deployment, Fleet, Service, layout
+from .ports import free_base_port
 from .processes import LaunchError, Processes
 
 LATENCY: Final = Deployment(
@@ -34,7 +35,11 @@
         click.Option(['--runs'], default=5, show_default=True),
         click.Option(['--rate'], default=float(215), show_default=True),
         click.Option(['--duration-s'], default=float(10), show_default=True),
-        click.Option(['--base-port'], default=23_000, show_default=True),
+        click.Option(
+            ['--base-port'],
+            default=0,
+            help='First port; 0 for a free block.',
+        ),
         click.Option(
             ['--profile'],
             is_flag=True,
@@ -56,7 +61,7 @@
         upstream=(*plain.upstream, _SIGMA),
     )
     with Processes(run_dir) as processes:
-        places = layout(LATENCY, 2, 1, options['base_port'])
+        places = layout(LATENCY, 2, 1, options['base_port'] or free_base_port())
         try:
             _measure(Fleet(places, processes, run_dir, commands), options)
         except LaunchError as error:
@@ -129,7 +134,3 @@
     )
     columns = ''.join(f'{figure:>{width}.2f}' for figure, width in cells)
     return f'{seed:<6}{columns}'
-
-
-if __name__ == '__main__':
-    latency()
--- a/greengagemux_standins/soakfleets.py
+++ b/greengagemux_standins/soakfleets.py
@@ -1,9 +1,6 @@
 """A fleet whose regions are joined by relays and that survives kills."""
 
 import json
-import random
-import socket
-from contextlib import ExitStack
 from itertools import chain
 from pathlib import Path
 from typing import Any
@@ -18,54 +15,11 @@
 
 _RELAY_OFFSET = 300
 _PORTS_PER_RELAY = 2
-#: Ports below this are not used by the kernel for outgoing connections.
-_BASES = range(10_000, 31_000, 700)
-_BLOCK = 600
-#: The last port of a block that this process chose, bound until it ends, so
-#: that another process does not choose the same block at the same time.
-_reserved: list[socket.socket] = []
 _LATENCY_MS = 8
 #: A read above the end of a stream returns its end.
 _FAR_OFFSET = 1_000_000
 
 
-def free_base_port() -> int:
-    """Return a base whose block of ports is free, and reserve the block.
-
-    Raises ``OSError`` when there is none.
-    """
-    bases = list(_BASES)
-    random.shuffle(bases)
-    for base in bases:
-        last = base + _BLOCK - 1
-        if _reserve(last) and _all_free(range(base, last)):
-            return base
-    raise OSError('no block of ports is free')
-
-
-def _reserve(port: int) -> bool:
-    one = socket.socket()
-    try:
-        one.bind((LOOPBACK, port))
-    except OSError:
-        one.close()
-        return False
-    _reserved.append(one)
-    return True
-
-
-def _all_free(ports: range) -> bool:
-    with ExitStack() as opened:
-        for port in ports:
-            one = opened.enter_context(socket.socket())
-            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                one.bind((LOOPBACK, port))
-            except OSError:
-                return False
-    return True
-
-
 class DurableFleet(Fleet):
     """A fleet whose ledgers and log survive a kill, with two operators."""
 
--- a/greengagemux_standins/soaks.py
+++ b/greengagemux_standins/soaks.py
@@ -24,6 +24,7 @@
 from .demos import termination_raises
 from .fleets import DEPLOYMENTS, Daemon, fetch, layout
 from .ledgers import read_entries
+from .ports import free_base_port
 from .processes import LaunchError, Processes
 from .soakcallers import Callers, Told, with_plain_writes
 from .soakchecks import (
@@ -36,7 +37,7 @@
     outcome_rows,
 )
 from .soakfaults import Fault, Injector
-from .soakfleets import LinkedFleet, free_base_port
+from .soakfleets import LinkedFleet
 
 _POLL_S = 0.5
 _POLL_LIMIT_S = 0.3
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -23,6 +23,7 @@
     layout,
 )
 from greengagemux_standins.ledgers import read_entries
+from greengagemux_standins.ports import free_base_port
 from greengagemux_standins.processes import Processes
 from greengagemux_standins.soakcallers import with_plain_writes
 from greengagemux_standins.soakchecks import judge
@@ -30,7 +31,6 @@
 from greengagemux_standins.soakfleets import (
     SECOND_OPERATOR,
     DurableFleet,
-    free_base_port,
 )
 
 scenarios('features/fleet.feature')
