Leave out no upstream before a bundle names the floor

Ruled out: narrowing the check to entrances with a bundle; nothing may be left out on an unknown floor.

--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -15,6 +15,9 @@
 )
 from .paths import Path, Paths, PathState
 
+#: Before a bundle names the floor of a service, nothing is left out.
+UNKNOWN_FLOOR_PCT = 100
+
 
 class Candidates:
     """Candidates of all services, kept up with members and paths."""
@@ -31,7 +34,7 @@
         """Return the candidates of a service."""
         view = self.views.get(service)
         if view is None:
-            view = UsableView(floor_pct=0)
+            view = UsableView(floor_pct=UNKNOWN_FLOOR_PCT)
             self.views[service] = view
         return view
 
