Remember finished writes for as long as their home awaits them

The answer was cut off one way; the home waits up to 6 s beyond the deadline, the last hop forgot the finished write 2 s after it, and its "not seen" made the home run the write again. Ruled out: an end of the wait at the deadline; the record of the key would stay unknown although the answer can still arrive. Change: finished writes are kept for the wait of the home as well, and an inquiry that is answered after the deadline is no proof that nothing ran.

--- a/greengagemux/answers.py
+++ b/greengagemux/answers.py
@@ -8,9 +8,14 @@
 from .messages import Answer, Refusal
 from .outcomes import Outcome, Reason
 
-#: An entrance inquires only before its deadline, which is not later than
-#: that of the last hop; the margin covers the way of the inquiry.
+#: An entrance relies on an inquiry only before its deadline, which is not
+#: later than that of the last hop; the margin covers the way of the inquiry.
 RETENTION_MARGIN = timedelta(seconds=2)
+#: How long a write may run on after its deadline, so that its result is known.
+WRITE_GRACE = timedelta(seconds=5)
+#: A keyed write that passed its deadline is awaited by its home beyond the
+#: time for which the last hop lets it run on.
+RECORD_MARGIN = timedelta(seconds=1)
 #: Most bytes of answers kept; beyond it only the outcome is kept.
 RETAINED_LIMIT_BYTES = 16 * 1024 * 1024
 
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -9,7 +9,7 @@
 
 from . import headers
 from .accounts import Accounts
-from .answers import Origin
+from .answers import RECORD_MARGIN, WRITE_GRACE, Origin
 from .attempts import Attempts
 from .baselines import Baselines
 from .bundles import Bundle, Caller, Route
@@ -33,7 +33,7 @@
     StreamId,
 )
 from .keyed import KeyedWrites
-from .lasthops import WRITE_GRACE, LastHop
+from .lasthops import LastHop
 from .messages import (
     Answer,
     Dispatch,
@@ -75,9 +75,6 @@
 #: Loads that were not reported again for this time count half.
 AGE_INTERVAL = timedelta(seconds=1)
 
-#: A keyed write that passed its deadline is awaited beyond the time for
-#: which the last hop lets it run on.
-RECORD_MARGIN = timedelta(seconds=1)
 
 _HTTP_ERROR = 500
 _NOT_RUN_REASONS = frozenset(
@@ -511,7 +508,10 @@
         self, waiting: Waiting, attempt: Attempt, now: timedelta
     ) -> None:
         self._attempts.drop(waiting, attempt)
-        if waiting.forwarded:
+        if now >= waiting.deadline:
+            # The last hop may have forgotten a request that ended.
+            self._failed(waiting, Reason.deadline, now)
+        elif waiting.forwarded:
             self._begin(waiting, now)
         elif not waiting.attempts:
             waiting.reroutes += 1
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -7,7 +7,7 @@
 import xxhash
 from msgspec import structs
 
-from .answers import FinishedJobs, Origin
+from .answers import RECORD_MARGIN, WRITE_GRACE, FinishedJobs, Origin
 from .clocks import ZERO, in_ms, ms
 from .convictions import Verdict, fingerprint
 from .crashes import CRASH_WINDOW, CrashReports
@@ -65,8 +65,6 @@
 from .upstreams import Upstreams
 from .verdicts import Verdicts
 
-#: How long a write may run on after its deadline, so that its result is known.
-WRITE_GRACE = timedelta(seconds=5)
 #: Weight of the newest service time in the running mean.
 SERVICE_TIME_WEIGHT = 0.1
 #: A person interrupts an internal request that has run for less than this
@@ -556,7 +554,10 @@
             return
         if job.stream is not None:
             self._outbox.emit(Send(job.stream, message))
-        self._finished.keep(job.origin, message, max(job.deadline, now))
+        until = max(job.deadline, now)
+        if not job.dispatch.idempotent:
+            until += WRITE_GRACE + RECORD_MARGIN
+        self._finished.keep(job.origin, message, until)
 
     def _refuse(
         self,
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -8,6 +8,7 @@
 
 #: Histories that broke an invariant once, with what was found.
 REGRESSIONS = (
+    27809,  # a finished write was forgotten while its home awaited it
     14353,  # an entrance without a bundle had no floor
 )
 
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -183,3 +183,26 @@
             reachable += 1
             assert fleet.outcome(exchange) == 'completed'
     assert reachable
+
+
+def test_finished_write_is_not_forgotten_while_its_home_waits() -> None:
+    """A long cut of the answers must not make the home run a write again."""
+    fleet = _with_homes()
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 60
+    others = {
+        name: [each for each in fleet.nodes if each != name]
+        for name in fleet.nodes
+    }
+    for turn in range(40):
+        key = b'k%d' % turn
+        home = _home_of(fleet, key)
+        _write(fleet, home, key)
+        fleet.run(5)
+    for name, peers in others.items():
+        for peer in peers:
+            fleet.cut(peer, name)
+    fleet.run(5500)
+    fleet.heal()
+    fleet.run(6000)
+    assert all(fleet.runs(b'write-k%d' % turn) <= 1 for turn in range(40))
