--- a/greengagemux/checks.py
+++ b/greengagemux/checks.py
@@ -40,6 +40,8 @@
         'bundle-in-force': 'bundles are not checked',
     }
 )
+#: Fields of a stop that tell what it still had to do.
+_BUSY: Final = ('entrance_busy', 'last_hop_busy', 'keyed_busy')
 #: Guards that took effect; many of them point to a fault.
 _NOTABLE: Final = (
     DROPPED_EVENT,
@@ -231,10 +233,11 @@
     name = 'stop-with-work'
 
     def see(self, event: TimelineEvent, fields: Mapping[str, Any]) -> str:
-        """Return a stop that was not idle."""
-        if event.name == 'stopped' and not fields.get('idle'):
-            return 'stopped with requests in flight'
-        return ''
+        """Return a stop with requests, or with key records to hand over."""
+        if event.name != 'stopped' or fields.get('idle'):
+            return ''
+        busy = [name for name in _BUSY if fields.get(name, True)]
+        return f'stopped while busy: {", ".join(busy)}'
 
 
 class PromptAnswers(Rule):
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -153,4 +153,4 @@
     broken = _write(tmp_path, BROKEN['stop-with-work'])
     ran = CliRunner().invoke(cli.main, ['verify', *map(str, broken)])
     assert ran.exit_code == 1
-    assert 'stopped with requests in flight' in ran.output
+    assert 'stopped while busy' in ran.output
