Send the queue of a sick upstream elsewhere

Cause: requests queued at the last hop of an upstream went on to it after it was judged sick. Ruled out: requests forced by the floor; no other upstream was cold or sick. Change: when an upstream is sick, its queued requests are refused as not run, but those that the floor forces. Figures: the new test fails without the change.

--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -327,6 +327,7 @@
         for job in self._late(now):
             self._end_late(job, now)
         for waiting in self.upstreams.values():
+            self._refuse_if_sick(waiting, now)
             self._fill(waiting, now)
             self._preempt(waiting, now)
             if self.verdicts.may_probe(waiting.upstream, now):
@@ -577,6 +578,15 @@
             return
         self._outbox.emit(Send(stream, refusal))
 
+    def _refuse_if_sick(self, upstream: Upstream, now: timedelta) -> None:
+        """Send queued requests elsewhere, but those that the floor forces."""
+        if upstream.state is not UpstreamState.sick:
+            return
+        for job in tuple(upstream.queue):
+            if not job.dispatch.forced:
+                upstream.queue.discard(job)
+                self._end(job, not_run(job, Reason.sick), now)
+
     def _refuse_queued(
         self, upstream: Upstream, reason: Reason, now: timedelta
     ) -> None:
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -5,7 +5,6 @@
 import pytest
 from histories import History, generated
 
-
 #: Histories that broke an invariant once, with what was found.
 REGRESSIONS = (
     27809,  # a finished write was forgotten while its home awaited it
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -18,7 +18,12 @@
 from greengagemux.crashes import CrashReports
 from greengagemux.effects import AbortCall, CallUpstream, Outbox
 from greengagemux.entrances import _hedge_after
-from greengagemux.events import Announced, CallerGone, UpstreamAnswered
+from greengagemux.events import (
+    Announced,
+    CallerGone,
+    Probed,
+    UpstreamAnswered,
+)
 from greengagemux.lasthops import LastHop
 from greengagemux.messages import (
     Dispatch,
@@ -486,3 +491,16 @@
     assert found[0] != found[2]
     assert found[0]['goodput'] > 0.8
     assert found[0]['sources']['counter']['completed'] == 1
+
+
+def test_queue_of_a_sick_upstream_is_sent_elsewhere() -> None:
+    """Requests queued at a sick upstream must not wait for its slots."""
+    hop = Hop(slots=2)
+    running = [hop.ask(Priority.routine, idempotent=False) for _ in range(2)]
+    queued = [hop.ask(Priority.routine, idempotent=False) for _ in range(2)]
+    forced = hop.ask(Priority.routine, idempotent=False, forced=True)
+    hop.hop.probed(Probed(UP, alive=False, refused=True), hop.now)
+    hop.run(1)
+    for request in queued:
+        assert hop.ended[request] == (Outcome.not_run, Reason.sick)
+    assert not {forced, *running} & hop.ended.keys()
