Probe upstreams through the client that calls them

Cause: the read-through found that probes had an HTTP client, an endpoint factory and a time limit of their own, beside those of the calls, and that the body of a health answer was never read, which left one connection open a probe. Ruled out: reading the whole body; its content proves nothing. Change: UpstreamCalls.probe replaces the module probes and closes the connection; two tests on real sockets. Conclusion: a fault and a second copy less.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -27,8 +27,8 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-from .effects import CallUpstream
-from .events import CallFault, Event, UpstreamAnswered, UpstreamFailed
+from .effects import CallUpstream, ProbeUpstream
+from .events import CallFault, Event, Probed, UpstreamAnswered, UpstreamFailed
 from .ids import CallId
 from .outcomes import Failure, Step
 
@@ -45,6 +45,11 @@
 #: A request target is visible ASCII; anything else could split a request.
 _TARGET: Final = re.compile(rb'[\x21-\x7e]+')
 
+#: A probe without an answer for this long has failed.
+PROBE_TIMEOUT_S: Final = 1.0
+#: Health reports lag and mislead, so only silence and refusal count.
+HEALTH_PATH: Final = b'/health'
+
 Submit = Callable[[Event], None]
 
 
@@ -190,6 +195,19 @@
         running.addCallback(self._read, effect)
         running.addErrback(self._failed, effect)
 
+    def probe(self, effect: ProbeUpstream) -> None:
+        """Ask an upstream for its health on a new connection."""
+        agent = self._agent(effect.address, fresh=True)
+        headers = WebHeaders({b'Host': [effect.address.encode()]})
+        asked = agent.send(b'GET', HEALTH_PATH, headers, None)
+        asked.addTimeout(PROBE_TIMEOUT_S, self._reactor)
+        asked.addCallbacks(
+            self._probe_answered,
+            self._probe_failed,
+            (effect,),
+            errbackArgs=(effect,),
+        )
+
     def abort(self, call: CallId) -> None:
         """Cancel a call by closing its connection."""
         running = self._running.pop(call, None)
@@ -219,6 +237,19 @@
         self._agents[address] = (agent, pool)
         return agent
 
+    def _probe_answered(self, response: Any, effect: ProbeUpstream) -> None:
+        self._submit(Probed(effect.upstream, alive=True, refused=False))
+        # Without a reader of the body the connection would stay open.
+        body = _Body(0)
+        body.done.addErrback(lambda _: None)
+        response.deliverBody(body)
+
+    def _probe_failed(
+        self, reason: TwistedFailure, effect: ProbeUpstream
+    ) -> None:
+        refused = bool(reason.check(UpstreamRefusedError))
+        self._submit(Probed(effect.upstream, alive=False, refused=refused))
+
     def _read(self, response: Any, effect: CallUpstream) -> Any:
         body = _Body(effect.limit_bytes)
         response.deliverBody(body)
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -42,7 +42,6 @@
 from .messages import PROTOCOL_VERSION, Hello, MemberRecord
 from .metrics import Metrics
 from .outcomes import Failure, FailureError
-from .probes import Prober
 from .reducers import TICK, Daemon, Identity, reduce
 from .rollouts import RETENTION, Rollout
 from .settings import Address, Settings
@@ -139,7 +138,6 @@
             reactor, clock, self.submit, self._count_cutoff
         )
         self._calls = UpstreamCalls(reactor, self.submit)
-        self._prober = Prober(reactor, self.submit)
         self._hub = StreamHub(
             reactor,
             self.submit,
@@ -331,7 +329,7 @@
 
     @_carry_out.register
     def _probe_upstream(self, effect: ProbeUpstream) -> None:
-        self._prober.probe(effect)
+        self._calls.probe(effect)
 
     @_carry_out.register
     def _abort_call(self, effect: AbortCall) -> None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -7,14 +7,15 @@
 from sockets import reactor, turn, turn_until
 
 from greengagemux.connections import UpstreamCalls
-from greengagemux.effects import CallUpstream
+from greengagemux.effects import CallUpstream, ProbeUpstream
 from greengagemux.events import (
     CallFault,
     Event,
+    Probed,
     UpstreamAnswered,
     UpstreamFailed,
 )
-from greengagemux.ids import CallId
+from greengagemux.ids import CallId, UpstreamId
 
 _OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _LIMIT = 1000
@@ -224,3 +225,37 @@
     with pytest.raises(ConnectionResetError):
         connection.recv(1)
     assert not upstream.events
+
+
+def test_probe_leaves_no_connection_behind(upstream: _Upstream) -> None:
+    """Each probe of a suspect must not cost its upstream a connection."""
+    upstream.calls.probe(ProbeUpstream(UpstreamId('u0'), upstream.address))
+    connection = upstream.accept()
+    connection.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\npart')
+    turn_until(lambda: bool(upstream.events))
+    assert upstream.events == [
+        Probed(UpstreamId('u0'), alive=True, refused=False)
+    ]
+    turn_until(lambda: _is_closed(connection))
+
+
+def test_probe_of_an_ended_process_is_refused(upstream: _Upstream) -> None:
+    """A process that does not listen must be told from a silent one."""
+    upstream.listening.close()
+    upstream.calls.probe(ProbeUpstream(UpstreamId('u0'), upstream.address))
+    turn_until(lambda: bool(upstream.events))
+    assert upstream.events == [
+        Probed(UpstreamId('u0'), alive=False, refused=True)
+    ]
+
+
+def _is_closed(connection: socket.socket) -> bool:
+    try:
+        got = connection.recv(65536)
+        while got:
+            got = connection.recv(65536)
+    except BlockingIOError:
+        return False
+    except ConnectionResetError:
+        return True
+    return True
