--- a/greengagemux/accounts.py
+++ b/greengagemux/accounts.py
@@ -42,7 +42,7 @@
         caller = table.identify(event.headers)
         if isinstance(caller, Reason):
             return caller
-        route = table.match(event.method, event.target)
+        route = table.match(event.method, event.target, event.host)
         if isinstance(route, Reason):
             return route
         if not permitted(caller, route):
--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -133,6 +133,7 @@
             key=key,
             expected_ms=expected_ms,
             peer_errors=expected.error_share,
+            host=waiting.host,
             forced=pick.forced,
             echo=route.echo_header,
             team=waiting.caller.team or '',
--- a/greengagemux/bundlecosts.py
+++ b/greengagemux/bundlecosts.py
@@ -18,6 +18,7 @@
 from .reducers import Daemon, Identity, reduce
 from .rollouts import STREAM, Rollout
 from .signatures import full_payload, keygen, sign
+from .views import rollout_of
 
 logger = logging.getLogger(__name__)
 
@@ -130,7 +131,7 @@
 
     def repack(self) -> Cost:
         """Build the full record, as for a statement or a new peer."""
-        accepted = self.daemon.distribution.rollout.accepted
+        accepted = rollout_of(self.daemon).accepted
         if accepted is None:
             raise ValueError('no bundle was accepted')
         payload = bundles.finish(full_payload(accepted.signed))
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -27,6 +27,7 @@
     with_config,
 )
 
+from .effects import HEALTH_PATH
 from .ids import BundleVersion, CallerName, DataCentre, RouteName, ServiceName
 from .messages import Priority
 
@@ -52,6 +53,8 @@
 ANSWER_LIMIT_BYTES: Final = 1024 * 1024
 CALLER_IN_FLIGHT: Final = 50
 TEAM_IN_FLIGHT: Final = 200
+#: Attempts of an idempotent request, the first one included.
+ATTEMPT_LIMIT: Final = 3
 
 #: Sections kept by the parser: all of a bundle of 18,000 callers and 2,000
 #: routes, so that a change of one section costs little time in a daemon.
@@ -150,15 +153,43 @@
     queue_limit: Annotated[int, Field(ge=0, le=100_000)] = QUEUE_LIMIT
     queue_limit_bytes: _QueueBytes = QUEUE_LIMIT_BYTES
     key_slots: Annotated[int, Field(ge=1, le=4096)] = KEY_SLOTS
+    health_path: _Prefix = HEALTH_PATH
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A service that gets a part of the requests of a route."""
+
+    service: ServiceName
+    weight: Annotated[float, Field(ge=0, allow_inf_nan=False)]
+
+
+def _shares(raw: object) -> object:
+    """Parse ``name weight, name weight``; other types pass unchanged."""
+    if not isinstance(raw, str):
+        return raw
+    words = [part.split() for part in raw.split(',') if part.strip()]
+    if any(len(pair) != 2 for pair in words):
+        raise ValueError('must be pairs of a service and its weight')
+    shares = tuple(Share(ServiceName(name), float(part)) for name, part in words)
+    if sum(share.weight for share in shares) <= 0:
+        raise ValueError('must have a weight above 0')
+    return shares
+
+
+_Split = Annotated[tuple[Share, ...], BeforeValidator(_shares)]
 
 
 @with_config(extra='forbid')
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Requests with one path prefix, served by one service.
+    """Requests with one path prefix.
 
-    ``echo_header`` names a header of the request that a right answer
-    repeats; an answer that does not is discarded as wrong.
+    They are served by ``service``, or by one of those in ``split`` by
+    weight. Without ``host`` the route holds for every virtual host, without
+    ``methods`` for every method. ``echo_header`` names a header of the
+    request that a right answer repeats; an answer that does not is discarded
+    as wrong. ``attempt_limit`` bounds the upstreams that may run a request.
     """
 
     name: RouteName
@@ -175,6 +206,9 @@
     body_limit_bytes: _Bytes = BODY_LIMIT_BYTES
     answer_limit_bytes: _Bytes = ANSWER_LIMIT_BYTES
     echo_header: _HeaderName = ''
+    attempt_limit: Annotated[int, Field(ge=1, le=10)] = ATTEMPT_LIMIT
+    host: Annotated[str, Field(max_length=255)] = ''
+    split: _Split = ()
 
 
 @with_config(extra='forbid')
@@ -540,11 +574,14 @@
 
     def _check_routes(self, bundle: Bundle) -> None:
         for route in bundle.routes.values():
-            if route.service not in bundle.services:
+            named = [route.service, *(share.service for share in route.split)]
+            for service in named:
+                if service in bundle.services:
+                    continue
                 self._problem(
                     f'route {route.name}',
-                    'service',
-                    _shown(route.service),
+                    'service' if service == route.service else 'split',
+                    _shown(service),
                     'must be the name of a [service NAME] section',
                 )
 
--- a/greengagemux/certificates.py
+++ b/greengagemux/certificates.py
@@ -86,6 +86,14 @@
             return self._contexts.peers
         return self._contexts.callers
 
+    @staticmethod
+    def peer_names(transport: Any) -> frozenset[str]:
+        """Return the names in the certificate at the other end."""
+        found = transport.getPeerCertificate()
+        if found is None:
+            return frozenset()
+        return names(found.to_cryptography())
+
     def _read(self) -> _Contexts:
         files = self._files
         with _blame(files.certificate):
@@ -147,12 +155,6 @@
         raise FailureError(failure) from error
 
 
-def peer_names(transport: Any) -> frozenset[str]:
-    """Return the names in the certificate at the other end."""
-    found = transport.getPeerCertificate()
-    return frozenset() if found is None else names(found.to_cryptography())
-
-
 def names(certificate: x509.Certificate) -> frozenset[str]:
     """Return the DNS names of a certificate, or its common names."""
     try:
--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -30,6 +30,7 @@
 from .effects import CallUpstream, ProbeUpstream
 from .events import CallFault, Event, Probed, UpstreamAnswered, UpstreamFailed
 from .ids import CallId
+from .messages import Headers
 from .outcomes import Failure, Step
 
 CONNECT_TIMEOUT_S: Final = 1
@@ -47,8 +48,6 @@
 
 #: A probe without an answer for this long has failed.
 PROBE_TIMEOUT_S: Final = 1.0
-#: Health reports lag and mislead, so only silence and refusal count.
-HEALTH_PATH: Final = b'/health'
 
 Submit = Callable[[Event], None]
 
@@ -166,7 +165,14 @@
 
 
 class UpstreamCalls:
-    """Carries out calls to upstreams and reports their ends as events."""
+    """Carries out calls to upstreams and reports their ends as events.
+
+    Edges towards upstreams of another dialect override ``headers_of`` and
+    ``ended``.
+    """
+
+    #: Pooled connections are closed after this long without a call.
+    pooled_for_s: float = POOLED_FOR_S
 
     def __init__(self, reactor: Any, submit: Submit) -> None:
         """Calls report through ``submit``."""
@@ -179,8 +185,9 @@
         """Start a call."""
         agent = self._agent(effect.address, fresh=effect.fresh)
         # Without this header the library would copy all of them to add it.
-        web_headers = WebHeaders({b'Host': [effect.address.encode()]})
-        for name, content in effect.headers:
+        host = effect.host or effect.address.encode()
+        web_headers = WebHeaders({b'Host': [host]})
+        for name, content in self.headers_of(effect):
             web_headers.addRawHeader(name, content)
         producer: Any = _BytesProducer(effect.body) if effect.body else None
         try:
@@ -199,7 +206,8 @@
         """Ask an upstream for its health on a new connection."""
         agent = self._agent(effect.address, fresh=True)
         headers = WebHeaders({b'Host': [effect.address.encode()]})
-        asked = agent.send(b'GET', HEALTH_PATH, headers, None)
+        # Health reports lag and mislead, so only silence and refusal count.
+        asked = agent.send(b'GET', effect.path.encode(), headers, None)
         asked.addTimeout(PROBE_TIMEOUT_S, self._reactor)
         asked.addCallbacks(
             self._probe_answered,
@@ -220,6 +228,16 @@
         if known is not None:
             known[1].closeCachedConnections()  # type: ignore[no-untyped-call]
 
+    def headers_of(self, effect: CallUpstream) -> Headers:
+        """Return the headers of a call."""
+        return effect.headers
+
+    def ended(
+        self, effect: CallUpstream, status: int, headers: Headers, body: bytes
+    ) -> Event:
+        """Return the event for a whole answer."""
+        return UpstreamAnswered(effect.call, status, headers, body)
+
     def _agent(self, address: str, *, fresh: bool) -> _UpstreamAgent:
         if fresh:
             # The agent makes a pool that keeps no connections.
@@ -232,7 +250,7 @@
         # retries belong to the entrance and its budget.
         pool.retryAutomatically = False
         pool.maxPersistentPerHost = POOLED_CONNECTIONS
-        pool.cachedConnectionTimeout = POOLED_FOR_S
+        pool.cachedConnectionTimeout = self.pooled_for_s
         agent = _UpstreamAgent(self._reactor, address, pool)
         self._agents[address] = (agent, pool)
         return agent
@@ -268,7 +286,7 @@
         pairs = tuple(
             (name, content) for name, contents in raw for content in contents
         )
-        self._submit(UpstreamAnswered(effect.call, response.code, pairs, body))
+        self._submit(self.ended(effect, response.code, pairs, body))
 
     def _failed(self, reason: TwistedFailure, effect: CallUpstream) -> None:
         if self._running.pop(effect.call, None) is None:
--- a/greengagemux/distribution.py
+++ b/greengagemux/distribution.py
@@ -5,18 +5,21 @@
 from datetime import timedelta
 from functools import partial, singledispatchmethod
 from random import Random
+from typing import TYPE_CHECKING
 
 import xxhash
 
 from .bundles import Bundle, Steps
-from .chains import Decision
 from .clocks import ZERO
 from .effects import Continue, Outbox, Record, Send
 from .events import LogAppended, LogFailed, LogRead
 from .ids import DaemonId, StreamId
 from .messages import BundleFetch, BundleOffer, BundleRecord, MemberRecord
 from .paths import Paths
-from .rollouts import Rollout
+
+if TYPE_CHECKING:
+    from .chains import Decision
+    from .rollouts import Rollout
 
 BUNDLES = 'bundles'
 #: Daemons of a data centre that read the log; two readers are harmless.
@@ -46,7 +49,7 @@
     def __init__(
         self,
         own: MemberRecord,
-        rollout: Rollout,
+        rollout: 'Rollout',
         paths: Paths,
         outbox: Outbox,
         rng: Random,
@@ -72,6 +75,11 @@
         #: When the log last answered a read of this daemon.
         self.log_seen_at: timedelta | None = None
 
+    @property
+    def bundle(self) -> Bundle | None:
+        """Return the bundle in force at this daemon."""
+        return self.rollout.bundle
+
     def take_change(self) -> Bundle | None:
         """Return the bundle in force if it changed since the last call."""
         if not self._changed:
@@ -289,7 +297,7 @@
         for daemon in self._rng.sample(peers, min(count, len(peers))):
             self._paths.send(daemon, offer)
 
-    def _note(self, decision: Decision) -> None:
+    def _note(self, decision: 'Decision') -> None:
         self._outbox.emit(
             Record(
                 'bundle-record',
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Any
+from typing import Any, Final
 
 from .ids import (
     CallId,
@@ -14,6 +14,9 @@
 )
 from .messages import Headers, Message
 
+#: Path of the health report of an upstream.
+HEALTH_PATH: Final = '/health'
+
 
 @dataclass(frozen=True, slots=True)
 class Respond:
@@ -52,7 +55,8 @@
 class CallUpstream:
     """Call an upstream over HTTP; ``limit_bytes`` bounds its answer body.
 
-    ``fresh`` asks for a new connection instead of a pooled one.
+    ``fresh`` asks for a new connection instead of a pooled one. ``host`` is
+    the virtual host that the caller named, empty for none.
     """
 
     call: CallId
@@ -63,6 +67,8 @@
     body: bytes
     limit_bytes: int
     fresh: bool = False
+    upstream: UpstreamId = UpstreamId('')
+    host: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +84,7 @@
 
     upstream: UpstreamId
     address: str
+    path: str = HEALTH_PATH
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,10 +96,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendLog:
-    """Append a record to a log stream."""
+    """Append a record to a log stream.
+
+    In a stream that keeps the newest record of each key, an empty payload
+    takes the ``key`` away.
+    """
 
     stream: str
     payload: bytes
+    key: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -12,7 +12,7 @@
 from .answers import RECORD_MARGIN, WRITE_GRACE, Origin
 from .attempts import Attempts
 from .baselines import Baselines
-from .bundles import Bundle, Caller, Route
+from .bundles import ATTEMPT_LIMIT, Bundle, Caller, Route
 from .candidates import Candidates
 from .choices import (
     Nearness,
@@ -55,6 +55,7 @@
     refusal,
 )
 from .retries import Budget
+from .splits import Splits
 from .throttles import Throttles
 
 #: Upstreams a request is offered to before its refusal is passed on.
@@ -62,8 +63,6 @@
 #: The same while they refuse for their load: two full queues are evidence
 #: enough, and each offer costs the fleet a message and a refusal.
 OVERLOADED_LIMIT = 2
-#: Attempts of an idempotent request, the first one included.
-ATTEMPT_LIMIT = 3
 #: A second attempt starts when the first is older than this multiple of the
 #: expected service time, and at least ``HEDGE_AFTER`` old.
 HEDGE_FACTOR = 8
@@ -107,6 +106,7 @@
         self._baselines = Baselines()
         self._throttles = Throttles(rng)
         self._link = LinkBudget()
+        self._splits = Splits(rng)
         self._waiting: dict[ExchangeId, Waiting] = {}
         self._attempts = Attempts(
             own, last_hop, paths, outbox, self._baselines, self._link
@@ -162,7 +162,7 @@
             self._refuse(event, admitted)
             return
         caller = admitted.caller
-        route = admitted.route
+        route = self._splits.choose(admitted.route)
         limit_ms = _deadline_ms(event, route)
         waiting = Waiting(
             exchange=event.exchange,
@@ -175,7 +175,8 @@
             priority=admitted.priority,
             arrived=now,
             deadline=now + ms(limit_ms),
-            key=_key_of(event, route),
+            host=event.host.encode(),
+            key=_key_of(event, route) if self._keyed.enabled else '',
         )
         key = throttle_key(waiting)
         if not self._throttles.admit(key, now):
@@ -316,7 +317,9 @@
         Only the home of a key can tell that an earlier try of a keyed write
         did not run.
         """
-        keyed = headers.get(event.headers, headers.IDEMPOTENCY_KEY)
+        keyed = self._keyed.enabled and headers.get(
+            event.headers, headers.IDEMPOTENCY_KEY
+        )
         self._outbox.emit(
             refusal(
                 event.exchange,
@@ -550,7 +553,7 @@
         self._attempts.reattach(attempt, path)
 
     def _may_retry(self, waiting: Waiting) -> bool:
-        if not waiting.idempotent or waiting.retries >= ATTEMPT_LIMIT - 1:
+        if not waiting.idempotent or not _has_attempts(waiting):
             return False
         return self._budgets[waiting.route.service].spend()
 
@@ -689,8 +692,14 @@
     return xxhash.xxh3_64_intdigest(message.body) == message.digest
 
 
+def _has_attempts(waiting: Waiting) -> bool:
+    """Return whether another upstream may run the request."""
+    limit = min(ATTEMPT_LIMIT, waiting.route.attempt_limit)
+    return waiting.retries < limit - 1
+
+
 def _is_slow(waiting: Waiting, now: timedelta) -> bool:
-    if len(waiting.attempts) != 1 or waiting.retries >= ATTEMPT_LIMIT - 1:
+    if len(waiting.attempts) != 1 or not _has_attempts(waiting):
         return False
     attempt = next(iter(waiting.attempts.values()))
     return now - attempt.sent_at >= _hedge_after(attempt)
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -33,6 +33,8 @@
     target: bytes
     headers: Headers
     body: bytes
+    #: Virtual host without its port; empty if none is named.
+    host: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +98,10 @@
     malformed = 'malformed'
     too_large = 'too-large'
     aborted = 'aborted'
+    #: The upstream says that it refused the request without running it.
+    shed = 'shed'
+    #: Another upstream has the address now, and refused the request.
+    replaced = 'replaced'
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,13 +138,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Announced:
-    """An upstream announced itself to the daemon beside it."""
+    """An upstream announced itself to the daemon beside it.
+
+    ``boot`` grows with each start of the upstream and ``sequence`` with each
+    announcement of one boot; 0 if the upstream does not number them. After
+    the ``last`` one nothing of the same boot counts.
+    """
 
     upstream: UpstreamId
     service: ServiceName
     address: str
     slots: int
     state: UpstreamState
+    boot: int = 0
+    sequence: int = 0
+    last: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +161,7 @@
 
     offset: LogOffset
     payload: bytes
+    key: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/headers.py
+++ b/greengagemux/headers.py
@@ -12,6 +12,7 @@
 REASON = b'Greengage-Reason'
 DEADLINE = b'Greengage-Deadline-Ms'
 REQUEST_ID = b'Greengage-Request'
+CALLER = b'Greengage-Caller'
 IDEMPOTENCY_KEY = b'idempotency-key'
 CONTENT_DIGEST = b'content-digest'
 
@@ -56,7 +57,7 @@
         for name, content in headers
         if _passes(name.lower()) and name.lower() != _CREDENTIALS
     )
-    return (*passed, (b'Greengage-Caller', caller.encode()))
+    return (*passed, (CALLER, caller.encode()))
 
 
 def for_caller(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -105,6 +105,9 @@
     retries: Budget = field(default_factory=lambda: Budget(0))
     confirmed: bool = True
     crashed_at: timedelta | None = None
+    #: Start of the process and number of its newest announcement.
+    boot: int = 0
+    sequence: int = 0
     trials: deque[Job] = field(default_factory=deque)
 
     preemptions: Budget = field(default_factory=lambda: Budget(LOST_SHARE))
--- a/greengagemux/keyed.py
+++ b/greengagemux/keyed.py
@@ -36,7 +36,7 @@
 from .outcomes import Outcome, Reason
 from .paths import Path, Paths
 from .requests import Ticket, Waiting
-from .rollouts import RETENTION
+from .sources import RETENTION
 from .writes import (
     Conflict,
     Full,
@@ -101,8 +101,14 @@
         outbox: Outbox,
         terms: Terms | None = None,
         retention: timedelta = RETENTION,
+        *,
+        enabled: bool = True,
     ) -> None:
-        """Start without slots; the log keeps records for ``retention``."""
+        """Start without slots; the log keeps records for ``retention``.
+
+        Unless ``enabled``, keys of callers mean nothing and no slot is kept.
+        """
+        self.enabled = enabled
         self.own = Holder(own.daemon, own.incarnation)
         self.homes = Homes(self.own, terms)
         self._paths = paths
@@ -140,7 +146,7 @@
     @property
     def settled(self) -> bool:
         """Whether every key slot of the bundle in force has a home."""
-        return all(
+        return not self.enabled or all(
             self.homes.home_of((name, number)) is not None
             for name, service in self._services.items()
             for number in range(service.key_slots)
@@ -170,6 +176,8 @@
 
     def tick(self, now: timedelta) -> None:
         """Do the work that is due."""
+        if not self.enabled:
+            return
         if now >= self._read_due:
             self._read(now)
         if now < self._work_due:
@@ -207,7 +215,7 @@
         A daemon that starts while the log is away knows no home otherwise.
         """
         table = self.homes.table
-        if not table.complete or not table.following:
+        if self.enabled and not (table.complete and table.following):
             self._outbox.emit(Send(stream, HomesWanted()))
 
     def receive(
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -62,7 +62,7 @@
     UpstreamState,
 )
 from .outcomes import Outcome, Reason
-from .upstreams import Upstreams
+from .upstreams import ANNOUNCE_LEASE, Upstreams
 from .verdicts import Verdicts
 
 #: Weight of the newest service time in the running mean.
@@ -91,6 +91,7 @@
         CallFault.reset: SampleKind.reset,
         CallFault.truncated: SampleKind.truncated,
         CallFault.malformed: SampleKind.wrong,
+        CallFault.shed: SampleKind.error,
     }
 )
 
@@ -104,6 +105,7 @@
         outbox: Outbox,
         verdicts: Verdicts,
         crashes: CrashReports,
+        lease: timedelta = ANNOUNCE_LEASE,
     ) -> None:
         """Start with no upstream announced."""
         self._own = own
@@ -113,7 +115,7 @@
         self._crashes = crashes
         self._convictions = crashes.convictions
         #: The upstreams and their states.
-        self.hosted = Upstreams(outbox, verdicts)
+        self.hosted = Upstreams(outbox, verdicts, lease)
         self._jobs: dict[Origin, Job] = {}
         self._calls: dict[CallId, Job] = {}
         self._finished = FinishedJobs()
@@ -130,12 +132,21 @@
 
     def announce(self, event: Announced, now: timedelta) -> None:
         """Take in what an upstream says of itself."""
-        old = self.upstreams.get(event.upstream)
-        if old is not None and old.address != event.address:
-            self._expire(old, now)
+        if self.hosted.is_late(event):
+            self._outbox.emit(
+                Record('announcement-late', {'upstream': event.upstream})
+            )
+            return
+        for old in tuple(self.upstreams.values()):
+            if self.hosted.supersedes(event, old):
+                self._expire(old, now)
         upstream = self.hosted.announce(event, now)
-        if upstream is not None:
-            self._fill(upstream, now)
+        if upstream is None:
+            return
+        if event.state is UpstreamState.draining:
+            # What waits here would reach the upstream after its notice.
+            self._refuse_queued(upstream, Reason.draining, now)
+        self._fill(upstream, now)
 
     @property
     def busy(self) -> bool:
@@ -295,6 +306,8 @@
             self._observe(job, kind, now)
         if event.fault is CallFault.refused:
             self.hosted.apply(self.verdicts.crashed(upstream.upstream, now))
+        elif event.fault is CallFault.replaced:
+            self._expire(upstream, now)
         reason = _FAULT_REASONS.get(event.fault, Reason.upstream_failed)
         outcome = Outcome.unknown if event.sent else Outcome.not_run
         refusal = Refusal(
@@ -454,6 +467,8 @@
                 body=message.body,
                 limit_bytes=message.answer_limit_bytes,
                 fresh=job.fresh,
+                upstream=upstream.upstream,
+                host=message.host,
             )
         )
 
@@ -536,7 +551,10 @@
         self._start(upstream, first, now)
 
     def _probe(self, upstream: Upstream) -> None:
-        self._outbox.emit(ProbeUpstream(upstream.upstream, upstream.address))
+        path = self.hosted.health_path(upstream.service)
+        self._outbox.emit(
+            ProbeUpstream(upstream.upstream, upstream.address, path)
+        )
 
     def _release(self, job: Job, upstream: Upstream) -> None:
         if job.call is None:
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -120,6 +120,7 @@
             target=self.uri,
             headers=pairs,
             body=self.content.getvalue(),
+            host=self._host(),
         )
 
     def respond(self, effect: Respond, *, close: bool) -> None:
@@ -135,6 +136,12 @@
         self.channel.answered(len(effect.body))
         self.finish()  # type: ignore[no-untyped-call]
 
+    def _host(self) -> str:
+        named = self.requestHeaders.getRawHeaders(b'host')
+        if not named:
+            return ''
+        return named[0].decode('latin-1').partition(':')[0]
+
     def _refuse_body(self) -> None:
         self._refused = True
         self.channel.refuse(
--- a/greengagemux/logclients.py
+++ b/greengagemux/logclients.py
@@ -55,6 +55,15 @@
     """The body of a reply is above the limit."""
 
 
+class StatusError(ValueError):
+    """The log refused a call with this HTTP status."""
+
+    def __init__(self, status: int) -> None:
+        """Keep the status."""
+        super().__init__(f'HTTP status {status}')
+        self.status = status
+
+
 class _Item(msgspec.Struct, frozen=True):
     offset: _Offset
     # msgspec decodes base64 text to octets.
@@ -193,7 +202,7 @@
         )
         body = await _collect(response)
         if response.code not in {_OK, _CREATED}:
-            raise ValueError(f'HTTP status {response.code}')
+            raise StatusError(response.code)
         return body
 
     def _address(self, stream: str) -> str:
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -24,7 +24,7 @@
 from .promises import KeyRecordsTaken, Promise, PromiseRequest, SlotEpoch
 
 #: Version of the protocol between daemons.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -130,6 +130,7 @@
     request that another upstream may have run or has refused. A ``movable``
     request is refused rather than queued behind others of its class.
     ``peer_errors`` is the present share of errors of other upstreams.
+    ``host`` is the virtual host that the caller named.
     """
 
     request: RequestId
@@ -153,6 +154,7 @@
     retry: bool = False
     movable: bool = False
     peer_errors: float = 0
+    host: bytes = b''
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- a/greengagemux/paths.py
+++ b/greengagemux/paths.py
@@ -81,6 +81,10 @@
         path = self.by_daemon.get(daemon)
         return path if path is not None and path.stream is not None else None
 
+    def any_open(self) -> bool:
+        """Return whether a stream that was opened from here is open."""
+        return any(path.stream for path in self.by_daemon.values())
+
     def want(self, daemon: DaemonId, address: str, now: timedelta) -> Path:
         """Return the path to a peer and open it when it is not open."""
         path = self.by_daemon.get(daemon)
--- /dev/null
+++ b/greengagemux/platform/daemons.py
@@ -0,0 +1,116 @@
+"""The daemon on the platform: the project's shell behind other edges."""
+
+import sys
+from datetime import timedelta
+from random import Random
+from typing import Final
+
+from ..approvals import Approvals
+from ..clocks import ms
+from ..connections import UpstreamCalls
+from ..effects import Record
+from ..ids import Incarnation
+from ..listeners import CallerListener, listen
+from ..logclients import build_agent
+from ..messages import MemberRecord
+from ..outcomes import FailureError
+from ..reducers import Daemon, Identity
+from ..shells import (
+    Process,
+    Shell,
+    build_process,
+    new_incarnation,
+    run_shell,
+)
+from .configurations import Opener
+from .exchanges import PlatformCalls, PlatformListener
+from .servers import Announcements, Readiness, Server
+from .settings import PlatformSettings, read_settings
+from .stores import StoreClient
+
+LOG_LEVEL: Final = 'debug'
+#: Part of the time until the process is killed that is used to end work.
+STOP_SHARE: Final = 0.8
+#: Upstreams may be cut off from the daemon that they announce themselves to
+#: while requests still reach them, so a missing announcement proves nothing;
+#: a refused connection shows that one has ended.
+ANNOUNCE_LEASE: Final = timedelta(minutes=5)
+
+EXIT_SETTINGS: Final = 2
+
+
+class PlatformShell(Shell):
+    """Shell of a daemon on the platform."""
+
+    def __init__(self, settings: PlatformSettings, process: Process) -> None:
+        """Build all parts; nothing listens yet."""
+        self._settings = settings
+        incarnation = new_incarnation(process.clock)
+        super().__init__(process, _build_daemon(settings, incarnation))
+        self._log = StoreClient(
+            build_agent(self._reactor),
+            self._reactor,
+            f'http://{settings.log_address}',
+            self.submit,
+        )
+
+    def start(self) -> None:
+        """Listen and start the timers; raises ``CannotListenError``."""
+        settings = self._settings
+        self._ports.append(self._hub.listen(settings.peer_address))
+        readiness = Server(self._reactor, Readiness(self.daemon.ready))
+        announcements = Announcements(settings, self.submit)
+        self._ports += [
+            listen(self._reactor, settings.ready_address, readiness, None),
+            listen(
+                self._reactor,
+                settings.announce_address,
+                Server(self._reactor, announcements),
+                None,
+            ),
+        ]
+        self._listener.listen(settings.caller_address)
+        super().start()
+        self._carry_out(Record('started', {'service': settings.service}))
+
+    def _build_listener(self) -> CallerListener:
+        return PlatformListener(
+            self._reactor, self._clock, self.submit, self._count_cutoff
+        )
+
+    def _build_calls(self) -> UpstreamCalls:
+        return PlatformCalls(self._reactor, self.submit)
+
+
+def main() -> None:
+    """Run a daemon; exit with status 2 for bad settings."""
+    try:
+        settings = read_settings()
+    except FailureError as error:
+        sys.stdout.write(f'{error.failure}\n')
+        sys.exit(EXIT_SETTINGS)
+    process = build_process(settings.daemon, LOG_LEVEL)
+    run_shell(process, PlatformShell(settings, process))
+
+
+def _build_daemon(
+    settings: PlatformSettings, incarnation: Incarnation
+) -> Daemon:
+    own = MemberRecord(
+        daemon=settings.daemon,
+        incarnation=incarnation,
+        sequence=1,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        peer_address=str(settings.peer_address),
+    )
+    identity = Identity(
+        own=own,
+        seeds=tuple(str(seed) for seed in settings.seeds),
+        stop_limit=ms(1000 * STOP_SHARE * settings.bounds.stop_limit_s),
+        keyed=False,
+        discovers=True,
+        announce_lease=ANNOUNCE_LEASE,
+    )
+    source = Approvals(Opener(settings))
+    return Daemon(identity, source, Random(f'{own.daemon}/{incarnation}'))
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -12,7 +12,6 @@
 from .clocks import ZERO
 from .convictions import Convictions
 from .crashes import CrashReports
-from .distribution import Distribution
 from .effects import (
     CloseStream,
     Effect,
@@ -23,6 +22,7 @@
     ReleaseCallers,
     Send,
 )
+from .discoveries import Discovery
 from .entrances import Entrance
 from .events import (
     Advance,
@@ -76,7 +76,8 @@
 )
 from .paths import Paths
 from .promises import KeyRecordsTaken, Promise, PromiseRequest
-from .rollouts import RETENTION, Rollout
+from .sources import RETENTION, BundleSource
+from .upstreams import ANNOUNCE_LEASE
 from .verdicts import Verdicts
 from .writes import Terms
 
@@ -108,13 +109,19 @@
     terms: Terms | None = None
     #: Time for which the log keeps a record.
     retention: timedelta = RETENTION
+    #: Whether callers may make writes idempotent by a key.
+    keyed: bool = True
+    #: Whether the first peers are found through the log.
+    discovers: bool = False
+    #: An upstream that stops announcing itself is gone after this long.
+    announce_lease: timedelta = ANNOUNCE_LEASE
 
 
 class Daemon:
     """State of one daemon; all changes go through ``reduce``."""
 
     def __init__(
-        self, identity: Identity, rollout: Rollout, rng: Random
+        self, identity: Identity, source: BundleSource, rng: Random
     ) -> None:
         """Start without peers, upstreams or bundle."""
         own = identity.own
@@ -126,18 +133,28 @@
             Convictions(rng), self.paths, self.outbox, rng
         )
         self.last_hop = LastHop(
-            own.daemon, self.outbox, Verdicts(TICK), self.crashes
+            own.daemon,
+            self.outbox,
+            Verdicts(TICK),
+            self.crashes,
+            identity.announce_lease,
         )
         self.keyed = KeyedWrites(
-            own, self.paths, self.outbox, identity.terms, identity.retention
+            own,
+            self.paths,
+            self.outbox,
+            identity.terms,
+            identity.retention,
+            enabled=identity.keyed,
         )
         self.entrance = Entrance(
             own, self.last_hop, self.paths, self.outbox, rng, self.keyed
         )
         self.members = Members(own, rng)
-        self.distribution = Distribution(
-            own, rollout, self.paths, self.outbox, rng
-        )
+        self.distribution = source.attach(own, self.paths, self.outbox, rng)
+        self.discovery: Discovery | None = None
+        if identity.discovers:
+            self.discovery = Discovery(own, self.outbox, rng)
         self.incarnations: dict[StreamId, Incarnation] = {}
         self.inbound: set[StreamId] = set()
         self.stopping_since: timedelta | None = None
@@ -157,7 +174,7 @@
         """Return whether callers may be sent here, and why not."""
         if self.stopping:
             return False, 'stopping'
-        if self.distribution.rollout.bundle is None:
+        if self.distribution.bundle is None:
             return False, 'no bundle in force'
         if not self.slots_known:
             return False, 'some key slots have no home yet'
@@ -247,6 +264,8 @@
     if not daemon.slots_known and daemon.slots_due is not None:
         late = now >= daemon.slots_due
         daemon.slots_known = late or daemon.keyed.settled
+    if daemon.discovery is not None and not daemon.stopping:
+        daemon.discovery.tick(connected=daemon.paths.any_open(), now=now)
     if now >= daemon.seeds_due:
         daemon.seeds_due = now + SEED_EVERY
         _open_seeds(daemon)
@@ -346,6 +365,8 @@
     event: LogRead | LogAppended | LogFailed, daemon: Daemon, now: timedelta
 ) -> None:
     daemon.distribution.log_event(event, daemon.members.live(), now)
+    if daemon.discovery is not None:
+        daemon.discovery.log_event(event, now)
     daemon.keyed.log_event(event, now)
 
 
@@ -363,6 +384,8 @@
     daemon.stopping_since = now
     daemon.members.set_own(daemon.last_hop.hosted.records(), True, now)
     daemon.keyed.stop()
+    if daemon.discovery is not None:
+        daemon.discovery.leave()
     daemon.outbox.emit(ReleaseCallers(accept=True))
     daemon.outbox.emit(Record('stopping'))
 
@@ -518,7 +541,7 @@
 
 
 def _open_seeds(daemon: Daemon) -> None:
-    if any(path.stream for path in daemon.paths.by_daemon.values()):
+    if daemon.paths.any_open():
         return
     for address in daemon.identity.seeds:
         if address != daemon.own.peer_address:
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -97,10 +97,13 @@
     priority: Priority
     arrived: timedelta
     deadline: timedelta
+    host: bytes = b''
     attempts: dict[RequestId, Attempt] = field(default_factory=dict)
     excluded: set[UpstreamId] = field(default_factory=set)
     reroutes: int = 0
     retries: int = 0
+    #: Upstreams that were called for it and may have run it.
+    runs: int = 0
     moves: int = 0
     may_have_run: bool = False
     called: bool = False
--- a/greengagemux/rollouts.py
+++ b/greengagemux/rollouts.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from random import Random
 from typing import Final
 
 import msgspec
@@ -25,17 +26,23 @@
     unreadable,
 )
 from .clocks import ZERO
-from .effects import AppendLog, ReadLog
+from .distribution import Distribution
+from .effects import AppendLog, Outbox, ReadLog
 from .events import LogRead
 from .ids import BundleVersion, DaemonId, DataCentre, LogOffset
-from .messages import BundleFetch, BundleOffer, BundleRecord
+from .messages import (
+    BundleFetch,
+    BundleOffer,
+    BundleRecord,
+    MemberRecord,
+)
 from .openings import Opener
 from .outcomes import FailureError
+from .paths import Paths
+from .sources import RETENTION
 from .signatures import KeyRing, full_payload, record_digest
 
 STREAM: Final = 'bundles'
-#: Time for which the log is assumed to keep a record.
-RETENTION: Final = timedelta(hours=1)
 #: The bundle is stated anew after this part of the retention, so that three
 #: further attempts remain before it would be lost.
 KEEP_ALIVE_PARTS: Final = 4
@@ -115,6 +122,12 @@
         self._copy_watch = _Watch()
         self._stated_at: timedelta | None = None
 
+    def attach(
+        self, own: MemberRecord, paths: Paths, outbox: Outbox, rng: Random
+    ) -> Distribution:
+        """Return what reads and spreads the bundles of this daemon."""
+        return Distribution(own, self, paths, outbox, rng)
+
     @property
     def bundle(self) -> Bundle | None:
         """Return the bundle in force at this daemon."""
--- a/greengagemux/routes.py
+++ b/greengagemux/routes.py
@@ -42,7 +42,7 @@
 
     def __init__(self, bundle: Bundle) -> None:
         """Build the index; cost grows linearly with the bundle."""
-        self._root = _Node()
+        self._roots: dict[str, _Node] = {}
         self._anonymous = bundle.callers.get(ANONYMOUS)
         # Tokens are compared by look-up of their SHA-256. Timing can reveal
         # at most a part of a digest, which does not help to find a token.
@@ -57,20 +57,26 @@
         yield from table._filling(bundle)
         return table
 
-    def match(self, method: bytes, target: bytes) -> Route | Reason:
-        """Return the route with the longest matching prefix.
+    def match(
+        self, method: bytes, target: bytes, host: str = ''
+    ) -> Route | Reason:
+        """Return the route of the host with the longest matching prefix.
 
         A prefix that ends with a slash matches all paths below it; another
-        one matches the same path and all paths below it. The cost depends on
-        the number of segments of the target and not on that of the routes.
+        one matches the same path and all paths below it. Routes without a
+        host hold for hosts that have no matching route of their own. The cost
+        depends on the number of segments of the target and not on that of the
+        routes.
         """
         segments = path_segments(target)
         if segments is None:
             return Reason.bad_request
-        route = self._longest(segments)
+        route = self._longest(host.lower(), segments)
+        if route is None and host:
+            route = self._longest('', segments)
         if route is None:
             return Reason.no_route
-        if method not in route.methods:
+        if route.methods and method not in route.methods:
             return Reason.method_not_allowed
         return route
 
@@ -99,7 +105,7 @@
                 yield STEP_US
 
     def _add(self, route: Route) -> None:
-        node = self._root
+        node = self._roots.setdefault(route.host.lower(), _Node())
         *parents, last = route.prefix.encode().split(b'/')[1:]
         for segment in parents:
             node = node.children.setdefault(segment, _Node())
@@ -108,8 +114,10 @@
         else:
             node.below = route
 
-    def _longest(self, segments: list[bytes]) -> Route | None:
-        node = self._root
+    def _longest(self, host: str, segments: list[bytes]) -> Route | None:
+        node = self._roots.get(host)
+        if node is None:
+            return None
         found = node.below
         for place, segment in enumerate(segments, start=1):
             child = node.children.get(segment)
--- /dev/null
+++ b/greengagemux/shells.py
@@ -0,0 +1,389 @@
+"""The shell of a daemon: turns I/O into events and carries out effects."""
+
+import gc
+import logging
+import signal
+import sys
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial, singledispatchmethod
+from typing import TYPE_CHECKING, Any, Final, Protocol
+
+from twisted.internet.error import CannotListenError
+
+from .clocks import Clock, SystemClock
+from .connections import UpstreamCalls
+from .effects import (
+    AbortCall,
+    AppendLog,
+    CallUpstream,
+    CloseStream,
+    Continue,
+    DropConnections,
+    Effect,
+    Exit,
+    OpenStream,
+    ProbeUpstream,
+    ReadLog,
+    Record,
+    ReleaseCallers,
+    Respond,
+    Send,
+)
+from .events import Advance, Event, StopRequested, Tick
+from .ids import DaemonId, Incarnation
+from .limits import raise_file_limit
+from .listeners import CONNECTION_LIMIT, CallerListener, Cutoff
+from .logs import BufferedHandler, DescriptorSink, install, log_event
+from .messages import PROTOCOL_VERSION, Hello
+from .metrics import Metrics
+from .outcomes import Failure
+from .reducers import TICK, Daemon, reduce
+from .settings import Address
+from .streams import Counters, StreamHub
+
+if TYPE_CHECKING:
+    from .certificates import Certificates
+
+logger = logging.getLogger(__name__)
+
+#: Young objects are collected this often, between requests.
+COLLECT_EVERY_S: Final = 1.0
+#: Every so many collections all generations are collected.
+FULL_COLLECT_TURNS: Final = 600
+#: Descriptors beside those of callers: streams, upstreams, log, stdio.
+OTHER_FILES: Final = 4000
+#: Log lines written after each tick. A timer of their own would wake an idle
+#: process 50 times a second, which took 0.5% of a core.
+FLUSH_LINES: Final = 60
+#: Time for the last answers to leave the process.
+EXIT_DELAY_S: Final = 0.1
+
+class Timer:
+    """Calls a function again and again, with less work than ``LoopingCall``.
+
+    A call that comes late is not made up for.
+    """
+
+    def __init__(
+        self, reactor: Any, interval_s: float, work: Callable[[], None]
+    ) -> None:
+        """Keep what to call; nothing runs before ``start``."""
+        self._reactor = reactor
+        self._interval_s = interval_s
+        self._work = work
+        self._due_s = float(0)
+        self._call: Any = None
+
+    def start(self) -> None:
+        """Start; the first call comes after one interval."""
+        self._due_s = self._reactor.seconds()
+        self._schedule()
+
+    def stop(self) -> None:
+        """Make no further call."""
+        if self._call is not None and self._call.active():
+            self._call.cancel()
+        self._call = None
+
+    def _schedule(self) -> None:
+        now_s = self._reactor.seconds()
+        self._due_s = max(self._due_s + self._interval_s, now_s)
+        self._call = self._reactor.callLater(self._due_s - now_s, self._run)
+
+    def _run(self) -> None:
+        # Scheduled first, so that work that fails does not end the timer.
+        self._schedule()
+        self._work()
+
+
+class LogEdge(Protocol):
+    """Carries out reads and appends of the platform's log."""
+
+    def read(self, effect: ReadLog) -> None:
+        """Read a stream; the result is an event."""
+
+    def append(self, effect: AppendLog) -> None:
+        """Append a record to a stream; the result is an event."""
+
+
+@dataclass(frozen=True, slots=True)
+class Process:
+    """What a shell needs of the process that it runs in."""
+
+    reactor: Any
+    clock: Clock
+    handler: BufferedHandler
+
+
+class Shell:
+    """One daemon process: its sockets, timers and its reducer."""
+
+    def __init__(
+        self,
+        process: Process,
+        daemon: Daemon,
+        certificates: 'Certificates | None' = None,
+    ) -> None:
+        """Build all parts; nothing listens yet."""
+        self.metrics = Metrics()
+        self.daemon = daemon
+        self._reactor = process.reactor
+        self._clock = process.clock
+        self._handler = process.handler
+        self._certificates = certificates
+        self._events: deque[Event] = deque()
+        self._running = False
+        self._streams_opened = 0
+        self._ports: list[Any] = []
+        self._timers: list[Timer] = []
+        self._turn = 0
+        self._frozen = False
+        self._log: LogEdge | None = None
+        self._listener = self._build_listener()
+        self._calls = self._build_calls()
+        self._hub = StreamHub(
+            self._reactor,
+            self.submit,
+            self._next_hello,
+            Counters(
+                self._stream_failed, self._count_sent, self._count_received
+            ),
+            self._handler.hybrid,
+            certificates,
+        )
+        self._turn_timer = self.metrics.timer('reducer_turn_us')
+
+    def start(self) -> None:
+        """Start the timers; listeners are opened before."""
+        self._every(TICK.total_seconds(), self._tick)
+        self._every(COLLECT_EVERY_S, self._collect)
+        # Collection of all objects takes longer than a request may wait.
+        gc.collect()
+        gc.freeze()
+        gc.disable()
+
+    def submit(self, event: Event) -> None:
+        """Apply an event; one that arises meanwhile is applied after it."""
+        self._events.append(event)
+        if self._running:
+            return
+        self._running = True
+        while self._events:
+            self._apply(self._events.popleft())
+        self._running = False
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop."""
+        self.submit(StopRequested())
+
+    def ready(self) -> tuple[bool, str]:
+        """Return whether the daemon can serve callers, and why."""
+        return self.daemon.ready()
+
+    def _build_listener(self) -> CallerListener:
+        return CallerListener(
+            self._reactor, self._clock, self.submit, self._count_cutoff
+        )
+
+    def _build_calls(self) -> UpstreamCalls:
+        return UpstreamCalls(self._reactor, self.submit)
+
+    def _apply(self, event: Event) -> None:
+        started = self._clock.monotonic()
+        try:
+            for effect in reduce(self.daemon, event, started):
+                self._carry_out(effect)
+        except Exception:
+            # One event that cannot be handled must not end the others.
+            logger.exception('event failed: %s', type(event).__name__)
+            self.metrics.count('event_failures_total')
+        self._turn_timer.record(self._clock.monotonic() - started)
+
+    def _tick(self) -> None:
+        self.submit(Tick(self._clock.wall()))
+        self._handler.flush(FLUSH_LINES)
+
+    def _collect(self) -> None:
+        self._turn += 1
+        self._listener.cut_off_slow()
+        gc.collect(2 if self._turn % FULL_COLLECT_TURNS == 0 else 1)
+        if not self._frozen and self.daemon.distribution.bundle:
+            # Sections stay over many versions; with 18,000 callers each full
+            # collection would visit them for 75 ms.
+            self._frozen = True
+            gc.freeze()
+        self.metrics.gauge('caller_connections', self._listener.connections)
+        self.metrics.settle()
+
+    def _every(self, interval_s: float, work: Callable[[], None]) -> None:
+        timer = Timer(self._reactor, interval_s, work)
+        timer.start()
+        self._timers.append(timer)
+
+    def _next_hello(self) -> Hello:
+        self._streams_opened += 1
+        own = self.daemon.own
+        return Hello(
+            PROTOCOL_VERSION,
+            own.daemon,
+            own.data_centre,
+            own.region,
+            own.incarnation,
+            self._streams_opened,
+        )
+
+    def _stream_failed(self, failure: Failure) -> None:
+        self.metrics.count('stream_failures_total', step=failure.step.value)
+        log_event(
+            logger, 'stream-failed', {'failure': str(failure)}, logging.WARNING
+        )
+
+    def _count_cutoff(self, why: Cutoff) -> None:
+        self.metrics.count('caller_cutoffs_total', reason=why.value)
+
+    def _count_sent(self, size_bytes: int) -> None:
+        self.metrics.count('stream_sent_bytes_total', size_bytes)
+
+    def _count_received(self, size_bytes: int) -> None:
+        self.metrics.count('stream_received_bytes_total', size_bytes)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: Effect) -> None:
+        raise TypeError(f'not an effect: {type(effect).__name__}')
+
+    @_carry_out.register
+    def _respond(self, effect: Respond) -> None:
+        self._listener.respond(effect)
+        self.metrics.count('answers_total', status=str(effect.status))
+
+    @_carry_out.register
+    def _send(self, effect: Send) -> None:
+        self._hub.send(effect.stream, effect.message)
+
+    @_carry_out.register
+    def _open_stream(self, effect: OpenStream) -> None:
+        self._hub.open(effect.daemon, Address.parse(effect.address))
+
+    @_carry_out.register
+    def _close_stream(self, effect: CloseStream) -> None:
+        self._hub.close(effect.stream)
+
+    @_carry_out.register
+    def _call_upstream(self, effect: CallUpstream) -> None:
+        self._calls.call(effect)
+
+    @_carry_out.register
+    def _probe_upstream(self, effect: ProbeUpstream) -> None:
+        self._calls.probe(effect)
+
+    @_carry_out.register
+    def _abort_call(self, effect: AbortCall) -> None:
+        self._calls.abort(effect.call)
+
+    @_carry_out.register
+    def _drop_connections(self, effect: DropConnections) -> None:
+        self._calls.drop(effect.address)
+
+    @_carry_out.register
+    def _append_log(self, effect: AppendLog) -> None:
+        if self._log is not None:
+            self._log.append(effect)
+
+    @_carry_out.register
+    def _read_log(self, effect: ReadLog) -> None:
+        if self._log is not None:
+            self._log.read(effect)
+
+    @_carry_out.register
+    def _record(self, effect: Record) -> None:
+        level = logging.DEBUG if effect.detail else logging.INFO
+        if not logger.isEnabledFor(level):
+            return
+        log_event(logger, effect.name, effect.fields, level)
+        self.metrics.count('events_total', event=effect.name.replace('-', '_'))
+
+    @_carry_out.register
+    def _continue(self, effect: Continue) -> None:
+        # The reactor looks at its sockets before a call without delay.
+        self._reactor.callLater(0, self.submit, Advance())
+
+    @_carry_out.register
+    def _release_callers(self, effect: ReleaseCallers) -> None:
+        self._listener.release(accept=effect.accept)
+
+    @_carry_out.register
+    def _exit(self, effect: Exit) -> None:
+        self._listener.disconnect_all()
+        for timer in self._timers:
+            timer.stop()
+        for port in self._ports:
+            port.stopListening()
+        self._hub.stop()
+        self._handler.flush()
+        # Answers written in this turn still have to leave the process.
+        self._reactor.callLater(EXIT_DELAY_S, self._reactor.stop)
+
+
+def build_process(daemon: DaemonId, level: str) -> Process:
+    """Return the process with its log installed; it writes to stdout."""
+    # The import installs the reactor, which only the daemon itself wants.
+    from twisted.internet import reactor as installed
+
+    clock = SystemClock()
+    handler = BufferedHandler(
+        clock,
+        daemon,
+        new_incarnation(clock),
+        DescriptorSink(sys.stdout.fileno()),
+    )
+    install(handler, level)
+    _check_file_limit()
+    return Process(installed, clock, handler)
+
+
+def run_shell(process: Process, shell: Shell) -> None:
+    """Run a daemon until it is asked to stop.
+
+    Raises ``OSError`` when an address cannot be listened on.
+    """
+    reactor = process.reactor
+    failures: list[CannotListenError] = []
+    reactor.callWhenRunning(_start, reactor, shell, failures)
+    reactor.addSystemEventTrigger('before', 'shutdown', process.handler.flush)
+    stop = partial(_stop_later, reactor, shell)
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    reactor.run(installSignalHandlers=False)
+    if failures:
+        raise OSError(str(failures[0]))
+
+
+def new_incarnation(clock: Clock) -> Incarnation:
+    """Return the incarnation of a process that starts now."""
+    return Incarnation(int(clock.wall().timestamp() * 1000))
+
+
+def _start(
+    reactor: Any, shell: Shell, failures: list[CannotListenError]
+) -> None:
+    try:
+        shell.start()
+    except CannotListenError as error:
+        # The reactor would only log it and run on without a listener.
+        failures.append(error)
+        reactor.stop()
+
+
+def _check_file_limit() -> None:
+    limit = raise_file_limit()
+    needed = CONNECTION_LIMIT + OTHER_FILES
+    if limit < needed:
+        fields = {'limit': limit, 'needed': needed}
+        log_event(logger, 'file-limit-low', fields, logging.WARNING)
+
+
+def _stop_later(reactor: Any, shell: Shell, *_signal: object) -> None:
+    reactor.callFromThread(shell.request_stop)
+
--- /dev/null
+++ b/greengagemux/splits.py
@@ -0,0 +1,42 @@
+"""Choice among the services that share the requests of a route."""
+
+from dataclasses import replace
+from math import sqrt
+from random import Random
+from typing import Final
+
+from .bundles import Route
+from .ids import RouteName, ServiceName
+
+#: Steps of the golden ratio cover the shares evenly from any start, so that
+#: the few requests of one entrance already come close to the weights.
+_STEP: Final = (sqrt(5) - 1) / 2
+
+
+class Splits:
+    """Positions of one entrance in the splits of its routes."""
+
+    def __init__(self, rng: Random) -> None:
+        """Start each route at a random position."""
+        self._rng = rng
+        self._positions: dict[RouteName, float] = {}
+
+    def choose(self, route: Route) -> Route:
+        """Return the route for the service that gets the next request."""
+        if not route.split:
+            return route
+        position = self._positions.get(route.name)
+        if position is None:
+            position = self._rng.random()
+        position = (position + _STEP) % 1
+        self._positions[route.name] = position
+        return replace(route, service=_service_at(route, position), split=())
+
+
+def _service_at(route: Route, position: float) -> ServiceName:
+    left = position * sum(share.weight for share in route.split)
+    for share in route.split:
+        left -= share.weight
+        if left < 0:
+            return share.service
+    return route.split[-1].service
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -4,7 +4,7 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import ConnectionRefusedError as PeerRefusedError
 from twisted.internet.interfaces import (
@@ -20,7 +20,6 @@
 from twisted.python.failure import Failure as TwistedFailure
 from zope.interface import implementer
 
-from .certificates import Certificates, peer_names
 from .codecs import decode, encode
 from .events import (
     Event,
@@ -44,6 +43,9 @@
 from .outcomes import Failure, FailureError, Step
 from .settings import NAME_PATTERN, NAME_RULE, Address
 
+if TYPE_CHECKING:
+    from .certificates import Certificates
+
 #: A stream that has not been opened after this long is given up.
 CONNECT_TIMEOUT_S = 1.0
 #: A peer that sends no ``Hello`` for this long is disconnected.
@@ -241,7 +243,7 @@
         if self._expected and hello.daemon != self._expected:
             return f'peer is {hello.daemon}, not {self._expected}'
         if self._hub.certificates is not None:
-            found = peer_names(self.transport)
+            found = self._hub.certificates.peer_names(self.transport)
             if hello.daemon not in found:
                 listed = ', '.join(sorted(found))
                 return f'certificate is for {listed}, not {hello.daemon}'
@@ -314,7 +316,7 @@
         next_hello: Callable[[], Hello],
         counters: Counters,
         hybrid: HybridClock,
-        certificates: Certificates | None = None,
+        certificates: 'Certificates | None' = None,
     ) -> None:
         """Streams report events through ``submit``.
 
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -7,7 +7,7 @@
 from .bundles import RETRIES_PCT, Service
 from .clocks import ZERO
 from .detectors import ErrorRates
-from .effects import DropConnections, Outbox, Record
+from .effects import HEALTH_PATH, DropConnections, Outbox, Record
 from .events import Announced
 from .ids import ServiceName, UpstreamId
 from .jobs import Upstream
@@ -33,8 +33,18 @@
 class Upstreams:
     """The upstreams that announce themselves to this daemon."""
 
-    def __init__(self, outbox: Outbox, verdicts: Verdicts) -> None:
+    def __init__(
+        self,
+        outbox: Outbox,
+        verdicts: Verdicts,
+        lease: timedelta = ANNOUNCE_LEASE,
+    ) -> None:
         """Start with no upstream announced."""
+        self._lease = lease
+        #: Newest boot that was announced at each address.
+        self._boots: dict[str, int] = {}
+        #: Boots that announced themselves for the last time.
+        self._left: dict[UpstreamId, int] = {}
         self._outbox = outbox
         self._verdicts = verdicts
         self._services: Mapping[ServiceName, Service] = {}
@@ -88,19 +98,51 @@
         """Return whether what arrives now may have waited during a stall."""
         return now < self._backlog_until
 
+    def is_late(self, event: Announced) -> bool:
+        """Return whether a newer announcement has come before this one."""
+        if event.last:
+            return event.upstream not in self.by_id
+        if event.boot < self._boots.get(event.address, 0):
+            return True
+        if event.boot and self._left.get(event.upstream) == event.boot:
+            return True
+        known = self.by_id.get(event.upstream)
+        if known is None or known.boot != event.boot:
+            return False
+        return bool(event.sequence) and event.sequence <= known.sequence
+
+    def supersedes(self, event: Announced, old: Upstream) -> bool:
+        """Return whether an upstream has ended, by what is announced."""
+        if event.last:
+            return False
+        if old.upstream == event.upstream:
+            return old.address != event.address or old.boot != event.boot
+        return bool(event.boot) and old.address == event.address
+
+    def health_path(self, service: ServiceName) -> str:
+        """Return where upstreams of a service report their health."""
+        known = self._services.get(service)
+        return known.health_path if known else HEALTH_PATH
+
     def announce(self, event: Announced, now: timedelta) -> Upstream | None:
         """Renew a lease; return the upstream if it may take work now."""
         draining = event.state is UpstreamState.draining
         if self.recovering(now) and not draining:
             return None
         known = self.by_id.get(event.upstream)
-        if known is None or known.address != event.address:
+        if known is None or self.supersedes(event, known):
             known = self._add(event, now)
-        known.expires = now + ANNOUNCE_LEASE
+        if event.last:
+            self._left[known.upstream] = known.boot
+        else:
+            self._boots[event.address] = event.boot
+            known.sequence = event.sequence
+        known.expires = now + self._lease
         known.confirmed = True
-        if known.announced is not event.state or known.slots != event.slots:
+        slots = known.slots if event.last else event.slots
+        if known.announced is not event.state or known.slots != slots:
             known.announced = event.state
-            known.slots = event.slots
+            known.slots = slots
             self.announce_state(known, now)
         return known
 
@@ -141,7 +183,8 @@
             address=event.address,
             slots=event.slots,
             announced=event.state,
-            expires=now + ANNOUNCE_LEASE,
+            expires=now + self._lease,
+            boot=event.boot,
             queue=Queue(0, 0),
             state=event.state,
             retries=Budget(self._retry_share, saved_limit=SAVED_RETRIES),
--- a/greengagemux/views.py
+++ b/greengagemux/views.py
@@ -6,19 +6,32 @@
 from .administration import BundleView, RejectedRecord
 from .chains import RecordOutcome
 from .clocks import in_ms
+from .distribution import Distribution
 from .jobs import Upstream
 from .paths import Path
 from .reducers import Daemon
+from .rollouts import Rollout
 
 _HARMLESS = frozenset(
     (RecordOutcome.accepted, RecordOutcome.repeated, RecordOutcome.held)
 )
 
 
+def rollout_of(daemon: Daemon) -> Rollout:
+    """Return the roll-out of a daemon that has signed bundles.
+
+    Raises ``TypeError`` for a daemon with another source of bundles.
+    """
+    feed = daemon.distribution
+    if isinstance(feed, Distribution):
+        return feed.rollout
+    raise TypeError(f'no roll-out in {type(feed).__name__}')
+
+
 def state_of(daemon: Daemon, now: timedelta) -> dict[str, Any]:
     """Return upstreams with reasons, bundle, members and paths as JSON."""
     ready, why = daemon.ready()
-    rollout = daemon.distribution.rollout.status()
+    rollout = rollout_of(daemon).status()
     return {
         'daemon': daemon.own.daemon,
         'incarnation': daemon.own.incarnation,
@@ -53,7 +66,7 @@
 
 def bundle_of(daemon: Daemon) -> BundleView:
     """Return the bundle in force and the newest rejected records."""
-    rollout = daemon.distribution.rollout
+    rollout = rollout_of(daemon)
     status = rollout.status()
     accepted = rollout.accepted
     rejected = tuple(
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,7 +7,7 @@
 
 from greengagemux.bundlecosts import Size, Subject, bundle_text
 from greengagemux.clocks import ms
-from greengagemux.daemons import Timer
+from greengagemux.shells import Timer
 from greengagemux.distribution import Distribution
 from greengagemux.effects import Outbox, Send
 from greengagemux.messages import BundleFetch, BundleOffer
