Judge upstreams by the probability of a gray episode

Ruled out: failures of the path (two cut answers in 3578 tries). Change: EpisodeVerdicts; last-hop trials instead of probes; adapters of bundle sections are built when a text is parsed; ticks of 50 ms on the platform.

--- a/greengagemux/bundlecommands.py
+++ b/greengagemux/bundlecommands.py
@@ -9,7 +9,7 @@
 
 from . import commands, httpcalls, signatures
 from .bundles import Bundle, BundleError, key_slot_problems, parse
-from .settings import Address
+from .addresses import Address
 
 _STREAM_PATH: Final = '/streams/bundles'
 _PRIVATE_MODE: Final = 0o600
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -5,7 +5,7 @@
 from configparser import ConfigParser
 from configparser import Error as IniError
 from dataclasses import dataclass, field
-from functools import lru_cache
+from functools import cache, lru_cache
 from types import MappingProxyType
 from typing import (
     TYPE_CHECKING,
@@ -307,21 +307,19 @@
         super().__init__('\n'.join(self.problems))
 
 
-_Adapters: TypeAlias = Mapping[str, TypeAdapter[Any]]
-_SINGLE: Final[_Adapters] = MappingProxyType(
-    {
-        'bundle': TypeAdapter(_Head),
-        'rollout': TypeAdapter(Stage),
-    }
-)
-_NAMED: Final[_Adapters] = MappingProxyType(
-    {
-        'service': TypeAdapter(Service),
-        'route': TypeAdapter(Route),
-        'caller': TypeAdapter(Caller),
-        'team': TypeAdapter(Team),
-    }
+_Kinds: TypeAlias = Mapping[str, type[Any]]
+_SINGLE: Final[_Kinds] = MappingProxyType({'bundle': _Head, 'rollout': Stage})
+_NAMED: Final[_Kinds] = MappingProxyType(
+    {'service': Service, 'route': Route, 'caller': Caller, 'team': Team}
 )
+
+
+@cache
+def _adapter(described: type[Any]) -> TypeAdapter[Any]:
+    """Build the checks of a section only when a text is parsed."""
+    return TypeAdapter(described)
+
+
 _ALLOWED_SECTIONS: Final = (
     'allowed are [bundle], [rollout], [service NAME], [route NAME], '
     '[caller NAME] and [team NAME]'
@@ -433,7 +431,7 @@
         keys = _keys(body)
     except IniError as error:
         return _faulty(header, '', 'invalid line', ' '.join(str(error).split()))
-    adapter = _NAMED[kind] if name else _SINGLE[kind]
+    adapter = _adapter(_NAMED[kind] if name else _SINGLE[kind])
     if name and 'name' in keys:
         return _faulty(header, 'name', 'unknown key', _allowed_keys(adapter))
     given = {'name': name, **keys} if name else keys
--- a/greengagemux/choices.py
+++ b/greengagemux/choices.py
@@ -198,6 +198,27 @@
     and no nearer upstream is left. An upstream on probation receives only
     ``idempotent`` requests.
     """
+    kept: Collection[UpstreamId] = excluded
+    if not idempotent and choices.forced:
+        # What fails on a sick upstream cannot be run again elsewhere, so the
+        # floor is served by idempotent requests while others are left.
+        kept = {*excluded, *choices.forced}
+    best = _best(choices, rng, kept, idempotent=idempotent, remote=remote)
+    if best is None and kept is not excluded:
+        best = _best(
+            choices, rng, excluded, idempotent=idempotent, remote=remote
+        )
+    return Pick(best, best.upstream in choices.forced) if best else None
+
+
+def _best(
+    choices: UsableSet,
+    rng: Random,
+    excluded: Collection[UpstreamId],
+    *,
+    idempotent: bool,
+    remote: bool,
+) -> Candidate | None:
     best: Candidate | None = None
     for tier in choices.tiers:
         far = tier[0].nearness is Nearness.other_region
@@ -206,7 +227,7 @@
         best = _better(best, _pick(tier, rng, excluded, idempotent))
         if _has_room(best):
             break
-    return Pick(best, best.upstream in choices.forced) if best else None
+    return best
 
 
 def age_loads(candidates: Iterable[Candidate]) -> None:
--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -10,7 +10,8 @@
 from . import bundlecommands, commands
 from .checks import verify
 from .outcomes import FailureError
-from .settings import Address, Settings, SettingsError, read_settings
+from .addresses import Address
+from .settings import Settings, SettingsError, read_settings
 from .timelines import timeline
 
 _DAEMONS_MODULE: Final = 'greengagemux.daemons'
--- a/greengagemux/commands.py
+++ b/greengagemux/commands.py
@@ -9,7 +9,8 @@
 import click
 
 from . import httpcalls
-from .settings import Address, parse_url
+from .addresses import Address
+from .settings import parse_url
 
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -18,7 +18,7 @@
 from .ids import ExchangeId
 from .outcomes import Outcome, Reason
 from .requests import refusal
-from .settings import Address
+from .addresses import Address
 
 #: Largest request body that is read; routes set lower limits.
 BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -36,6 +36,10 @@
 #: a refused connection shows that one has ended.
 ANNOUNCE_LEASE: Final = timedelta(minutes=5)
 
+#: Wake-ups are paid for on small hosts; time limits here are 100 ms and more.
+TICK: Final = timedelta(milliseconds=50)
+COLLECT_EVERY_S: Final = 5.0
+
 EXIT_SETTINGS: Final = 2
 
 
@@ -46,7 +50,12 @@
         """Build all parts; nothing listens yet."""
         self._settings = settings
         incarnation = new_incarnation(process.clock)
-        super().__init__(process, _build_daemon(settings, incarnation))
+        super().__init__(
+            process,
+            _build_daemon(settings, incarnation),
+            tick=TICK,
+            collect_every_s=COLLECT_EVERY_S,
+        )
         self._log = StoreClient(
             build_agent(self._reactor),
             self._reactor,
@@ -110,6 +119,8 @@
         stop_limit=ms(1000 * STOP_SHARE * settings.bounds.stop_limit_s),
         keyed=False,
         discovers=True,
+        episodes=True,
+        tick=TICK,
         announce_lease=ANNOUNCE_LEASE,
     )
     source = Approvals(Opener(settings))
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -8,7 +8,7 @@
 
 from ..ids import DaemonId, DataCentre, Region, ServiceName
 from ..outcomes import Failure, FailureError, Step
-from ..settings import Address
+from ..addresses import Address
 
 #: Variable with the path of the settings file.
 PATH_VARIABLE: Final = 'GREENGAGEMUX_BOOT'
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -24,6 +24,7 @@
 )
 from .discoveries import Discovery
 from .entrances import Entrance
+from .episodes import EpisodeVerdicts
 from .events import (
     Advance,
     Announced,
@@ -113,6 +114,10 @@
     keyed: bool = True
     #: Whether the first peers are found through the log.
     discovers: bool = False
+    #: Interval of ``Tick`` events.
+    tick: timedelta = TICK
+    #: Whether short gray episodes of upstreams are common.
+    episodes: bool = False
     #: An upstream that stops announcing itself is gone after this long.
     announce_lease: timedelta = ANNOUNCE_LEASE
 
@@ -135,7 +140,7 @@
         self.last_hop = LastHop(
             own.daemon,
             self.outbox,
-            Verdicts(TICK),
+            _verdicts(identity),
             self.crashes,
             identity.announce_lease,
         )
@@ -540,6 +545,12 @@
     return Origin(sender.daemon, incarnation, message.request)
 
 
+def _verdicts(identity: Identity) -> Verdicts:
+    if identity.episodes:
+        return EpisodeVerdicts(identity.tick)
+    return Verdicts(identity.tick)
+
+
 def _open_seeds(daemon: Daemon) -> None:
     if daemon.paths.any_open():
         return
--- a/greengagemux/settings.py
+++ b/greengagemux/settings.py
@@ -20,32 +20,30 @@
     ValidationError,
 )
 
+from .addresses import (
+    ADDRESS_RULE,
+    NAME_PATTERN,
+    NAME_RULE,
+    Address,
+    whole,
+)
+
 DEFAULT_STOP_LIMIT_MS: Final = 30_000
 DEFAULT_POLL_WAIT_MS: Final = 2000
 DEFAULT_RETENTION_MS: Final = 3_600_000
 DEFAULT_LEVEL: Final = 'info'
 
-PORT_LIMIT: Final = 65_535
 FILE_LIMIT_BYTES: Final = 1024 * 1024
 #: Longest part of a rejected value that an error repeats.
 VALUE_SHOWN_CHARS: Final = 80
 
 LEVELS: Final = ('debug', 'info', 'warning', 'error')
-NAME_RULE: Final = (
-    '1 to 64 letters, digits, ".", "_" and "-", first a letter or digit'
-)
-#: Names of daemons, data centres, regions, services and upstreams.
-NAME_PATTERN: Final = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$'
 HEX_RULE: Final = '64 hex digits'
-ADDRESS_RULE: Final = (
-    'an IP number and a port from 1 to 65535, as 127.0.0.1:80 or [::1]:80'
-)
 REACHABLE_RULE: Final = f'{ADDRESS_RULE}, that other hosts can connect to'
 URL_RULE: Final = 'http:// or https://, an IP number and a port, no path'
 
 _NAME = re.compile(NAME_PATTERN)
 _HEX = re.compile('[0-9a-fA-F]{64}')
-_NUMBER = re.compile('[0-9]{1,12}')
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,46 +78,6 @@
         super().__init__('\n'.join(str(problem) for problem in self.problems))
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Address:
-    """IP number and TCP port; port 0 lets the system choose one."""
-
-    host: str
-    port: int
-
-    @classmethod
-    def parse(cls, text: str) -> 'Address':
-        """Return the address written as ``host:port`` or ``[host]:port``.
-
-        Raises ``ValueError`` when the host is no IP number or the port is
-        not from 1 to 65535.
-        """
-        host, colon, port = text.strip().rpartition(':')
-        bracketed = host.startswith('[') and host.endswith(']')
-        number = _ip(host[1:-1] if bracketed else host)
-        if not colon or bracketed != (number.version == 6):
-            raise ValueError(ADDRESS_RULE)
-        return cls(str(number), _whole(port, 1, PORT_LIMIT))
-
-    def __str__(self) -> str:
-        """Return the form that ``parse`` reads."""
-        if ':' in self.host:
-            return f'[{self.host}]:{self.port}'
-        return f'{self.host}:{self.port}'
-
-
-def _ip(text: str) -> IPv4Address | IPv6Address:
-    if '%' in text:
-        raise ValueError(ADDRESS_RULE)
-    return ip_address(text)
-
-
-def _whole(text: str, low: int, high: int) -> int:
-    if not _NUMBER.fullmatch(text) or not low <= int(text) <= high:
-        raise ValueError(f'a whole number from {low} to {high}')
-    return int(text)
-
-
 def _address(text: Any) -> Address:
     return text if isinstance(text, Address) else Address.parse(text)
 
@@ -164,7 +122,7 @@
 
 
 def _number(low: int, high: int) -> Callable[[Any], int]:
-    return lambda text: _whole(str(text), low, high)
+    return lambda text: whole(str(text), low, high)
 
 
 _Name = Annotated[
--- a/greengagemux/shells.py
+++ b/greengagemux/shells.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from functools import partial, singledispatchmethod
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
@@ -40,7 +41,7 @@
 from .metrics import Metrics
 from .outcomes import Failure
 from .reducers import TICK, Daemon, reduce
-from .settings import Address
+from .addresses import Address
 from .streams import Counters, StreamHub
 
 if TYPE_CHECKING:
@@ -125,8 +126,13 @@
         process: Process,
         daemon: Daemon,
         certificates: 'Certificates | None' = None,
+        *,
+        tick: timedelta = TICK,
+        collect_every_s: float = COLLECT_EVERY_S,
     ) -> None:
         """Build all parts; nothing listens yet."""
+        self._tick_every_s = tick.total_seconds()
+        self._collect_every_s = collect_every_s
         self.metrics = Metrics()
         self.daemon = daemon
         self._reactor = process.reactor
@@ -157,8 +163,8 @@
 
     def start(self) -> None:
         """Start the timers; listeners are opened before."""
-        self._every(TICK.total_seconds(), self._tick)
-        self._every(COLLECT_EVERY_S, self._collect)
+        self._every(self._tick_every_s, self._tick)
+        self._every(self._collect_every_s, self._collect)
         # Collection of all objects takes longer than a request may wait.
         gc.collect()
         gc.freeze()
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -41,7 +41,7 @@
     Message,
 )
 from .outcomes import Failure, FailureError, Step
-from .settings import NAME_PATTERN, NAME_RULE, Address
+from .addresses import NAME_PATTERN, NAME_RULE, Address
 
 if TYPE_CHECKING:
     from .certificates import Certificates
--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -99,7 +99,7 @@
 
 
 @dataclass(slots=True)
-class _Case:
+class Case:
     """Everything known about one upstream."""
 
     upstream: UpstreamId
@@ -173,7 +173,7 @@
 
     def __init__(self, tick: timedelta = TICK) -> None:
         """Expect ``tick`` to be called at this interval."""
-        self._cases: dict[UpstreamId, _Case] = {}
+        self._cases: dict[UpstreamId, Case] = {}
         self._rates: dict[ServiceName, ErrorRates] = {}
         self._troubled: dict[ServiceName, bool] = {}
         self._doubted: set[ServiceName] = set()
@@ -199,7 +199,7 @@
         case = self._cases.get(upstream)
         if case is None or case.service != service:
             rates = self._rates.get(service, ErrorRates())
-            case = _Case(
+            case = Case(
                 upstream,
                 service,
                 slots,
@@ -251,7 +251,7 @@
         unpaused = self._without_stalls(sample, now)
         if unpaused is not sample and not _stays_silent(case, unpaused):
             return []
-        self._weigh(case, unpaused, now)
+        self.weigh(case, unpaused, now)
         return _changes(case)
 
     def crashed(
@@ -273,8 +273,8 @@
         self._stalls.notice(now)
         changes = []
         for case in self._cases.values():
-            self._confirm_suspect(case, now)
-            _advance(case, now)
+            self.confirm_suspect(case, now)
+            self.advance(case, now)
             changes += _changes(case)
         return changes
 
@@ -344,8 +344,7 @@
         if case.state is UpstreamState.sick:
             return forced
         if case.state is UpstreamState.probation and not forced:
-            allowed = 1 + case.passed // PROBATION_STEP
-            return idempotent and running < allowed
+            return idempotent and running < self.trial_limit(case)
         return True
 
     def silence_limit_ms(
@@ -379,15 +378,28 @@
         if case is None:
             return f'{upstream}: not known to this daemon'
         now = self._stalls.seen or case.since
-        return _explain(case, now, self._in_trouble(case.service, now))
+        return _explain(case, now, self.in_trouble(case.service, now))
 
-    def _weigh(self, case: _Case, sample: Sample, now: timedelta) -> None:
-        troubled = self._in_trouble(case.service, now)
+    def trial_limit(self, case: Case) -> int:
+        """Return how many requests run at once on probation."""
+        return 1 + case.passed // PROBATION_STEP
+
+    def settling(self, case: Case, now: timedelta) -> bool:
+        """Return whether slowness proves nothing after a recent start."""
+        return now - case.started < SETTLE
+
+    def advance(self, case: Case, now: timedelta) -> None:
+        """Move on what only time moves."""
+        _readmit(case, now)
+
+    def weigh(self, case: Case, sample: Sample, now: timedelta) -> None:
+        """Take in a sample of a known upstream."""
+        troubled = self.in_trouble(case.service, now)
         reading = case.detector.observe(
             sample,
             learn=_may_learn(case) and not troubled,
             hold=troubled,
-            settling=now - case.started < SETTLE,
+            settling=self.settling(case, now),
         )
         shared = sample.kind in _SHARED
         excused = troubled and shared
@@ -398,23 +410,24 @@
         if case.state is UpstreamState.probation and not excused:
             _judge_probation(case, sample, now)
         elif case.state in _IN_SERVICE:
-            _judge(case, reading, now, wait)
+            judge(case, reading, now, wait)
 
-    def _confirm_suspect(self, case: _Case, now: timedelta) -> None:
+    def confirm_suspect(self, case: Case, now: timedelta) -> None:
         """Eject a suspect whose time has passed without another sample."""
         if case.state is not UpstreamState.suspect:
             return
-        if self._in_trouble(case.service, now):
+        if self.in_trouble(case.service, now):
             return
         reading = case.detector.reading()
-        _judge(case, reading, now, self._confirm(case.service, reading))
+        judge(case, reading, now, self._confirm(case.service, reading))
 
     def _confirm(self, service: ServiceName, reading: Reading) -> timedelta:
         if reading.severe:
             return CONFIRM_SEVERE
         return CONFIRM_SHARED if service in self._doubted else CONFIRM_MILD
 
-    def _in_trouble(self, service: ServiceName, now: timedelta) -> bool:
+    def in_trouble(self, service: ServiceName, now: timedelta) -> bool:
+        """Return whether the service as a whole is in trouble."""
         if self._troubled.get(service, False):
             self._trouble_until[service] = now + TROUBLE_HOLD
         return now < self._trouble_until.get(service, now)
@@ -430,7 +443,7 @@
         return replace(sample, service_ms=max(sample.service_ms - paused, 0))
 
 
-def _stays_silent(case: _Case, sample: Sample) -> bool:
+def _stays_silent(case: Case, sample: Sample) -> bool:
     """Tell whether a sample still proves something without the pauses."""
     if sample.kind is not SampleKind.silent:
         return True
@@ -438,28 +451,29 @@
     return sample.service_ms >= limit
 
 
-def _may_learn(case: _Case) -> bool:
+def _may_learn(case: Case) -> bool:
     calm = case.detector.reading().share < LEARN_SHARE
     return calm and case.effective() is UpstreamState.serving
 
 
-def _judge(
-    case: _Case,
+def judge(
+    case: Case,
     reading: Reading,
     now: timedelta,
     wait: timedelta,
 ) -> None:
+    """Move an upstream in service by the state of its test."""
     suspected = case.state is UpstreamState.suspect
     waited = now - case.since if suspected else ZERO
     if reading.share >= 1 and waited >= wait:
-        case.eject(_severity(case), _evidence(case, reading), now)
+        case.eject(severity_of(case), evidence_of(case, reading), now)
     elif reading.share >= SUSPECT_SHARE and not suspected:
-        case.move(UpstreamState.suspect, _evidence(case, reading), now)
+        case.move(UpstreamState.suspect, evidence_of(case, reading), now)
     elif reading.share <= TRUST_SHARE and suspected:
         case.move(UpstreamState.serving, 'evidence receded', now)
 
 
-def _judge_probation(case: _Case, sample: Sample, now: timedelta) -> None:
+def _judge_probation(case: Case, sample: Sample, now: timedelta) -> None:
     if sample.kind is SampleKind.success:
         slow = case.detector.slow_evidence(sample)
         healthy = case.detector.healthy_share(sample)
@@ -470,7 +484,7 @@
         healthy = case.detector.healthy_share(sample)
         case.recovery += math.log(PROBATION_SHARE / healthy)
     if case.recovery >= PROBATION_LIMIT:
-        case.eject(_severity(case), f'{sample.kind.value} on probation', now)
+        case.eject(severity_of(case), f'{sample.kind.value} on probation', now)
         return
     factor = min(case.ejections, PROBATION_FACTOR_MAX)
     if case.recovery <= case.detector.rates.recovery_limit() * factor:
@@ -479,7 +493,7 @@
         case.move(UpstreamState.serving, f'{case.passed} successes', now)
 
 
-def _advance(case: _Case, now: timedelta) -> None:
+def _readmit(case: Case, now: timedelta) -> None:
     if case.state is UpstreamState.sick and now >= case.readmit_at:
         case.detector.reset()
         case.recovery = 0
@@ -491,7 +505,8 @@
         case.since = now
 
 
-def _severity(case: _Case) -> int:
+def severity_of(case: Case) -> int:
+    """Return the order of a sick upstream: a higher one is worse."""
     counts = case.detector.counts
     total = sum(counts.values()) or 1
     failed = {kind: counts.get(kind, 0) for kind in _WEIGHTS}
@@ -501,20 +516,21 @@
     return _WEIGHTS[worst] + 9 * sum(failed.values()) // total
 
 
-def _evidence(case: _Case, reading: Reading) -> str:
+def evidence_of(case: Case, reading: Reading) -> str:
+    """Return the evidence against an upstream as text."""
     counts = case.detector.counts
     parts = [f'{count} {kind.value}' for kind, count in counts.items()]
     score = f'{reading.score:.1f} of {reading.limit:.1f}'
     return f'{reading.cause} {score} after {", ".join(parts)}'
 
 
-def _explain(case: _Case, now: timedelta, troubled: bool) -> str:
+def _explain(case: Case, now: timedelta, troubled: bool) -> str:
     reading = case.detector.reading()
     seconds = (now - case.since).total_seconds()
     lines = [
         f'{case.upstream} of {case.service} is {case.effective().value}'
         f' for {seconds:.1f} s: {case.reason}',
-        f'evidence now: {_evidence(case, reading)}',
+        f'evidence now: {evidence_of(case, reading)}',
     ]
     if case.state is UpstreamState.sick:
         wait = max((case.readmit_at - now).total_seconds(), 0)
@@ -526,7 +542,7 @@
     return '; '.join(lines)
 
 
-def _changes(case: _Case) -> list[StateChange]:
+def _changes(case: Case) -> list[StateChange]:
     state = case.effective()
     severity = case.severity if state is UpstreamState.sick else 0
     if case.told == (state, severity):
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -17,7 +17,8 @@
 from greengagemux.ids import BundleVersion, LogOffset
 from greengagemux.messages import UpstreamState
 from greengagemux.metrics import Metrics
-from greengagemux.settings import Address, DaemonSettings
+from greengagemux.addresses import Address
+from greengagemux.settings import DaemonSettings
 
 _TOKEN = 'counter-7'
 _BEARER = f'Authorization: Bearer {_TOKEN}'
--- a/tests/test_certificates.py
+++ b/tests/test_certificates.py
@@ -23,7 +23,8 @@
 from greengagemux.ids import DaemonId
 from greengagemux.listeners import listen
 from greengagemux.outcomes import FailureError
-from greengagemux.settings import Address, TlsSettings
+from greengagemux.addresses import Address
+from greengagemux.settings import TlsSettings
 
 _LOCAL = Address('127.0.0.1', 0)
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -15,7 +15,7 @@
 from greengagemux.clocks import ManualClock
 from greengagemux.effects import Respond
 from greengagemux.events import CallerGone, CallerRequest, Event
-from greengagemux.settings import Address
+from greengagemux.addresses import Address
 
 _GET = b'GET /stock/1 HTTP/1.1\r\nHost: a\r\n\r\n'
 _IDLE_CLIENT = """
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from greengagemux.settings import Address, SettingsError, read_settings
+from greengagemux.addresses import Address
+from greengagemux.settings import SettingsError, read_settings
 
 _KEY = 'ab' * 32
 _GOOD = f"""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -34,7 +34,7 @@
     Ping,
 )
 from greengagemux.outcomes import Failure, FailureError
-from greengagemux.settings import Address
+from greengagemux.addresses import Address
 
 
 def _hello(
