Tell health within a data centre, and by loads between them

Change: HealthNews goes to the own data centre; others learn from the load on answers and doubt a bad state after seconds. The last attempt is no trial, and upstreams on trial count towards the floor.

--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -144,6 +144,7 @@
     """A service and its limits.
 
     ``false_alarm`` and ``miss`` are probabilities of the detector's test.
+    With ``trials_count`` upstreams on probation count towards the floor.
     """
 
     name: ServiceName
@@ -154,6 +155,7 @@
     queue_limit_bytes: _QueueBytes = QUEUE_LIMIT_BYTES
     key_slots: Annotated[int, Field(ge=1, le=4096)] = KEY_SLOTS
     health_path: _Prefix = HEALTH_PATH
+    trials_count: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -10,6 +10,7 @@
     Load,
     MemberRecord,
     Priority,
+    UpstreamHealth,
     UpstreamRecord,
     UpstreamState,
 )
@@ -19,6 +20,12 @@
 UNKNOWN_FLOOR_PCT = 100
 
 
+#: A sick upstream of another data centre is tried again, and one on trial
+#: trusted, this long after its state was told; a gray episode lasts seconds.
+TRIAL_AFTER = timedelta(seconds=2)
+TRUST_AFTER = timedelta(seconds=6)
+
+
 class Candidates:
     """Candidates of all services, kept up with members and paths."""
 
@@ -27,6 +34,8 @@
         self.views: dict[ServiceName, UsableView] = {}
         self._own = own
         self._paths = paths
+        #: When the state of an upstream was last told.
+        self._judged: dict[UpstreamId, timedelta] = {}
         self._ahead: dict[UpstreamId, tuple[int, ...]] = {}
         self._shown: dict[ServiceName, Priority] = {}
 
@@ -51,9 +60,45 @@
                 self._show(candidate, priority)
         return view
 
-    def report(self, candidate: Candidate, load: Load) -> None:
+    def health(self, told: UpstreamHealth, now: timedelta) -> None:
+        """Take over the state that a last hop tells of an upstream."""
+        view = self.view(told.service)
+        view.update(told.upstream, told.state, told.severity)
+        self._judged[told.upstream] = now
+
+    def age_health(self, now: timedelta) -> None:
+        """Let a bad state be doubted that nobody has confirmed lately.
+
+        Daemons in other data centres hear of a recovery only by trying.
+        """
+        for view in self.views.values():
+            for candidate in view.candidates.values():
+                self._doubt(view, candidate, now)
+
+    def _doubt(
+        self, view: UsableView, candidate: Candidate, now: timedelta
+    ) -> None:
+        told = self._judged.get(candidate.upstream)
+        if told is None or candidate.nearness <= Nearness.same_data_centre:
+            return
+        if candidate.state is UpstreamState.sick and now - told >= TRIAL_AFTER:
+            view.update(candidate.upstream, UpstreamState.probation, 0)
+        elif (
+            candidate.state is UpstreamState.probation
+            and now - told >= TRUST_AFTER
+        ):
+            view.update(candidate.upstream, UpstreamState.serving, 0)
+
+    def report(
+        self, candidate: Candidate, load: Load, now: timedelta
+    ) -> None:
         """Take over the load that came with an answer or a refusal."""
         candidate.report(load)
+        if load.state is not candidate.state:
+            self.view(candidate.service).update(
+                candidate.upstream, load.state, candidate.severity
+            )
+        self._judged[candidate.upstream] = now
         self._ahead[candidate.upstream] = load.ahead
         shown = self._shown.get(candidate.service)
         if shown is not None:
@@ -151,6 +196,7 @@
             for upstream in stale:
                 view.drop(upstream)
                 self._ahead.pop(upstream, None)
+                self._judged.pop(upstream, None)
             dropped.update(stale)
         return dropped
 
--- a/greengagemux/choices.py
+++ b/greengagemux/choices.py
@@ -100,19 +100,31 @@
     forced: bool
 
 
-def usable(candidates: Iterable[Candidate], floor_pct: float) -> UsableSet:
+def usable(
+    candidates: Iterable[Candidate],
+    floor_pct: float,
+    *,
+    trials_count: bool = False,
+) -> UsableSet:
     """Return the upstreams of one service that may receive work.
 
     Sick ones are added, least severe first and then by id, until the
     allowed healthy and sick slots reach ``floor_pct`` of all listed slots.
     Draining, unreachable, cold and probation upstreams stay in the total but
-    do not count towards the floor.
+    do not count towards the floor; with ``trials_count`` those on probation
+    do, because they are tried all the time.
     """
     listed = sorted(candidates, key=_fixed_order)
     needed = floor_pct / 100 * sum(each.slots for each in listed)
     reachable = [each for each in listed if each.reachable]
     allowed = [each for each in reachable if each.state in _HEALTHY]
     counted = sum(each.slots for each in allowed)
+    if trials_count:
+        counted += sum(
+            each.slots
+            for each in reachable
+            if each.state is UpstreamState.probation
+        )
     forced = []
     for sick in reachable:
         if counted >= needed:
@@ -138,6 +150,7 @@
     """
 
     floor_pct: float
+    trials_count: bool = False
     candidates: dict[UpstreamId, Candidate] = field(default_factory=dict)
     _current: UsableSet | None = None
 
@@ -171,15 +184,22 @@
                 candidate.reachable = reachable
         self._current = None
 
-    def set_floor(self, floor_pct: float) -> None:
+    def set_floor(
+        self, floor_pct: float, *, trials_count: bool = False
+    ) -> None:
         """Change the floor, for instance by a new bundle."""
         self.floor_pct = floor_pct
+        self.trials_count = trials_count
         self._current = None
 
     def current(self) -> UsableSet:
         """Return the usable set, computed only after a change."""
         if self._current is None:
-            self._current = usable(self.candidates.values(), self.floor_pct)
+            self._current = usable(
+                self.candidates.values(),
+                self.floor_pct,
+                trials_count=self.trials_count,
+            )
         return self._current
 
 
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -37,6 +37,7 @@
 from .messages import (
     Answer,
     Dispatch,
+    HealthNews,
     MemberRecord,
     Message,
     NotSeen,
@@ -134,7 +135,9 @@
             share = bundle.retries_pct / 100
             budget = self._budgets.setdefault(name, Budget(share))
             budget.share = share
-            self._candidates.view(name).set_floor(service.floor_pct)
+            self._candidates.view(name).set_floor(
+                service.floor_pct, trials_count=service.trials_count
+            )
 
     def members_changed(
         self,
@@ -290,6 +293,11 @@
                 # Parked until a path opens, and this one did not.
                 self._place(waiting, now)
 
+    def health(self, news: HealthNews, now: timedelta) -> None:
+        """Take in what a last hop tells of its upstreams."""
+        for entry in news.entries:
+            self._candidates.health(entry, now)
+
     def tick(self, now: timedelta) -> None:
         """Answer requests whose deadline passed, hedge slow ones."""
         self._age_loads(now)
@@ -308,6 +316,7 @@
         self._aged_at = now
         for view in self.views.values():
             age_loads(view.candidates.values())
+        self._candidates.age_health(now)
 
     def _refuse(
         self, event: CallerRequest, reason: Reason, key: Hashable = None
@@ -357,7 +366,8 @@
             view.current(),
             self._rng,
             waiting.excluded,
-            idempotent=waiting.idempotent,
+            # The last attempt is not spent on a trial.
+            idempotent=waiting.idempotent and not waiting.retries,
             remote=remote,
         )
         if pick is None:
@@ -423,7 +433,7 @@
                 waiting.route.name, attempt.link_bytes, len(message.body)
             )
         self._throttles.accepted(throttle_key(waiting), now)
-        self._candidates.report(attempt.candidate, message.load)
+        self._candidates.report(attempt.candidate, message.load, now)
         if not _is_whole(message):
             self._outbox.emit(
                 Record('answer-damaged', {'peer': attempt.daemon})
@@ -457,7 +467,7 @@
     ) -> None:
         self._attempts.drop(waiting, attempt)
         if message.load is not None:
-            self._candidates.report(attempt.candidate, message.load)
+            self._candidates.report(attempt.candidate, message.load, now)
         if message.reason is Reason.busy:
             self._move(waiting, now)
             return
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -92,6 +92,25 @@
     upstreams: tuple[UpstreamRecord, ...] = ()
 
 
+class UpstreamHealth(Struct, frozen=True, array_like=True):
+    """State of one upstream by the evidence of its last hop."""
+
+    upstream: UpstreamId
+    service: ServiceName
+    state: UpstreamState
+    severity: int = 0
+
+
+class HealthNews(Struct, frozen=True, array_like=True, tag='health'):
+    """Changes of upstreams' health, for the daemons of a data centre.
+
+    Between data centres health travels with the load on each answer, because
+    those links are paid by the byte.
+    """
+
+    entries: tuple[UpstreamHealth, ...]
+
+
 class Hello(Struct, frozen=True, array_like=True, tag='hello'):
     """First message in both directions of a stream.
 
@@ -365,6 +384,7 @@
     | BundleFetch
     | BundleRecord
     | Suspects
+    | HealthNews
     | HomeMessage
     | HomesWanted
     | HomesSnapshot
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -128,6 +128,7 @@
                 false_alarm=FALSE_ALARM,
                 queue_limit=QUEUE_LIMIT,
                 health_path=each.health_path,
+                trials_count=True,
             )
             for each in found.services
         }
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -56,6 +56,7 @@
     BundleRecord,
     Cancel,
     Dispatch,
+    HealthNews,
     HomeMessage,
     HomesSnapshot,
     HomesWanted,
@@ -74,6 +75,7 @@
     Refusal,
     Running,
     Suspects,
+    UpstreamHealth,
 )
 from .paths import Paths
 from .promises import KeyRecordsTaken, Promise, PromiseRequest
@@ -144,6 +146,7 @@
             self.crashes,
             identity.announce_lease,
         )
+        self.last_hop.hosted.health_apart = identity.episodes
         self.keyed = KeyedWrites(
             own,
             self.paths,
@@ -200,6 +203,9 @@
         while last_hop.local_replies:
             reply = last_hop.local_replies.pop(0)
             self.entrance.reply(self.own.daemon, reply, now)
+        if last_hop.hosted.news:
+            self._tell_health(tuple(last_hop.hosted.news))
+            last_hop.hosted.news.clear()
         if last_hop.hosted.changed:
             last_hop.hosted.changed = False
             self.members.set_own(last_hop.hosted.records(), self.stopping, now)
@@ -214,6 +220,13 @@
             if self.slots_due is None:
                 self.slots_due = now + SLOTS_WAIT
 
+    def _tell_health(self, entries: tuple[UpstreamHealth, ...]) -> None:
+        news = HealthNews(entries)
+        self.entrance.health(news, self.outbox.now)
+        for daemon, record in self.members.live().items():
+            if record.data_centre == self.own.data_centre:
+                self.paths.send(daemon, news)
+
     def _members_changed(
         self, changed: Iterable[DaemonId], now: timedelta
     ) -> None:
@@ -494,6 +507,13 @@
     daemon.crashes.received(message, now)
 
 
+@receive.register
+def _health(
+    message: HealthNews, daemon: Daemon, sender: Sender, now: timedelta
+) -> None:
+    daemon.entrance.health(message, now)
+
+
 @receive.register(PromiseRequest)
 @receive.register(Promise)
 @receive.register(KeyRecords)
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -11,7 +11,7 @@
 from .events import Announced
 from .ids import ServiceName, UpstreamId
 from .jobs import Upstream
-from .messages import UpstreamRecord, UpstreamState
+from .messages import UpstreamHealth, UpstreamRecord, UpstreamState
 from .retries import Budget
 from .verdicts import StateChange, Verdicts
 
@@ -41,6 +41,10 @@
     ) -> None:
         """Start with no upstream announced."""
         self._lease = lease
+        #: Whether records hold only what upstreams announce, and health is
+        #: told by ``news``.
+        self.health_apart = False
+        self.news: list[UpstreamHealth] = []
         #: Newest boot that was announced at each address.
         self._boots: dict[str, int] = {}
         #: Boots that announced themselves for the last time.
@@ -77,8 +81,10 @@
                 upstream=each.upstream,
                 service=each.service,
                 slots=each.slots,
-                state=each.state,
-                severity=self._verdicts.severity(each.upstream),
+                state=each.announced if self.health_apart else each.state,
+                severity=0
+                if self.health_apart
+                else self._verdicts.severity(each.upstream),
             )
             for each in self.by_id.values()
         )
@@ -164,11 +170,21 @@
             upstream = self.by_id.get(change.upstream)
             if upstream is None:
                 continue
-            self.changed = True
+            self._tell(change)
             if upstream.state is not change.state:
                 upstream.state = change.state
                 self._note_state(upstream, change.reason)
 
+    def _tell(self, change: StateChange) -> None:
+        if not self.health_apart:
+            self.changed = True
+            return
+        self.news.append(
+            UpstreamHealth(
+                change.upstream, change.service, change.state, change.severity
+            )
+        )
+
     def remove(self, upstream: Upstream) -> None:
         """Forget an upstream that has left."""
         self.by_id.pop(upstream.upstream)
