Work on pipelined requests at once; watch connections for silence

Cause: a caller that pipelines waits for the sum of its requests; a silent connection to the store or a peer is noticed only by a time limit; SIGHUP ends the process; an answer for another request left its connection in the pool. Change: pipeline_limit, keep-alive checks, SIGHUP re-reads the settings, foreign answers close their connection; one failure keeps writes away at once. Not measured yet.

--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -5,6 +5,7 @@
 
 from .admissions import RANK
 from .choices import Candidate, Nearness, UsableView
+from .clocks import ZERO
 from .ids import DaemonId, ServiceName, UpstreamId
 from .messages import (
     Load,
@@ -90,7 +91,7 @@
             view.update(candidate.upstream, UpstreamState.serving, 0)
 
     def report(
-        self, candidate: Candidate, load: Load, now: timedelta
+        self, candidate: Candidate, load: Load, now: timedelta = ZERO
     ) -> None:
         """Take over the load that came with an answer or a refusal."""
         candidate.report(load)
--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -56,6 +56,10 @@
     """An answer is above its limit."""
 
 
+class ForeignAnswerError(Exception):
+    """An answer belongs to another request."""
+
+
 class TruncatedError(Exception):
     """An answer ended before its length."""
 
@@ -268,7 +272,20 @@
         refused = bool(reason.check(UpstreamRefusedError))
         self._submit(Probed(effect.upstream, alive=False, refused=refused))
 
+    def is_foreign(self, effect: CallUpstream, headers: Headers) -> bool:
+        """Return whether an answer belongs to another request."""
+        return False
+
     def _read(self, response: Any, effect: CallUpstream) -> Any:
+        if self.is_foreign(effect, _pairs(response)):
+            # The own answer follows on this connection, so that it must not
+            # be used for another request.
+            stray = _Body(0)
+            stray.done.addErrback(lambda _: None)
+            response.deliverBody(stray)
+            if stray.transport is not None:
+                stray.transport.loseConnection()
+            raise ForeignAnswerError('the answer is for another request')
         body = _Body(effect.limit_bytes)
         response.deliverBody(body)
         return body.done.addCallback(self._answered, response, effect)
@@ -282,11 +299,8 @@
             detail = f'status {response.code} is not from 200 to 599'
             self._fail(effect, CallFault.malformed, detail, sent=True)
             return
-        raw = response.headers.getAllRawHeaders()
-        pairs = tuple(
-            (name, content) for name, contents in raw for content in contents
-        )
-        self._submit(self.ended(effect, response.code, pairs, body))
+        headers = _pairs(response)
+        self._submit(self.ended(effect, response.code, headers, body))
 
     def _failed(self, reason: TwistedFailure, effect: CallUpstream) -> None:
         if self._running.pop(effect.call, None) is None:
@@ -301,6 +315,13 @@
         self._submit(UpstreamFailed(effect.call, fault, sent, failure))
 
 
+def _pairs(response: Any) -> Headers:
+    raw = response.headers.getAllRawHeaders()
+    return tuple(
+        (name, content) for name, contents in raw for content in contents
+    )
+
+
 def _is_quiet(transport: Any) -> bool:
     """Return whether an idle connection has neither an end nor data.
 
--- a/greengagemux/episodes.py
+++ b/greengagemux/episodes.py
@@ -34,8 +34,9 @@
 FAIL_GRAY: Final = 0.7
 #: Above this probability no request is sent but what the floor demands.
 SICK_ABOVE: Final = 0.5
-#: Below this one an upstream takes every request again.
-SOUND_BELOW: Final = 0.25
+#: From this probability on only requests that may run twice are sent; below
+#: it an upstream takes every request.
+DOUBT_ABOVE: Final = 0.1
 #: After a failure an upstream is tried with idempotent requests again only
 #: after this time, so that trials take a small part of the retry budget.
 TRIAL_AFTER: Final = timedelta(seconds=1)
@@ -111,9 +112,12 @@
         self._weigh_time(case, sample, now)
         if failed and belief.gray >= SICK_ABOVE:
             self._reject(case, sample, belief, now)
+        elif failed and belief.gray >= DOUBT_ABOVE:
+            reason = f'{sample.kind.value}: {belief.gray:.2f} likely gray'
+            case.move(UpstreamState.probation, reason, now)
         elif case.state is UpstreamState.probation:
             case.passed += int(not failed)
-            if belief.gray < SOUND_BELOW:
+            if belief.gray < DOUBT_ABOVE:
                 case.severity = 0
                 case.ejections = 0
                 case.detector.reset()
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -124,6 +124,10 @@
         )
 
     def respond(self, effect: Respond, *, close: bool) -> None:
+        """Answer in the order of the requests on the connection."""
+        self.channel.answer(self, effect, close=close)
+
+    def write_answer(self, effect: Respond, *, close: bool) -> None:
         """Write a whole answer."""
         self.setResponseCode(effect.status)
         answer = self.responseHeaders
@@ -166,6 +170,8 @@
         self._paused = False
         self._unread_bytes = 0
         self._linger: Any = None
+        #: Answers that wait for those of earlier requests.
+        self._held: dict[Exchange, tuple[Respond, bool]] = {}
 
     def dataReceived(self, data: bytes) -> None:
         """Read requests; the rest of a refused one is discarded."""
@@ -190,6 +196,54 @@
         """Refuse a head with an overlong line."""
         self._respondToBadRequestAndDisconnect()
 
+    def allContentReceived(self) -> None:
+        """Go on reading behind a request that has arrived whole.
+
+        The library would read the next request only after the answer, so a
+        caller that sends several would wait for the sum of their times.
+        """
+        super().allContentReceived()  # type: ignore[no-untyped-call]
+        if self._refused or not self.persistent:
+            return
+        if len(self.requests) < self.listener.pipeline_limit:
+            self._handlingRequest = False
+            self.setLineMode()
+
+    def _finishRequestBody(self, data: bytes) -> None:
+        if self.listener.pipeline_limit == 1:
+            super()._finishRequestBody(data)  # type: ignore[no-untyped-call]
+            return
+        self.allContentReceived()
+        if self._handlingRequest:
+            self._dataBuffer.append(data)
+        else:
+            self.setLineMode(data)
+
+    def requestDone(self, request: http.Request) -> None:
+        """Note that the first request was answered."""
+        last = len(self.requests) == 1
+        if self._handlingRequest and (self.persistent or last):
+            super().requestDone(request)  # type: ignore[no-untyped-call]
+            return
+        if request is not self.requests[0]:
+            raise TypeError('answers are written in the order of requests')
+        del self.requests[0]
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+        if last and self._savedTimeOut:
+            self.setTimeout(self._savedTimeOut)
+
+    def answer(
+        self, exchange: Exchange, effect: Respond, *, close: bool
+    ) -> None:
+        """Write an answer, and those that waited for it."""
+        self._held[exchange] = (effect, close)
+        while self.requests and self.requests[0] in self._held:
+            first = self.requests[0]
+            made, closing = self._held.pop(first)
+            # Requests behind an answer that closes count as not read.
+            first.write_answer(made, close=closing and len(self.requests) == 1)
+
     def request_complete(self) -> None:
         """Note that the request under way has arrived whole."""
         self._answering = True
@@ -197,7 +251,7 @@
 
     def answered(self, size_bytes: int) -> None:
         """Note an answer; a caller that does not read is cut off."""
-        self._answering = False
+        self._answering = len(self.requests) > 1
         if not self._paused:
             return
         self._unread_bytes += size_bytes
@@ -291,6 +345,9 @@
 
     noisy = False
     reactor: Any
+    #: Requests of one connection that are worked on at the same time. With
+    #: one, writes may be pipelined too: none runs behind a closing answer.
+    pipeline_limit = 1
 
     def __init__(
         self,
--- a/greengagemux/logclients.py
+++ b/greengagemux/logclients.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import Protocol, connectionDone
@@ -21,11 +22,14 @@
 )
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 from .effects import AppendLog, ReadLog
 from .events import Event, LogAppended, LogFailed, LogRead, LogRecord
 from .ids import LogOffset
 from .outcomes import Failure, Step
+from .sockets import watch
 
 logger = logging.getLogger(__name__)
 
@@ -214,16 +218,41 @@
         return Failure(Step.log, self._url, f'{what}: {kind}: {error}')
 
 
+@implementer(IAgentEndpointFactory)
+class _WatchedEndpoints:
+    """Endpoints whose connections are watched for silence."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: Any) -> Any:
+        return _WatchedEndpoint(
+            self._reactor,
+            uri.host.decode(),
+            uri.port,
+            timeout=CONNECT_LIMIT.total_seconds(),
+        )
+
+
+class _WatchedEndpoint(TCP4ClientEndpoint):
+    def connect(self, protocolFactory: Any) -> Any:
+        connected = super().connect(protocolFactory)
+        return connected.addCallback(_watched)
+
+
+def _watched(protocol: Any) -> Any:
+    watch(protocol.transport)
+    return protocol
+
+
 def build_agent(reactor: Any) -> Any:
     """Return an agent that keeps its connections to the log open."""
     pool = _pool(reactor, persistent=True)
     pool.maxPersistentPerHost = CONNECTIONS_KEPT
     # Repeats are decided by the reducer.
     pool.retryAutomatically = False
-    return _agent(
-        reactor,
-        connectTimeout=CONNECT_LIMIT.total_seconds(),
-        pool=pool,
+    return _agent.usingEndpointFactory(
+        reactor, _WatchedEndpoints(reactor), pool
     )
 
 
--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -82,6 +82,17 @@
         super().start()
         self._carry_out(Record('started', {'service': settings.service}))
 
+    def reread(self) -> None:
+        """Read the settings again; changes need a restart of the process."""
+        try:
+            settings = read_settings()
+        except FailureError as error:
+            fields = {'failure': str(error.failure)}
+            self._carry_out(Record('settings-rejected', fields))
+            return
+        changed = settings != self._settings
+        self._carry_out(Record('settings-read', {'changed': changed}))
+
     def _build_listener(self) -> CallerListener:
         return PlatformListener(
             self._reactor, self._clock, self.submit, self._count_cutoff
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -33,6 +33,7 @@
 _MISDIRECTED: Final = 421
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
+_SERVER_ERRORS: Final = 500
 _SUCCESS: Final = range(200, 300)
 #: Statuses that promise that a request has not run and never will.
 _PROMISES: Final = frozenset((408, 421, 429, _UNAVAILABLE))
@@ -41,12 +42,16 @@
 #: Set by the daemon alone, whatever a caller sends.
 _OWN: Final = frozenset((DEADLINE.lower(), INSTANCE.lower(), CALLER.lower()))
 #: Callers come back after a third of the time that they have left at most.
-RETRY_AFTER: Final = b'0.2'
+RETRY_AFTER: Final = b'Retry-After'
+RETRY_AFTER_S: Final = b'0.2'
 
 
 class PlatformListener(CallerListener):
     """Listener for callers that speak the platform's headers."""
 
+    #: Callers here pipeline only requests that may be repeated.
+    pipeline_limit = 16
+
     def received(self, exchange: Any) -> None:
         """Report a whole request."""
         self._exchanges[exchange.exchange] = exchange
@@ -77,6 +82,13 @@
                 made.append((known, content))
         return tuple(made)
 
+    def is_foreign(self, effect: CallUpstream, answer: Headers) -> bool:
+        """Return whether an answer repeats another identity."""
+        if headers.get(answer, NOT_RUN) is not None:
+            return False
+        asked = headers.get(effect.headers, REQUEST_ID)
+        return headers.get(answer, REQUEST_ID) != asked
+
     def ended(
         self, effect: CallUpstream, status: int, answer: Headers, body: bytes
     ) -> Event:
@@ -86,10 +98,6 @@
         if status == _MISDIRECTED:
             detail = 'another instance has the address'
             return _failed(effect, CallFault.replaced, detail, False)
-        asked = headers.get(effect.headers, REQUEST_ID)
-        if headers.get(answer, REQUEST_ID) != asked:
-            detail = 'the answer is for another request'
-            return _failed(effect, CallFault.malformed, detail, True)
         if status in _SUCCESS and headers.get(answer, SEAL) is None:
             detail = 'the answer bears no seal'
             return _failed(effect, CallFault.malformed, detail, True)
@@ -127,21 +135,16 @@
     if outcome == Outcome.completed.value.encode():
         return effect
     status = effect.status
-    answer = effect.headers
+    answer = tuple(pair for pair in effect.headers if pair[0] != RETRY_AFTER)
     if outcome == Outcome.not_run.value.encode():
         if status not in _KEPT:
             status = _UNAVAILABLE
-            answer = _with_retry(answer)
-    elif status in _PROMISES or status < _BAD_GATEWAY - 2:
+            answer = (*answer, (RETRY_AFTER, RETRY_AFTER_S))
+    elif status in _PROMISES or status < _SERVER_ERRORS:
         status = _BAD_GATEWAY
     return Respond(effect.exchange, status, answer, effect.body)
 
 
-def _with_retry(answer: Headers) -> Headers:
-    kept = tuple(pair for pair in answer if pair[0] != b'Retry-After')
-    return (*kept, (b'Retry-After', RETRY_AFTER))
-
-
 def _failed(
     effect: CallUpstream, fault: CallFault, detail: str, sent: bool
 ) -> UpstreamFailed:
--- a/greengagemux/shells.py
+++ b/greengagemux/shells.py
@@ -180,6 +180,10 @@
             self._apply(self._events.popleft())
         self._running = False
 
+    def reread(self) -> None:
+        """Note that the settings may have changed; none is taken over."""
+        self._carry_out(Record('reload-requested'))
+
     def request_stop(self) -> None:
         """Begin a graceful stop."""
         self.submit(StopRequested())
@@ -361,6 +365,8 @@
     stop = partial(_stop_later, reactor, shell)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
+    reread = partial(_reread_later, reactor, shell)
+    signal.signal(signal.SIGHUP, reread)
     reactor.run(installSignalHandlers=False)
     if failures:
         raise OSError(str(failures[0]))
@@ -390,6 +396,10 @@
         log_event(logger, 'file-limit-low', fields, logging.WARNING)
 
 
+def _reread_later(reactor: Any, shell: Shell, *_signal: object) -> None:
+    reactor.callFromThread(shell.reread)
+
+
 def _stop_later(reactor: Any, shell: Shell, *_signal: object) -> None:
     reactor.callFromThread(shell.request_stop)
 
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -41,6 +41,7 @@
     Message,
 )
 from .outcomes import Failure, FailureError, Step
+from .sockets import watch
 from .addresses import NAME_PATTERN, NAME_RULE, Address
 
 if TYPE_CHECKING:
@@ -121,7 +122,7 @@
     def connectionMade(self) -> None:
         """Say hello."""
         self.transport.setTcpNoDelay(True)
-        self.transport.setTcpKeepAlive(True)
+        watch(self.transport)
         self.transport.registerProducer(self, True)
         self._reader = FrameReader(self._peer_name())
         self._hello_timer = self._hub.reactor.callLater(
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,551 @@
+"""The edge towards the platform: decoding, translation and small servers."""
+
+import base64
+import json
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+
+import msgspec
+import pytest
+
+from greengagemux import approvals, discoveries, headers
+from greengagemux.clocks import ZERO, ms
+from greengagemux.effects import (
+    AppendLog,
+    CallUpstream,
+    OpenStream,
+    Outbox,
+    ReadLog,
+    Respond,
+    Send,
+)
+from greengagemux.events import (
+    Announced,
+    CallFault,
+    LogAppended,
+    LogFailed,
+    LogRead,
+    LogRecord,
+    UpstreamAnswered,
+    UpstreamFailed,
+)
+from greengagemux.ids import (
+    CallId,
+    DaemonId,
+    DataCentre,
+    ExchangeId,
+    Incarnation,
+    LogOffset,
+    Region,
+    StreamId,
+    UpstreamId,
+)
+from greengagemux.messages import (
+    BundleFetch,
+    BundleOffer,
+    BundleRecord,
+    MemberRecord,
+    Priority,
+    UpstreamState,
+)
+from greengagemux.outcomes import Failure, FailureError, Outcome, Reason, Step
+from greengagemux.paths import Paths
+from greengagemux.platform import exchanges, stores
+from greengagemux.platform.configurations import Opener
+from greengagemux.platform.servers import Announcements, Readiness
+from greengagemux.platform.settings import PlatformSettings, read_settings
+from greengagemux.requests import refusal
+from greengagemux.routes import RouteTable
+
+LINES = """\
+node_name=sidecar-a-1
+zone=zone-a
+region=region-1
+service=orders
+ip=10.1.0.38
+listen.inbound=10.1.0.38:8146
+listen.outbound=10.1.0.38:8147
+listen.ready=10.1.0.38:8141
+listen.control=10.1.0.38:8144
+port_range=7380,7395
+seeds=10.1.0.7:8144
+bounds=seed_lag_s=3,grace_s=5,retry_budget_ratio=0.1,floor_share=0.6
+app_addr=10.1.0.38:8145
+platform.address=10.200.1.7:8142
+unknown.key=ignored
+"""
+
+CONFIGURATION = {
+    'version': 'r12',
+    'routes': [
+        {
+            'name': 'write',
+            'hostname': 'shop.example',
+            'path_prefix': '/orders/',
+            'kind': 'non_idempotent',
+            'timeout_ms': 1500,
+            'priority': 0,
+            'service': 'orders',
+            'max_attempts': 2,
+        },
+        {
+            'name': 'read',
+            'hostname': 'shop.example',
+            'path_prefix': '/orders/list/',
+            'kind': 'idempotent',
+            'timeout_ms': 800,
+            'priority': 2,
+            'weighted_backends': [
+                {'service': 'orders', 'weight': 90},
+                {'service': 'stock', 'weight': 10},
+            ],
+            'max_attempts': 2,
+        },
+    ],
+    'services': [{'name': 'orders', 'health_path': '/h'}, {'name': 'stock'}],
+    'limits': {'max_body_bytes': 1000},
+}
+
+
+def _settings(tmp_path: Path, text: str = LINES) -> PlatformSettings:
+    path = tmp_path / 'settings.conf'
+    path.write_text(text)
+    return read_settings(path)
+
+
+def test_settings_are_decoded(tmp_path: Path) -> None:
+    """Each address must come from the key that holds it."""
+    settings = _settings(tmp_path)
+    assert str(settings.caller_address) == '10.1.0.38:8147'
+    assert str(settings.peer_address) == '10.1.0.38:8146'
+    assert str(settings.admin_address) == '10.1.0.38:7380'
+    assert [str(seed) for seed in settings.seeds] == ['10.1.0.7:8146']
+    assert settings.bounds.stop_limit_s == 5
+    assert settings.bounds.floor_share == 0.6
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'key'),
+    [
+        ('node_name=sidecar-a-1', '', 'node_name'),
+        ('10.1.0.38:8147', 'nowhere', 'listen.outbound'),
+        ('grace_s=5', 'grace_s=soon', 'grace_s'),
+    ],
+)
+def test_bad_settings_name_the_key(
+    tmp_path: Path, old: str, new: str, key: str
+) -> None:
+    """An operator must see which key is wrong."""
+    with pytest.raises(FailureError, match=key):
+        _settings(tmp_path, LINES.replace(old, new))
+
+
+def test_configuration_becomes_a_bundle(tmp_path: Path) -> None:
+    """Kinds, limits and hosts must reach the routes."""
+    bundle = Opener(_settings(tmp_path))(json.dumps(CONFIGURATION).encode())
+    assert bundle.version == 12
+    write = bundle.routes['write']
+    assert (write.idempotent, write.priority) == (False, Priority.waiting)
+    assert write.attempt_limit == 2
+    assert bundle.routes['read'].idempotent
+    assert bundle.services['orders'].health_path == '/h'
+    assert bundle.services['orders'].floor_pct == 60
+    assert write.body_limit_bytes == 1000
+
+
+def test_longest_prefix_of_the_host_wins(tmp_path: Path) -> None:
+    """Routes of another host must not take a request."""
+    bundle = Opener(_settings(tmp_path))(json.dumps(CONFIGURATION).encode())
+    table = bundle.table or RouteTable(bundle)
+    found = table.match(b'GET', b'/orders/list/7', 'Shop.Example')
+    assert found == bundle.routes['read']
+    assert table.match(b'PUT', b'/orders/7', 'shop.example') == (
+        bundle.routes['write']
+    )
+    for target, host in ((b'/orders/7', 'other'), (b'/x/', 'shop.example')):
+        assert table.match(b'GET', target, host) is Reason.no_route
+
+
+@pytest.mark.parametrize(
+    'payload', [b'', b'{}', b'{"version":"x","routes":[],"services":[]}']
+)
+def test_bad_configuration_is_refused(tmp_path: Path, payload: bytes) -> None:
+    """A record that cannot be read must not replace the one in force."""
+    with pytest.raises(FailureError):
+        Opener(_settings(tmp_path))(payload)
+
+
+class _Announced:
+    """Announcements of one upstream, and the events they become."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self.events: list[Announced] = []
+        self._server = Announcements(settings, self.events.append)
+
+    def put(self, **changed: object) -> int:
+        """Announce and return the status."""
+        fields = {
+            'service': 'orders',
+            'address': '10.1.0.38:8145',
+            'slots': 4,
+            'phase': 'ready',
+            'sequence': 3,
+            'born': 77,
+            'cold_remaining_ms': 0,
+            **changed,
+        }
+        body = json.dumps(fields).encode()
+        return self._server(b'PUT', b'/api/instances/i-1', body)[0]
+
+    def delete(self) -> int:
+        """Leave and return the status."""
+        return self._server(b'DELETE', b'/api/instances/i-1', b'')[0]
+
+
+@pytest.mark.parametrize(
+    ('changed', 'state'),
+    [
+        ({}, UpstreamState.serving),
+        ({'cold_remaining_ms': 10}, UpstreamState.cold),
+        ({'phase': 'draining'}, UpstreamState.draining),
+    ],
+)
+def test_announcement(
+    tmp_path: Path, changed: dict[str, object], state: UpstreamState
+) -> None:
+    """An acknowledged announcement must have taken effect."""
+    edge = _Announced(_settings(tmp_path))
+    assert edge.put(**changed) == 200
+    [event] = edge.events
+    assert (event.state, event.boot, event.sequence) == (state, 77, 3)
+    assert event.address == '10.1.0.38:8145'
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'phase': 'unheard'},
+        {'slots': 'four'},
+        {'service': 'other'},
+        {'sequence': None},
+    ],
+)
+def test_foreign_announcement_is_refused(
+    tmp_path: Path, changed: dict[str, object]
+) -> None:
+    """What another writer sends must name no upstream to use."""
+    edge = _Announced(_settings(tmp_path))
+    assert edge.put(**changed) == 400
+    assert not edge.events
+
+
+def test_leaving_is_the_last_announcement(tmp_path: Path) -> None:
+    """An upstream that says it has left must get no more work."""
+    edge = _Announced(_settings(tmp_path))
+    assert edge.delete() == 200
+    assert edge.events[0].last
+    assert edge.events[0].state is UpstreamState.draining
+
+
+def test_readiness() -> None:
+    """Callers must stay away from a daemon that cannot serve them."""
+    answers = {True: 200, False: 503}
+    for ready, status in answers.items():
+        server = Readiness(lambda ready=ready: (ready, 'why'))
+        assert server(b'GET', b'/api/readyz', b'')[0] == status
+
+
+def _call(sent: tuple[tuple[bytes, bytes], ...] = ()) -> CallUpstream:
+    return CallUpstream(
+        call=CallId(1),
+        address='10.1.0.38:8145',
+        method=b'GET',
+        target=b'/orders/1',
+        headers=((b'Request-Id', b'r-1'), *sent),
+        body=b'',
+        limit_bytes=100,
+        upstream=UpstreamId('i-1'),
+    )
+
+
+def _calls() -> exchanges.PlatformCalls:
+    return exchanges.PlatformCalls(None, lambda event: None)
+
+
+def test_headers_of_a_call() -> None:
+    """The upstream must see its own id, the time left and the caller."""
+    own = (
+        (headers.DEADLINE, b'90'),
+        (headers.CALLER, b'orders'),
+        (headers.REQUEST_ID, b'internal'),
+    )
+    made = dict(_calls().headers_of(_call(own)))
+    assert made == {
+        b'Expect-Instance': b'i-1',
+        b'Request-Id': b'r-1',
+        b'Deadline-Ms': b'90',
+        b'Caller-Service': b'orders',
+    }
+
+
+ECHO = (b'Request-Id', b'r-1')
+SEAL = (b'Response-Seal', b's')
+
+
+@pytest.mark.parametrize(
+    ('status', 'answer', 'fault', 'sent'),
+    [
+        (503, ((b'Not-Executed', b'1'),), CallFault.shed, False),
+        (421, (ECHO,), CallFault.replaced, False),
+        (200, (ECHO,), CallFault.malformed, True),
+    ],
+)
+def test_answers_that_are_no_results(
+    status: int,
+    answer: tuple[tuple[bytes, bytes], ...],
+    fault: CallFault,
+    sent: bool,
+) -> None:
+    """Only what the upstream marks as not run may run elsewhere."""
+    event = _calls().ended(_call(), status, answer, b'')
+    assert isinstance(event, UpstreamFailed)
+    assert (event.fault, event.sent) == (fault, sent)
+
+
+@pytest.mark.parametrize('status', [200, 500])
+def test_results_are_passed_on(status: int) -> None:
+    """An upstream's own failure is its answer."""
+    event = _calls().ended(_call(), status, (ECHO, SEAL), b'body')
+    assert isinstance(event, UpstreamAnswered)
+    assert event.status == status
+
+
+def test_foreign_answer_is_noticed() -> None:
+    """A late second answer must not reach another caller."""
+    calls = _calls()
+    assert calls.is_foreign(_call(), ((b'Request-Id', b'r-0'),))
+    assert not calls.is_foreign(_call(), (ECHO,))
+    assert not calls.is_foreign(_call(), ((b'Not-Executed', b'1'),))
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'reason', 'status'),
+    [
+        (Outcome.not_run, Reason.overloaded, 503),
+        (Outcome.not_run, Reason.crashes_upstreams, 503),
+        (Outcome.not_run, Reason.no_route, 404),
+        (Outcome.unknown, Reason.deadline, 504),
+        (Outcome.unknown, Reason.overloaded, 502),
+        (Outcome.unknown, Reason.connection_lost, 502),
+    ],
+)
+def test_status_promises_what_is_true(
+    outcome: Outcome, reason: Reason, status: int
+) -> None:
+    """503 says that a request never runs, so only that may be said so."""
+    made: list[Respond] = []
+    listener = exchanges.PlatformListener(
+        None, None, lambda event: None, lambda why: None
+    )
+    listener._exchanges[ExchangeId(1)] = _Exchange(made)
+    listener.respond(refusal(ExchangeId(1), outcome, reason))
+    [answer] = made
+    assert answer.status == status
+    retry = headers.get(answer.headers, b'retry-after')
+    assert (retry is not None) == (status == 503)
+
+
+class _Exchange:
+    """Keeps the answer that would be written."""
+
+    def __init__(self, made: list[Respond]) -> None:
+        self._made = made
+
+    def respond(self, effect: Respond, *, close: bool) -> None:
+        self._made.append(effect)
+
+
+def _raw(*contents: bytes) -> bytes:
+    head = stores._HEAD.pack(9, 1)
+    return head + b''.join(
+        stores._LENGTH.pack(len(each)) + each for each in contents
+    )
+
+
+def test_raw_records() -> None:
+    """Offsets must count the records of other keys as well."""
+    read = ReadLog(approvals.STREAM, LogOffset(5), ZERO)
+    found = stores._read(read, _raw(b'\x05otherx', b'\x06configy'))
+    assert found.following == 7
+    assert found.records == (LogRecord(LogOffset(6), b'y', 'config'),)
+
+
+@pytest.mark.parametrize('cut', [3, 17, 21])
+def test_truncated_records_are_refused(cut: int) -> None:
+    """A reply that was cut must not look like one without records."""
+    read = ReadLog(approvals.STREAM, LogOffset(5), ZERO)
+    with pytest.raises(ValueError, match=r'reply|end'):
+        stores._read(read, _raw(b'\x06configy')[:cut])
+
+
+def test_newest_records() -> None:
+    """A key that was taken away names no peer."""
+    content = base64.b64encode(b'x').decode()
+    items = (
+        stores._Item('a', content, 1),
+        stores._Item('b', None, 2),
+    )
+    found = stores._records(discoveries.STREAM, items)
+    assert found == [LogRecord(LogOffset(1), b'x', 'a')]
+
+
+class _Feed:
+    """A feed of approved bundles with its effects."""
+
+    def __init__(self, tmp_path: Path) -> None:
+        own = _member('one')
+        self.outbox = Outbox()
+        self.paths = Paths(self.outbox, Random(1))
+        opener = Opener(_settings(tmp_path))
+        self.feed = approvals.Approvals(opener).attach(
+            own, self.paths, self.outbox, Random(1)
+        )
+
+    def read(self, version: str, offset: int = 4) -> None:
+        """Let the log show a configuration."""
+        payload = json.dumps({**CONFIGURATION, 'version': version}).encode()
+        record = LogRecord(LogOffset(offset), payload, 'config')
+        event = LogRead(
+            approvals.STREAM, LogOffset(0), LogOffset(offset + 1), (record,)
+        )
+        self.feed.log_event(event, {}, ZERO)
+
+    def effects(self, kind: type) -> list[object]:
+        """Return the effects of one kind since the last call."""
+        return [each for each in self.outbox.drain() if isinstance(each, kind)]
+
+
+def _member(name: str) -> MemberRecord:
+    return MemberRecord(
+        daemon=DaemonId(name),
+        incarnation=Incarnation(1),
+        sequence=1,
+        data_centre=DataCentre('a'),
+        region=Region('r'),
+        peer_address='127.0.0.1:1',
+    )
+
+
+def test_bundle_never_reverts(tmp_path: Path) -> None:
+    """A record that is older than the one in force must be left alone."""
+    feed = _Feed(tmp_path)
+    feed.read('r12')
+    feed.read('r9', offset=5)
+    assert feed.feed.take_change() is not None
+    assert feed.feed.bundle is not None
+    assert feed.feed.bundle.version == 12
+    feed.read('broken', offset=6)
+    assert feed.feed.bundle.version == 12
+
+
+def test_reads_back_off_while_the_log_is_away(tmp_path: Path) -> None:
+    """Calls to a log that is down are paid for as well."""
+    feed = _Feed(tmp_path)
+    now = ZERO
+    reads = 0
+    while now < timedelta(seconds=10):
+        feed.feed.tick({}, now)
+        if feed.effects(ReadLog):
+            reads += 1
+            failure = Failure(Step.log, 'log', 'down')
+            feed.feed.log_event(LogFailed(approvals.STREAM, failure), {}, now)
+        now += ms(50)
+    assert 4 <= reads <= 9
+
+
+def test_peer_brings_a_newer_bundle(tmp_path: Path) -> None:
+    """A daemon without the log must still follow its peers."""
+    feed = _Feed(tmp_path)
+    feed.read('r12')
+    feed.outbox.drain()
+    stream = StreamId(1)
+    for version, asked in ((12, 0), (13, 1)):
+        offer = BundleOffer(LogOffset(7), version, b'd')
+        feed.feed.receive(offer, stream, {}, ms(10))
+        assert len(feed.effects(Send)) == asked
+    payload = json.dumps({**CONFIGURATION, 'version': 'r13'}).encode()
+    record = BundleRecord(LogOffset(7), payload)
+    feed.feed.receive(record, stream, {}, ms(20))
+    assert feed.feed.bundle is not None
+    assert feed.feed.bundle.version == 13
+    feed.outbox.drain()
+    feed.feed.receive(BundleFetch(approvals.NEWEST), stream, {}, ms(30))
+    assert feed.effects(Send) == [Send(stream, record)]
+
+
+def test_new_daemon_asks_its_first_peer(tmp_path: Path) -> None:
+    """A restart during an outage of the log must not wait for its end."""
+    feed = _Feed(tmp_path)
+    feed.feed.connected(StreamId(3))
+    assert feed.effects(Send) == [
+        Send(StreamId(3), BundleFetch(approvals.NEWEST))
+    ]
+
+
+class _Discovery:
+    """Discovery of one daemon with its effects."""
+
+    def __init__(self) -> None:
+        self.outbox = Outbox()
+        self.discovery = discoveries.Discovery(
+            _member('one'), self.outbox, Random(1)
+        )
+
+    def listed(self, *names: str) -> LogRead:
+        """Return the list with these daemons."""
+        packed = [
+            msgspec.msgpack.encode((name, 'r', f'127.0.0.1:{place}'))
+            for place, name in enumerate(names, start=10)
+        ]
+        return LogRead(
+            discoveries.STREAM,
+            LogOffset(0),
+            LogOffset(9),
+            tuple(
+                LogRecord(LogOffset(place), content, name)
+                for place, (name, content) in enumerate(
+                    zip(names, packed, strict=True)
+                )
+            ),
+        )
+
+
+def test_address_is_written_before_the_list_is_read() -> None:
+    """Of two daemons that start together, one must see the other."""
+    subject = _Discovery()
+    subject.discovery.tick(connected=False, now=ZERO)
+    effects = subject.outbox.drain()
+    assert [type(each) for each in effects] == [AppendLog, ReadLog]
+    written = LogAppended(discoveries.STREAM, LogOffset(3), b'')
+    subject.discovery.log_event(written, ZERO)
+    subject.discovery.tick(connected=False, now=ZERO)
+    assert isinstance(subject.outbox.drain()[-1], ReadLog)
+
+
+def test_listed_peers_are_opened() -> None:
+    """The own entry and entries that cannot be read are no peers."""
+    subject = _Discovery()
+    read = subject.listed('one', 'two', 'three')
+    bad = LogRecord(LogOffset(8), b'\xff', 'bad')
+    event = LogRead(
+        read.stream, read.first, read.following, (*read.records, bad)
+    )
+    subject.discovery.log_event(event, ZERO)
+    subject.discovery.tick(connected=False, now=ms(50))
+    opened = {
+        each.address
+        for each in subject.outbox.drain()
+        if isinstance(each, OpenStream)
+    }
+    assert opened == {'127.0.0.1:11', '127.0.0.1:12'}
