--- a/greengagemux/administration.py
+++ b/greengagemux/administration.py
@@ -19,17 +19,12 @@
 from twisted.web import server
 from twisted.web.resource import Resource
 
+from .addresses import ADDRESS_RULE, NAME_PATTERN, NAME_RULE, Address
 from .events import Announced, Event, StopRequested
 from .ids import BundleVersion, LogOffset, ServiceName, UpstreamId
 from .messages import UpstreamState
 from .metrics import Metrics
-from .settings import (
-    ADDRESS_RULE,
-    NAME_PATTERN,
-    NAME_RULE,
-    Address,
-    DaemonSettings,
-)
+from .settings import DaemonSettings
 
 BODY_LIMIT_BYTES: Final = 64 * 1024
 #: An idle connection is closed after this time.
--- a/greengagemux/approvals.py
+++ b/greengagemux/approvals.py
@@ -29,7 +29,8 @@
 #: by the platform even while it does not answer them.
 RETRY_FIRST: Final = timedelta(milliseconds=400)
 RETRY_LIMIT: Final = timedelta(seconds=2)
-#: Peers of the region that are told of a new bundle.
+#: Peers in other data centres of the region that are told of a new bundle,
+#: beside all peers of the own one.
 OFFER_PEERS: Final = 3
 #: An offered bundle is requested again after this time.
 FETCH_AGAIN: Final = timedelta(milliseconds=500)
@@ -197,15 +198,20 @@
     def _offer(self, live: Mapping[DaemonId, MemberRecord]) -> None:
         if self._bundle is None:
             return
-        peers = [
+        near = [
             daemon
             for daemon, record in live.items()
-            if record.region == self._own.region
-            and self._paths.connected(daemon)
+            if record.data_centre == self._own.data_centre
         ]
+        others = [
+            daemon
+            for daemon, record in live.items()
+            if record.region == self._own.region and daemon not in near
+        ]
+        others = self._rng.sample(others, min(OFFER_PEERS, len(others)))
         digest = xxhash.xxh3_64_digest(self._payload)
         offer = BundleOffer(self._offset, self._bundle.version, digest)
-        for daemon in self._rng.sample(peers, min(OFFER_PEERS, len(peers))):
+        for daemon in (*near, *others):
             self._paths.send(daemon, offer)
 
     def _note(self, name: str, **fields: object) -> None:
--- a/greengagemux/bundlecommands.py
+++ b/greengagemux/bundlecommands.py
@@ -8,8 +8,8 @@
 import click
 
 from . import commands, httpcalls, signatures
-from .bundles import Bundle, BundleError, key_slot_problems, parse
 from .addresses import Address
+from .bundles import Bundle, BundleError, key_slot_problems, parse
 
 _STREAM_PATH: Final = '/streams/bundles'
 _PRIVATE_MODE: Final = 0o600
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -173,7 +173,9 @@
     words = [part.split() for part in raw.split(',') if part.strip()]
     if any(len(pair) != 2 for pair in words):
         raise ValueError('must be pairs of a service and its weight')
-    shares = tuple(Share(ServiceName(name), float(part)) for name, part in words)
+    shares = tuple(
+        Share(ServiceName(name), float(part)) for name, part in words
+    )
     if sum(share.weight for share in shares) <= 0:
         raise ValueError('must have a weight above 0')
     return shares
@@ -433,7 +435,8 @@
         keys = _keys(body)
     except IniError as error:
         return _faulty(header, '', 'invalid line', ' '.join(str(error).split()))
-    adapter = _adapter(_NAMED[kind] if name else _SINGLE[kind])
+    described: type = _NAMED[kind] if name else _SINGLE[kind]
+    adapter = _adapter(described)
     if name and 'name' in keys:
         return _faulty(header, 'name', 'unknown key', _allowed_keys(adapter))
     given = {'name': name, **keys} if name else keys
--- a/greengagemux/certificates.py
+++ b/greengagemux/certificates.py
@@ -86,8 +86,7 @@
             return self._contexts.peers
         return self._contexts.callers
 
-    @staticmethod
-    def peer_names(transport: Any) -> frozenset[str]:
+    def peer_names(self, transport: Any) -> frozenset[str]:
         """Return the names in the certificate at the other end."""
         found = transport.getPeerCertificate()
         if found is None:
--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -8,9 +8,9 @@
 import click
 
 from . import bundlecommands, commands
+from .addresses import Address
 from .checks import verify
 from .outcomes import FailureError
-from .addresses import Address
 from .settings import Settings, SettingsError, read_settings
 from .timelines import timeline
 
--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -176,7 +176,7 @@
     """
 
     #: Pooled connections are closed after this long without a call.
-    pooled_for_s: float = POOLED_FOR_S
+    pooled_for_s: int = POOLED_FOR_S
 
     def __init__(self, reactor: Any, submit: Submit) -> None:
         """Calls report through ``submit``."""
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -15,7 +15,7 @@
 from .logs import log_event
 from .messages import MemberRecord
 from .outcomes import FailureError
-from .reducers import RETENTION, Daemon, Identity
+from .reducers import Daemon, Identity
 from .rollouts import Rollout
 from .settings import Settings
 from .shells import (
@@ -26,6 +26,7 @@
     run_shell,
 )
 from .signatures import KeyRing
+from .sources import RETENTION
 from .views import bundle_of, state_of
 
 logger = logging.getLogger(__name__)
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -12,13 +12,13 @@
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web import http
 
+from .addresses import Address
 from .clocks import Clock
 from .effects import Respond
 from .events import CallerGone, CallerRequest, Event
 from .ids import ExchangeId
 from .outcomes import Outcome, Reason
 from .requests import refusal
-from .addresses import Address
 
 #: Largest request body that is read; routes set lower limits.
 BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
@@ -207,7 +207,7 @@
             return
         if len(self.requests) < self.listener.pipeline_limit:
             self._handlingRequest = False
-            self.setLineMode()
+            self.setLineMode()  # type: ignore[no-untyped-call]
 
     def _finishRequestBody(self, data: bytes) -> None:
         if self.listener.pipeline_limit == 1:
@@ -217,7 +217,7 @@
         if self._handlingRequest:
             self._dataBuffer.append(data)
         else:
-            self.setLineMode(data)
+            self.setLineMode(data)  # type: ignore[no-untyped-call]
 
     def requestDone(self, request: http.Request) -> None:
         """Note that the first request was answered."""
@@ -229,7 +229,7 @@
             raise TypeError('answers are written in the order of requests')
         del self.requests[0]
         if not self._waitingForTransport:
-            self._networkProducer.resumeProducing()
+            self._networkProducer.resumeProducing()  # type: ignore[misc]
         if last and self._savedTimeOut:
             self.setTimeout(self._savedTimeOut)
 
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -90,16 +90,13 @@
         Raises ``FailureError`` at step ``bundle`` for a malformed one.
         """
         try:
-            found = _decoder.decode(payload)
-            version = BundleVersion(int(found.version.removeprefix('r')))
+            found, version = _decode(payload)
         except (msgspec.MsgspecError, ValueError) as error:
             failure = Failure(Step.bundle, 'operator', str(error))
             raise FailureError(failure) from error
         return self._bundle(found, version)
 
-    def _bundle(
-        self, found: _Configuration, version: BundleVersion
-    ) -> Bundle:
+    def _bundle(self, found: _Configuration, version: BundleVersion) -> Bundle:
         limit_bytes = min(found.limits.max_body_bytes, BODY_LIMIT_BYTES)
         routes = {
             RouteName(each.name): _route(each, limit_bytes)
@@ -117,9 +114,7 @@
         )
         return replace(bundle, table=RouteTable(bundle))
 
-    def _services(
-        self, found: _Configuration
-    ) -> Mapping[ServiceName, Service]:
+    def _services(self, found: _Configuration) -> Mapping[ServiceName, Service]:
         floor_pct = round(PERCENT * self._bounds.floor_share)
         return {
             ServiceName(each.name): Service(
@@ -142,12 +137,18 @@
         )
 
 
+def _decode(payload: bytes) -> tuple[_Configuration, BundleVersion]:
+    """Return a configuration and its version, which reads ``r12``."""
+    found = _decoder.decode(payload)
+    return found, BundleVersion(int(found.version.removeprefix('r')))
+
+
 def _route(each: _Route, limit_bytes: int) -> Route:
     split = tuple(
         Share(ServiceName(part.service), part.weight)
         for part in each.weighted_backends
     )
-    service = each.service or (split[0].service if split else '')
+    service = split[0].service if split else each.service
     rank = min(max(each.priority, 0), len(_PRIORITIES) - 1)
     return Route(
         name=RouteName(each.name),
@@ -162,5 +163,3 @@
         host=each.hostname,
         split=split,
     )
-
-
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -150,5 +150,3 @@
 ) -> UpstreamFailed:
     failure = Failure(Step.answer, effect.address, detail)
     return UpstreamFailed(effect.call, fault, sent, failure)
-
-
--- a/greengagemux/platform/servers.py
+++ b/greengagemux/platform/servers.py
@@ -105,7 +105,7 @@
         channel = _Channel()  # type: ignore[no-untyped-call]
         channel.factory = self
         channel.timeOut = IDLE_LIMIT_S
-        channel.callLater = self.reactor.callLater  # type: ignore[method-assign]
+        channel.callLater = self.reactor.callLater  # type: ignore[method-assign,assignment]
         return channel
 
     def log(self, request: http.Request) -> None:
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -4,11 +4,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from types import MappingProxyType
 from typing import Final
 
+from ..addresses import Address
 from ..ids import DaemonId, DataCentre, Region, ServiceName
 from ..outcomes import Failure, FailureError, Step
-from ..addresses import Address
 
 #: Variable with the path of the settings file.
 PATH_VARIABLE: Final = 'GREENGAGEMUX_BOOT'
@@ -16,11 +17,9 @@
 FILE_LIMIT_BYTES: Final = 1024 * 1024
 
 #: Used where ``bounds`` leaves a figure out; each is the one of the pages.
-DEFAULT_BOUNDS: Final = {
-    'grace_s': 6.0,
-    'floor_share': 0.7,
-    'retry_budget_ratio': 0.2,
-}
+DEFAULT_BOUNDS: Final = MappingProxyType(
+    {'grace_s': 6.0, 'floor_share': 0.7, 'retry_budget_ratio': 0.2}
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/platform/stores.py
+++ b/greengagemux/platform/stores.py
@@ -1,6 +1,7 @@
 """The platform's metadata store as the log of the project."""
 
 from base64 import b64decode
+from datetime import timedelta
 from struct import Struct
 from types import MappingProxyType
 from typing import Final
@@ -24,6 +25,10 @@
 #: Keys that are read of a stream; all of the others.
 KEYS: Final = MappingProxyType({approvals.STREAM: 'config'})
 
+#: A read that is not answered this long after its wait is given up: the store
+#: may have come back without the connections it had.
+READ_MARGIN: Final = timedelta(seconds=1.5)
+
 _GONE: Final = 410
 _LENGTH: Final = Struct('>I')
 #: End of the partition and first retained offset.
@@ -67,7 +72,7 @@
                 b'GET',
                 f'{self._url}/api/log-read?{query}',
                 None,
-                effect.wait + REPLY_LIMIT,
+                effect.wait + READ_MARGIN,
             )
         except StatusError as error:
             if error.status != _GONE:
@@ -166,5 +171,3 @@
         found.append(body[place : place + length])
         place += length
     return found
-
-
--- a/greengagemux/rollouts.py
+++ b/greengagemux/rollouts.py
@@ -39,8 +39,8 @@
 from .openings import Opener
 from .outcomes import FailureError
 from .paths import Paths
-from .sources import RETENTION
 from .signatures import KeyRing, full_payload, record_digest
+from .sources import RETENTION
 
 STREAM: Final = 'bundles'
 #: The bundle is stated anew after this part of the retention, so that three
--- a/greengagemux/settings.py
+++ b/greengagemux/settings.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from functools import singledispatchmethod
-from ipaddress import IPv4Address, IPv6Address, ip_address
+from ipaddress import ip_address
 from pathlib import Path
 from types import MappingProxyType
 from typing import Annotated, Any, Final, NoReturn
--- a/greengagemux/shells.py
+++ b/greengagemux/shells.py
@@ -13,6 +13,7 @@
 
 from twisted.internet.error import CannotListenError
 
+from .addresses import Address
 from .clocks import Clock, SystemClock
 from .connections import UpstreamCalls
 from .effects import (
@@ -41,7 +42,6 @@
 from .metrics import Metrics
 from .outcomes import Failure
 from .reducers import TICK, Daemon, reduce
-from .addresses import Address
 from .streams import Counters, StreamHub
 
 if TYPE_CHECKING:
@@ -61,6 +61,7 @@
 #: Time for the last answers to leave the process.
 EXIT_DELAY_S: Final = 0.1
 
+
 class Timer:
     """Calls a function again and again, with less work than ``LoopingCall``.
 
@@ -402,4 +403,3 @@
 
 def _stop_later(reactor: Any, shell: Shell, *_signal: object) -> None:
     reactor.callFromThread(shell.request_stop)
-
--- a/greengagemux/sockets.py
+++ b/greengagemux/sockets.py
@@ -16,8 +16,7 @@
 
     Transports without a socket, as in tests, are left alone.
     """
-    handle = getattr(transport, 'getHandle', None)
-    found = handle() if handle is not None else None
+    found = getattr(transport, 'getHandle', lambda: None)()
     if not isinstance(found, socket.socket):
         return
     found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/greengagemux/splits.py
+++ b/greengagemux/splits.py
@@ -1,7 +1,7 @@
 """Choice among the services that share the requests of a route."""
 
 from dataclasses import replace
-from math import sqrt
+from math import modf, sqrt
 from random import Random
 from typing import Final
 
@@ -28,7 +28,7 @@
         position = self._positions.get(route.name)
         if position is None:
             position = self._rng.random()
-        position = (position + _STEP) % 1
+        position = modf(position + _STEP)[0]
         self._positions[route.name] = position
         return replace(route, service=_service_at(route, position), split=())
 
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -20,6 +20,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 from zope.interface import implementer
 
+from .addresses import NAME_PATTERN, NAME_RULE, Address
 from .codecs import decode, encode
 from .events import (
     Event,
@@ -42,7 +43,6 @@
 )
 from .outcomes import Failure, FailureError, Step
 from .sockets import watch
-from .addresses import NAME_PATTERN, NAME_RULE, Address
 
 if TYPE_CHECKING:
     from .certificates import Certificates
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -13,11 +13,11 @@
 from twisted.internet.testing import StringTransport
 
 from greengagemux import administration
+from greengagemux.addresses import Address
 from greengagemux.events import Announced, Event, StopRequested
 from greengagemux.ids import BundleVersion, LogOffset
 from greengagemux.messages import UpstreamState
 from greengagemux.metrics import Metrics
-from greengagemux.addresses import Address
 from greengagemux.settings import DaemonSettings
 
 _TOKEN = 'counter-7'
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,12 +7,12 @@
 
 from greengagemux.bundlecosts import Size, Subject, bundle_text
 from greengagemux.clocks import ms
-from greengagemux.shells import Timer
 from greengagemux.distribution import Distribution
 from greengagemux.effects import Outbox, Send
 from greengagemux.messages import BundleFetch, BundleOffer
 from greengagemux.paths import Paths
 from greengagemux.rollouts import FETCH_LIMIT, Rollout
+from greengagemux.shells import Timer
 from greengagemux.slopes import member_record
 from greengagemux.spreads import Spread, Trial
 
--- a/tests/test_certificates.py
+++ b/tests/test_certificates.py
@@ -17,13 +17,13 @@
 from test_streams import _Hub
 
 from greengagemux import httpcalls
+from greengagemux.addresses import Address
 from greengagemux.certificates import Certificates
 from greengagemux.clocks import SystemClock
 from greengagemux.events import StreamOpened
 from greengagemux.ids import DaemonId
 from greengagemux.listeners import listen
 from greengagemux.outcomes import FailureError
-from greengagemux.addresses import Address
 from greengagemux.settings import TlsSettings
 
 _LOCAL = Address('127.0.0.1', 0)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -12,10 +12,10 @@
 from sockets import Client, reactor, turn, turn_until
 
 from greengagemux import limits, listeners
+from greengagemux.addresses import Address
 from greengagemux.clocks import ManualClock
 from greengagemux.effects import Respond
 from greengagemux.events import CallerGone, CallerRequest, Event
-from greengagemux.addresses import Address
 
 _GET = b'GET /stock/1 HTTP/1.1\r\nHost: a\r\n\r\n'
 _IDLE_CLIENT = """
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -160,8 +160,9 @@
     table = bundle.table or RouteTable(bundle)
     found = table.match(b'GET', b'/orders/list/7', 'Shop.Example')
     assert found == bundle.routes['read']
-    assert table.match(b'PUT', b'/orders/7', 'shop.example') == (
-        bundle.routes['write']
+    assert (
+        table.match(b'PUT', b'/orders/7', 'shop.example')
+        == (bundle.routes['write'])
     )
     for target, host in ((b'/orders/7', 'other'), (b'/x/', 'shop.example')):
         assert table.match(b'GET', target, host) is Reason.no_route
@@ -217,7 +218,7 @@
     """An acknowledged announcement must have taken effect."""
     edge = _Announced(_settings(tmp_path))
     assert edge.put(**changed) == 200
-    [event] = edge.events
+    event = edge.events[0]
     assert (event.state, event.boot, event.sequence) == (state, 77, 3)
     assert event.address == '10.1.0.38:8145'
 
@@ -350,7 +351,7 @@
     )
     listener._exchanges[ExchangeId(1)] = _Exchange(made)
     listener.respond(refusal(ExchangeId(1), outcome, reason))
-    [answer] = made
+    answer = made[0]
     assert answer.status == status
     retry = headers.get(answer.headers, b'retry-after')
     assert (retry is not None) == (status == 503)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,6 +14,7 @@
 from sockets import Client, reactor, turn, turn_until
 
 from greengagemux import streams
+from greengagemux.addresses import Address
 from greengagemux.clocks import ManualClock
 from greengagemux.codecs import decode, encode
 from greengagemux.events import (
@@ -34,7 +35,6 @@
     Ping,
 )
 from greengagemux.outcomes import Failure, FailureError
-from greengagemux.addresses import Address
 
 
 def _hello(
