Tell of crashes only where a refused connection confirms them

Cause: each reset connection was told to every daemon of the service with all requests in flight; resets are common where answers are lost. Not measured yet.

--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -85,6 +85,15 @@
         return self.dispatch.expected_ms
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Requests that ran when a connection was reset, perhaps by a crash."""
+
+    fingerprints: tuple[int, ...]
+    streams: tuple[StreamId | None, ...]
+    until: timedelta
+
+
 @dataclass(slots=True, eq=False)
 class Upstream:
     """An upstream beside this daemon."""
@@ -105,6 +114,7 @@
     retries: Budget = field(default_factory=lambda: Budget(0))
     confirmed: bool = True
     crashed_at: timedelta | None = None
+    suspects: Suspicion | None = None
     #: Start of the process and number of its newest announcement.
     boot: int = 0
     sequence: int = 0
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -38,6 +38,7 @@
 )
 from .jobs import (
     Job,
+    Suspicion,
     Upstream,
     ahead_ms_of,
     fault_in,
@@ -74,6 +75,10 @@
 #: free slots interrupts any; most slots become free earlier by themselves.
 PREEMPT_INTERVALS = 1.5
 
+#: Where resets are common, those of a crash are told from others by a refused
+#: connection within this time.
+CONFIRM_CRASH = timedelta(seconds=2)
+
 _HTTP_ERROR = 500
 
 
@@ -305,6 +310,7 @@
         if kind is not None:
             self._observe(job, kind, now)
         if event.fault is CallFault.refused:
+            self._report_crash(upstream, now)
             self.hosted.apply(self.verdicts.crashed(upstream.upstream, now))
         elif event.fault is CallFault.replaced:
             self._expire(upstream, now)
@@ -323,6 +329,9 @@
     def probed(self, event: Probed, now: timedelta) -> None:
         """Take in the result of a probe."""
         if event.refused:
+            upstream = self.upstreams.get(event.upstream)
+            if upstream is not None:
+                self._report_crash(upstream, now)
             self.hosted.apply(self.verdicts.crashed(event.upstream, now))
         changes = self.verdicts.probed(
             event.upstream, alive=event.alive, now=now
@@ -514,11 +523,22 @@
         # Whether the process has ended is known before the next request.
         self._probe(upstream)
         hit = [job, *upstream.running.values()]
+        upstream.suspects = Suspicion(
+            tuple(each.fingerprint for each in hit),
+            tuple(each.stream for each in hit),
+            now + CONFIRM_CRASH,
+        )
+        if not self.hosted.health_apart:
+            self._report_crash(upstream, now)
+
+    def _report_crash(self, upstream: Upstream, now: timedelta) -> None:
+        """Tell of the requests that ran when an upstream ended."""
+        suspects = upstream.suspects
+        upstream.suspects = None
+        if suspects is None or now >= suspects.until:
+            return
         self._crashes.crashed(
-            upstream.service,
-            [each.fingerprint for each in hit],
-            [each.stream for each in hit],
-            now,
+            upstream.service, suspects.fingerprints, suspects.streams, now
         )
 
     def _preempt(self, upstream: Upstream, now: timedelta) -> None:
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -1,15 +1,32 @@
 """Verdicts where short gray episodes are common."""
 
 from datetime import timedelta
+from random import Random
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from greengagemux.answers import Origin
 from greengagemux.clocks import ZERO, ms
+from greengagemux.convictions import Convictions
+from greengagemux.crashes import CrashReports
 from greengagemux.detectors import Sample, SampleKind
+from greengagemux.effects import CallUpstream, Outbox
 from greengagemux.episodes import Belief, EpisodeVerdicts
-from greengagemux.ids import RouteName, ServiceName, UpstreamId
-from greengagemux.messages import UpstreamState
+from greengagemux.events import Announced, CallFault, Probed, UpstreamFailed
+from greengagemux.ids import (
+    CallerName,
+    DaemonId,
+    Incarnation,
+    RequestId,
+    RouteName,
+    ServiceName,
+    UpstreamId,
+)
+from greengagemux.lasthops import LastHop
+from greengagemux.messages import Dispatch, Priority, UpstreamState
+from greengagemux.outcomes import Failure, Step
+from greengagemux.paths import Paths
 
 UPSTREAM = UpstreamId('u')
 SERVICE = ServiceName('s')
@@ -75,3 +92,108 @@
         assert 0 < belief.gray < 1
         if gap_ms == 0:
             assert (belief.gray > before) == failed
+
+
+class _Hop:
+    """A last hop with one upstream that runs one read."""
+
+    def __init__(self) -> None:
+        self.outbox = Outbox()
+        rng = Random(1)
+        self.convictions = Convictions(rng)
+        paths = Paths(self.outbox, rng)
+        crashes = CrashReports(self.convictions, paths, self.outbox, rng)
+        self.hop = LastHop(
+            DaemonId('d'), self.outbox, EpisodeVerdicts(ms(50)), crashes
+        )
+        self.hop.hosted.health_apart = True
+        self.announce(UpstreamState.serving, sequence=1)
+
+    def announce(self, state: UpstreamState, **fields: int) -> None:
+        """Let the upstream announce itself."""
+        event = Announced(UPSTREAM, SERVICE, 'a:1', 1, state, boot=7, **fields)
+        self.hop.announce(event, ZERO)
+
+    def dispatch(self, number: int) -> None:
+        """Give the upstream a read."""
+        message = Dispatch(
+            request=RequestId(number),
+            upstream=UPSTREAM,
+            service=SERVICE,
+            route=RouteName('r'),
+            method=b'GET',
+            target=b'/r',
+            headers=(),
+            body=b'',
+            remaining_ms=1000,
+            answer_limit_bytes=100,
+            priority=Priority.waiting,
+            caller=CallerName('c'),
+            idempotent=True,
+        )
+        origin = Origin(DaemonId('peer'), Incarnation(1), RequestId(number))
+        self.hop.dispatch(origin, None, message, ZERO)
+
+    def calls(self) -> list[CallUpstream]:
+        """Return the calls made since the last look."""
+        effects = self.outbox.drain()
+        return [each for each in effects if isinstance(each, CallUpstream)]
+
+    def fail(self, fault: CallFault, *, sent: bool) -> None:
+        """End the running call."""
+        failure = Failure(Step.call, 'a:1', 'gone')
+        call = self.calls()[0].call
+        self.hop.failed(UpstreamFailed(call, fault, sent, failure), ms(10))
+
+
+def test_reset_alone_convicts_nothing() -> None:
+    """Gray upstreams reset connections; that is told to nobody."""
+    hop = _Hop()
+    hop.dispatch(1)
+    hop.fail(CallFault.reset, sent=True)
+    assert not len(hop.convictions)
+    hop.hop.probed(Probed(UPSTREAM, alive=False, refused=True), ms(20))
+    assert len(hop.convictions) == 1
+
+
+def test_draining_refuses_what_waits() -> None:
+    """A queued request must not reach an upstream after its notice."""
+    hop = _Hop()
+    hop.dispatch(1)
+    hop.dispatch(2)
+    assert len(hop.calls()) == 1
+    hop.announce(UpstreamState.draining, sequence=2)
+    assert hop.hop.busy
+    hop.hop.tick(ms(100))
+    assert not hop.calls()
+
+
+def test_late_announcement_does_not_undo_a_notice() -> None:
+    """A check-in from before the notice may arrive after it."""
+    hop = _Hop()
+    hop.announce(UpstreamState.draining, sequence=3)
+    hop.announce(UpstreamState.serving, sequence=2)
+    assert hop.hop.upstreams[UPSTREAM].announced is UpstreamState.draining
+
+
+def test_late_announcement_of_an_ended_boot() -> None:
+    """An upstream that has ended must not take the place of its successor."""
+    hop = _Hop()
+    other = UpstreamId('v')
+    event = Announced(
+        other, SERVICE, 'a:1', 1, UpstreamState.serving, boot=8, sequence=1
+    )
+    hop.hop.announce(event, ms(1))
+    hop.announce(UpstreamState.serving, sequence=9)
+    assert list(hop.hop.upstreams) == [other]
+
+
+def test_last_announcement_is_final() -> None:
+    """A check-in that is late must not bring back what has left."""
+    hop = _Hop()
+    leave = Announced(
+        UPSTREAM, SERVICE, 'a:1', 1, UpstreamState.draining, last=True
+    )
+    hop.hop.announce(leave, ms(1))
+    hop.announce(UpstreamState.serving, sequence=9)
+    assert hop.hop.upstreams[UPSTREAM].announced is UpstreamState.draining
