Log each decision with the caller's request id; open far streams on demand

Change: crashes are told within the region, streams to other regions are opened when a request needs one. Decision lines carry the id of the request, inputs and their age. Not measured yet.

--- a/greengagemux/accounts.py
+++ b/greengagemux/accounts.py
@@ -29,6 +29,11 @@
         self._table: RouteTable | None = None
         self._in_flight: Counter[str] = Counter()
 
+    @property
+    def version(self) -> int:
+        """Version of the bundle in force, 0 before the first one."""
+        return self._bundle.version if self._bundle else 0
+
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle."""
         self._bundle = bundle
--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -6,7 +6,7 @@
 from .baselines import Baselines
 from .choices import Candidate, Nearness, Pick
 from .clocks import in_ms
-from .effects import Outbox, Send
+from .effects import Outbox, Record, Send
 from .ids import CallerName, RequestId, UpstreamId
 from .lasthops import LastHop
 from .messages import Cancel, Dispatch, Inquire, MemberRecord, UpstreamState
@@ -111,6 +111,7 @@
             attempt.link_bytes = self._link.charge(
                 waiting.route.name, len(waiting.body)
             )
+        self._note(waiting, attempt, now)
         waiting.attempts[request] = attempt
         waiting.excluded.add(candidate.upstream)
         self._waiting[request] = waiting
@@ -134,6 +135,7 @@
             expected_ms=expected_ms,
             peer_errors=expected.error_share,
             host=waiting.host,
+            tag=waiting.tag,
             forced=pick.forced,
             echo=route.echo_header,
             team=waiting.caller.team or '',
@@ -141,6 +143,29 @@
             movable=waiting.movable,
         )
 
+    def _note(self, waiting: Waiting, attempt: Attempt, now: timedelta) -> None:
+        candidate = attempt.candidate
+        self._outbox.emit(
+            Record(
+                'request-placed',
+                {
+                    'request': waiting.tag,
+                    'exchange': waiting.exchange,
+                    'attempt': attempt.request,
+                    'route': waiting.route.name,
+                    'upstream': candidate.upstream,
+                    'peer': candidate.daemon,
+                    'nearness': candidate.nearness.name,
+                    'state': candidate.state.value,
+                    'state_age_ms': in_ms(now - candidate.told_at),
+                    'placed': candidate.placed(),
+                    'forced': attempt.forced,
+                    'left_ms': in_ms(waiting.deadline - now),
+                },
+                detail=True,
+            )
+        )
+
     def _send(
         self, attempt: Attempt, message: Dispatch, path: Path, now: timedelta
     ) -> None:
--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -35,8 +35,6 @@
         self.views: dict[ServiceName, UsableView] = {}
         self._own = own
         self._paths = paths
-        #: When the state of an upstream was last told.
-        self._judged: dict[UpstreamId, timedelta] = {}
         self._ahead: dict[UpstreamId, tuple[int, ...]] = {}
         self._shown: dict[ServiceName, Priority] = {}
 
@@ -65,7 +63,9 @@
         """Take over the state that a last hop tells of an upstream."""
         view = self.view(told.service)
         view.update(told.upstream, told.state, told.severity)
-        self._judged[told.upstream] = now
+        known = view.candidates.get(told.upstream)
+        if known is not None:
+            known.told_at = now
 
     def age_health(self, now: timedelta) -> None:
         """Let a bad state be doubted that nobody has confirmed lately.
@@ -79,8 +79,8 @@
     def _doubt(
         self, view: UsableView, candidate: Candidate, now: timedelta
     ) -> None:
-        told = self._judged.get(candidate.upstream)
-        if told is None or candidate.nearness <= Nearness.same_data_centre:
+        told = candidate.told_at
+        if candidate.nearness <= Nearness.same_data_centre:
             return
         if candidate.state is UpstreamState.sick and now - told >= TRIAL_AFTER:
             view.update(candidate.upstream, UpstreamState.probation, 0)
@@ -99,7 +99,7 @@
             self.view(candidate.service).update(
                 candidate.upstream, load.state, candidate.severity
             )
-        self._judged[candidate.upstream] = now
+        candidate.told_at = now
         self._ahead[candidate.upstream] = load.ahead
         shown = self._shown.get(candidate.service)
         if shown is not None:
@@ -153,11 +153,23 @@
     ) -> None:
         reachable = True
         if record.daemon != self._own.daemon and record.upstreams:
-            path = self._paths.want(record.daemon, record.peer_address, now)
-            reachable = path.reachable
+            reachable = self._reach(record, now)
         for each in record.upstreams:
             listed.add(each.upstream)
             self._put(record, each, reachable=reachable)
+            self.view(each.service).candidates[each.upstream].told_at = now
+
+    def _reach(self, record: MemberRecord, now: timedelta) -> bool:
+        """Return whether a daemon may be reached, and open paths nearby.
+
+        Streams to other regions are paid by the byte and rarely used, so they
+        are opened when a request needs one.
+        """
+        if self._nearness(record) is Nearness.other_region:
+            path = self._paths.by_daemon.get(record.daemon)
+            return path is None or path.reachable
+        path = self._paths.want(record.daemon, record.peer_address, now)
+        return path.reachable
 
     def _put(
         self, record: MemberRecord, each: UpstreamRecord, *, reachable: bool
@@ -179,6 +191,7 @@
                 state=state,
                 severity=each.severity,
                 nearness=self._nearness(record),
+                address=record.peer_address,
                 reachable=reachable,
             )
         )
@@ -197,7 +210,6 @@
             for upstream in stale:
                 view.drop(upstream)
                 self._ahead.pop(upstream, None)
-                self._judged.pop(upstream, None)
             dropped.update(stale)
         return dropped
 
--- a/greengagemux/choices.py
+++ b/greengagemux/choices.py
@@ -6,10 +6,12 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from datetime import timedelta
 from enum import IntEnum
 from random import Random
 from types import MappingProxyType
 
+from .clocks import ZERO
 from .ids import DaemonId, ServiceName, UpstreamId
 from .messages import Load, UpstreamState
 
@@ -66,6 +68,10 @@
     queued: int = 0
     service_ms: float = 0
     reported: bool = False
+    #: Where its daemon accepts streams.
+    address: str = ''
+    #: When its state was told last.
+    told_at: timedelta = ZERO
 
     def report(self, load: Load) -> None:
         """Take over the load that came with an answer or a refusal."""
--- a/greengagemux/crashes.py
+++ b/greengagemux/crashes.py
@@ -4,11 +4,11 @@
 from datetime import timedelta
 from random import Random
 
-from .choices import UsableView
+from .choices import Nearness, UsableView
 from .convictions import Convictions
 from .effects import Outbox, Record, Send
-from .ids import DaemonId, ServiceName, StreamId
-from .messages import Suspects
+from .ids import DaemonId, Region, ServiceName, StreamId
+from .messages import MemberRecord, Suspects
 from .paths import Paths
 
 #: Calls that are reset this soon after one another belong to one crash.
@@ -34,14 +34,22 @@
         self._rng = rng
         self._peers: Collection[DaemonId] = ()
         self._views: Mapping[ServiceName, UsableView] = {}
+        #: Whether other regions are told; each convicts by its own crashes
+        #: where the bytes between them are dear.
+        self.far = True
 
     def configure(
         self,
-        peers: Collection[DaemonId],
+        members: Mapping[DaemonId, MemberRecord],
+        region: Region,
         views: Mapping[ServiceName, UsableView],
     ) -> None:
         """Take over who the members are and where services run."""
-        self._peers = peers
+        self._peers = [
+            daemon
+            for daemon, record in members.items()
+            if self.far or record.region == region
+        ]
         self._views = views
 
     def crashed(
@@ -80,7 +88,11 @@
         view = self._views.get(service)
         nearby: set[DaemonId] = set()
         if view is not None:
-            nearby.update(each.daemon for each in view.candidates.values())
+            nearby.update(
+                each.daemon
+                for each in view.candidates.values()
+                if self.far or each.nearness <= Nearness.same_region
+            )
         for daemon in sorted(nearby):
             self._paths.send(daemon, told)
         self._gossip(told)
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -56,7 +56,8 @@
     """Call an upstream over HTTP; ``limit_bytes`` bounds its answer body.
 
     ``fresh`` asks for a new connection instead of a pooled one. ``host`` is
-    the virtual host that the caller named, empty for none.
+    the virtual host and ``tag`` the identity of the request that the caller
+    gave, each empty for none.
     """
 
     call: CallId
@@ -69,6 +70,7 @@
     fresh: bool = False
     upstream: UpstreamId = UpstreamId('')
     host: bytes = b''
+    tag: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -179,6 +179,7 @@
             arrived=now,
             deadline=now + ms(limit_ms),
             host=event.host.encode(),
+            tag=event.tag,
             key=_key_of(event, route) if self._keyed.enabled else '',
         )
         key = throttle_key(waiting)
@@ -329,6 +330,18 @@
         keyed = self._keyed.enabled and headers.get(
             event.headers, headers.IDEMPOTENCY_KEY
         )
+        self._outbox.emit(
+            Record(
+                'request-refused',
+                {
+                    'request': event.tag,
+                    'exchange': event.exchange,
+                    'reason': reason.value,
+                    'bundle': self._accounts.version,
+                },
+                detail=True,
+            )
+        )
         self._outbox.emit(
             refusal(
                 event.exchange,
@@ -399,10 +412,8 @@
         self, waiting: Waiting, pick: Pick, now: timedelta
     ) -> None:
         """Try another upstream; the request is parked when none is left."""
-        daemon = pick.candidate.daemon
-        known = self._paths.by_daemon.get(daemon)
-        if known is not None:
-            self._paths.want(daemon, known.address, now)
+        candidate = pick.candidate
+        self._paths.want(candidate.daemon, candidate.address, now)
         waiting.excluded.add(pick.candidate.upstream)
         self._place(waiting, now)
 
@@ -466,6 +477,7 @@
         now: timedelta,
     ) -> None:
         self._attempts.drop(waiting, attempt)
+        self._outbox.emit(_ended(waiting, attempt, message))
         if message.load is not None:
             self._candidates.report(attempt.candidate, message.load, now)
         if message.reason is Reason.busy:
@@ -631,15 +643,22 @@
         self._finish(waiting)
 
     def _reply(self, waiting: Waiting, message: Answer | Refusal) -> None:
-        outcome = Outcome.completed
+        outcome, reason, status = Outcome.completed, '', 0
         if isinstance(message, Refusal):
-            outcome = message.outcome
+            outcome, reason = message.outcome, message.reason.value
+        else:
+            status = message.status
         self._outbox.emit(
             Record(
                 'request-answered',
                 {
-                    'request': waiting.exchange,
+                    'request': waiting.tag or waiting.exchange,
+                    'exchange': waiting.exchange,
                     'outcome': outcome.value,
+                    'reason': reason,
+                    'status': status,
+                    'bundle': self._accounts.version,
+                    'waited_ms': in_ms(self._outbox.now - waiting.arrived),
                     'late_ms': in_ms(self._outbox.now - waiting.deadline),
                 },
                 detail=True,
@@ -671,6 +690,22 @@
             self._origins.pop(waiting.origin)
 
 
+def _ended(waiting: Waiting, attempt: Attempt, message: Refusal) -> Record:
+    return Record(
+        'attempt-ended',
+        {
+            'request': waiting.tag,
+            'attempt': attempt.request,
+            'upstream': attempt.candidate.upstream,
+            'peer': attempt.daemon,
+            'outcome': message.outcome.value,
+            'reason': message.reason.value,
+            'detail': message.detail,
+        },
+        detail=True,
+    )
+
+
 def throttle_key(waiting: Waiting) -> Hashable:
     """Return what refusals for load are counted by."""
     return waiting.route.service, waiting.caller.name, waiting.priority
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -35,6 +35,8 @@
     body: bytes
     #: Virtual host without its port; empty if none is named.
     host: str = ''
+    #: Identity that the caller gave the request; empty if none.
+    tag: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -368,6 +368,19 @@
         return True
 
     def _observe(self, job: Job, kind: SampleKind, now: timedelta) -> None:
+        self._outbox.emit(
+            Record(
+                'call-ended',
+                {
+                    'request': job.identity.decode(),
+                    'tag': job.dispatch.tag,
+                    'upstream': job.dispatch.upstream,
+                    'kind': kind.value,
+                    'service_ms': in_ms(now - job.started),
+                },
+                detail=True,
+            )
+        )
         sample = Sample(
             kind,
             job.dispatch.route,
@@ -457,7 +470,12 @@
                 name,
                 {
                     'request': job.identity.decode(),
+                    'tag': message.tag,
                     'upstream': upstream.upstream,
+                    'state': upstream.state.value,
+                    'running': len(upstream.running),
+                    'waited_ms': in_ms(now - job.arrived),
+                    'left_ms': remaining_ms,
                 },
                 detail=message.idempotent,
             )
@@ -478,6 +496,7 @@
                 fresh=job.fresh,
                 upstream=upstream.upstream,
                 host=message.host,
+                tag=message.tag,
             )
         )
 
--- a/greengagemux/logs.py
+++ b/greengagemux/logs.py
@@ -6,6 +6,7 @@
 requests.
 """
 
+import json
 import logging
 import os
 import select
@@ -15,8 +16,6 @@
 from datetime import timedelta
 from typing import Any, Final
 
-from pythonjsonlogger.json import JsonFormatter
-
 from .clocks import MILLISECOND, Clock
 from .ids import DaemonId, Incarnation
 
@@ -42,6 +41,9 @@
     'fields',
 )
 
+_FORMATTER: Final = logging.Formatter()
+_encoder: Final = json.JSONEncoder(default=str)
+
 _DRIFT_LIMIT_MS: Final = DRIFT_LIMIT / MILLISECOND
 _COUNT_BITS: Final = 16
 _COUNT_LIMIT: Final = 1 << _COUNT_BITS
@@ -171,7 +173,6 @@
         self._partial = b''
         static = {'daemon': daemon, 'incarnation': incarnation}
         self._common: Mapping[str, Any] = static
-        self.setFormatter(JsonFormatter(LINE_KEYS))
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a record; it is dropped when the queue is full."""
@@ -186,7 +187,7 @@
             text = {'text': record.getMessage(), 'logger': record.name}
             line = self._line(TEXT_EVENT, level, text)
         if record.exc_info:
-            line['exc_info'] = record.exc_info
+            line['exc_info'] = _FORMATTER.formatException(record.exc_info)
         self._queue.append(line)
 
     def flush(self, limit: int | None = None) -> None:
@@ -220,9 +221,9 @@
     ) -> dict[str, Any]:
         self._sequence += 1
         return {
-            **self._common,
             'wall': self._clock.wall(),
             'monotonic_ms': self._clock.monotonic(),
+            **self._common,
             'sequence': self._sequence,
             'hlc': self.hybrid.tick(),
             'level': level,
@@ -235,11 +236,11 @@
         line['monotonic_ms'] = round(line['monotonic_ms'] / MILLISECOND, 3)
         line['hlc'] = str(line['hlc'])
         try:
-            text = self.format(logging.makeLogRecord(line))
-        except (TypeError, ValueError) as error:
+            text = _encoder.encode(line)
+        except (TypeError, ValueError, RecursionError) as error:
             fields = {'event': line['event'], 'error': str(error)}
             line.update(event=UNWRITABLE_EVENT, fields=fields)
-            text = self.format(logging.makeLogRecord(line))
+            text = _encoder.encode(line)
         return f'{text}\n'.encode()
 
 
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -149,7 +149,8 @@
     request that another upstream may have run or has refused. A ``movable``
     request is refused rather than queued behind others of its class.
     ``peer_errors`` is the present share of errors of other upstreams.
-    ``host`` is the virtual host that the caller named.
+    ``host`` is the virtual host that the caller named, ``tag`` the identity
+    that it gave the request.
     """
 
     request: RequestId
@@ -174,6 +175,7 @@
     movable: bool = False
     peer_errors: float = 0
     host: bytes = b''
+    tag: str = ''
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -39,8 +39,10 @@
 _PROMISES: Final = frozenset((408, 421, 429, _UNAVAILABLE))
 #: Statuses of the daemon's own that tell a caller what is wrong with it.
 _KEPT: Final = frozenset((400, 404, 413))
-#: Set by the daemon alone, whatever a caller sends.
-_OWN: Final = frozenset((DEADLINE.lower(), INSTANCE.lower(), CALLER.lower()))
+#: Set by the daemon, whatever a caller sends; its identity travels apart.
+_OWN: Final = frozenset(
+    (DEADLINE.lower(), INSTANCE.lower(), CALLER.lower(), REQUEST_ID)
+)
 #: Callers come back after a third of the time that they have left at most.
 RETRY_AFTER: Final = b'Retry-After'
 RETRY_AFTER_S: Final = b'0.2'
@@ -70,7 +72,10 @@
 
     def headers_of(self, effect: CallUpstream) -> Headers:
         """Return the headers as the upstream reads them."""
-        made = [(INSTANCE, effect.upstream.encode())]
+        made = [
+            (INSTANCE, effect.upstream.encode()),
+            (REQUEST_ID, effect.tag.encode('latin-1')),
+        ]
         names = {
             headers.DEADLINE: DEADLINE,
             headers.CALLER: CALLER,
@@ -86,8 +91,8 @@
         """Return whether an answer repeats another identity."""
         if headers.get(answer, NOT_RUN) is not None:
             return False
-        asked = headers.get(effect.headers, REQUEST_ID)
-        return headers.get(answer, REQUEST_ID) != asked
+        echoed = headers.get(answer, REQUEST_ID) or b''
+        return echoed != effect.tag.encode('latin-1')
 
     def ended(
         self, effect: CallUpstream, status: int, answer: Headers, body: bytes
@@ -116,6 +121,7 @@
 
 def _from_caller(event: CallerRequest) -> CallerRequest:
     deadline = headers.get(event.headers, DEADLINE.lower())
+    tag = headers.get(event.headers, REQUEST_ID) or b''
     kept = [pair for pair in event.headers if pair[0].lower() not in _OWN]
     if deadline is not None:
         kept.append((headers.DEADLINE, deadline))
@@ -126,6 +132,7 @@
         headers=tuple(kept),
         body=event.body,
         host=event.host,
+        tag=tag.decode('latin-1'),
     )
 
 
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -108,6 +108,7 @@
         self.crashes = CrashReports(
             Convictions(rng), self.paths, self.outbox, rng
         )
+        self.crashes.far = not identity.episodes
         self.last_hop = LastHop(
             own.daemon,
             self.outbox,
@@ -204,7 +205,7 @@
             if daemon not in live:
                 self.paths.forget(daemon)
         self.entrance.members_changed(live, changed, now)
-        self.crashes.configure(live, self.entrance.views)
+        self.crashes.configure(live, self.own.region, self.entrance.views)
         self.keyed.members_changed(live)
         own = {each.service for each in self.last_hop.upstreams.values()}
         for service in own:
@@ -290,7 +291,8 @@
         daemon.entrance.path_opened(path, now)
     daemon.send_all(daemon.members.connected(hello.daemon, now), now)
     daemon.distribution.connected(event.stream)
-    daemon.crashes.connected(event.stream, now)
+    if daemon.crashes.far or hello.region == daemon.own.region:
+        daemon.crashes.connected(event.stream, now)
     daemon.keyed.connected(event.stream)
 
 
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -98,6 +98,8 @@
     arrived: timedelta
     deadline: timedelta
     host: bytes = b''
+    #: Identity that the caller gave the request.
+    tag: str = ''
     attempts: dict[RequestId, Attempt] = field(default_factory=dict)
     excluded: set[UpstreamId] = field(default_factory=set)
     reroutes: int = 0
