Gossip within a data centre, through relays between them

Change: areas of gossip are data centres on the platform; headers that concern an upstream's connection stay at its last hop. Not measured yet.

--- a/greengagemux/gossips.py
+++ b/greengagemux/gossips.py
@@ -36,7 +36,7 @@
         """Start with the own record to push."""
         self._own = own
         self._id = own.record.daemon
-        self._region = own.record.region
+        self._area = roster.area(own.record)
         self._rng = rng
         self._roster = roster
         self._push: dict[DaemonId, None] = {self._id: None}
@@ -129,8 +129,8 @@
         return [entry for entry in known if entry and entry.lost is None]
 
     def peers(self, count: int) -> list[DaemonId]:
-        """Return random live members of the own region."""
-        near = self._roster.groups.live[self._region]
+        """Return random live members of the own area."""
+        near = self._roster.groups.live[self._area]
         found = self._rng.sample(near, min(count + 1, len(near)))
         return [peer for peer in found if peer != self._id][:count]
 
@@ -144,11 +144,11 @@
         return found
 
     def far_relays(self) -> list[DaemonId]:
-        """Return one random relay of each other region."""
+        """Return one random relay of each other area."""
         return [
             self._rng.choice(relays)
-            for region, relays in self._roster.groups.relays.items()
-            if region != self._region
+            for area, relays in self._roster.groups.relays.items()
+            if area != self._area
         ]
 
     def _own_relays(self, besides: list[DaemonId]) -> list[DaemonId]:
@@ -156,7 +156,7 @@
         centre = self._own.record.data_centre
         return [
             relay
-            for relay in self._roster.groups.relays.get(self._region, ())
+            for relay in self._roster.groups.relays.get(self._area, ())
             if relay != self._id
             and relay not in besides
             and self._roster.entries[relay].record.data_centre == centre
--- a/greengagemux/members.py
+++ b/greengagemux/members.py
@@ -82,12 +82,21 @@
 class Members:
     """The members known to one daemon and the messages to send for them."""
 
-    def __init__(self, own: MemberRecord, rng: random.Random) -> None:
-        """Start with the own record only."""
+    def __init__(
+        self,
+        own: MemberRecord,
+        rng: random.Random,
+        *,
+        by_centre: bool = False,
+    ) -> None:
+        """Start with the own record only.
+
+        With ``by_centre`` news crosses between data centres through relays,
+        as it otherwise does between regions.
+        """
         self._id = own.daemon
-        self._region = own.region
         self._rng = rng
-        self._roster = Roster()
+        self._roster = Roster(by_centre=by_centre)
         self._own = self._roster.put(own, 0, ZERO)
         self._gossip = Gossip(self._own, self._roster, rng)
         self._asked: dict[DaemonId, _Pull] = {}
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -43,6 +43,18 @@
 _OWN: Final = frozenset(
     (DEADLINE.lower(), INSTANCE.lower(), CALLER.lower(), REQUEST_ID)
 )
+#: What an upstream says of its connection and itself; bytes between data
+#: centres are paid for.
+_LOCAL: Final = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'instance-id',
+        b'keep-alive',
+        b'server-load',
+        b'transfer-encoding',
+    )
+)
 #: Callers come back after a third of the time that they have left at most.
 RETRY_AFTER: Final = b'Retry-After'
 RETRY_AFTER_S: Final = b'0.2'
@@ -106,7 +118,8 @@
         if status in _SUCCESS and headers.get(answer, SEAL) is None:
             detail = 'the answer bears no seal'
             return _failed(effect, CallFault.malformed, detail, True)
-        return UpstreamAnswered(effect.call, status, answer, body)
+        kept = tuple(pair for pair in answer if pair[0].lower() not in _LOCAL)
+        return UpstreamAnswered(effect.call, status, kept, body)
 
 
 def build_listener(
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -128,7 +128,7 @@
         self.entrance = Entrance(
             own, self.last_hop, self.paths, self.outbox, rng, self.keyed
         )
-        self.members = Members(own, rng)
+        self.members = Members(own, rng, by_centre=identity.episodes)
         self.distribution = source.attach(own, self.paths, self.outbox, rng)
         self.discovery: Discovery | None = None
         if identity.discovers:
--- a/greengagemux/rosters.py
+++ b/greengagemux/rosters.py
@@ -1,7 +1,7 @@
 """Copies of member records: which one is newer, how old, and their hashes."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from types import MappingProxyType
@@ -12,6 +12,9 @@
 from .ids import DaemonId, DataCentre, Incarnation, Region
 from .messages import DigestEntry, MemberRecord
 
+#: A region or a data centre.
+Area = Region | DataCentre
+
 #: A member is lost when its newest heartbeat is this old.
 EXPIRY = timedelta(seconds=60)
 #: Lost members are kept so that regions find each other after a long cut.
@@ -61,8 +64,9 @@
 class Roster:
     """All members known to one daemon, live and lost."""
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, *, by_centre: bool = False) -> None:
+        """Start empty; areas are regions, or data centres ``by_centre``."""
+        self._by_centre = by_centre
         self.entries: dict[DaemonId, Entry] = {}
         self.generation = 0
         self.hashes = [0 for _ in range(BUCKETS)]
@@ -77,15 +81,24 @@
 
     @property
     def groups(self) -> '_Groups':
-        """Members by region and their relays."""
+        """Members by area and their relays."""
         if self._groups is None:
-            self._groups = _Groups(self.entries.values())
+            self._groups = _Groups(self.entries.values(), self.area)
         return self._groups
 
+    def area(self, record: MemberRecord) -> Area:
+        """Return the part of the fleet in which news is told at random.
+
+        Between areas only relays tell it.
+        """
+        return record.data_centre if self._by_centre else record.region
+
     def is_in(self, daemon: DaemonId, other: Entry) -> bool:
-        """Return whether a daemon is in the region of another one."""
+        """Return whether a daemon is in the area of another one."""
         known = self.entries.get(daemon)
-        return known is None or known.record.region == other.record.region
+        if known is None:
+            return True
+        return self.area(known.record) == self.area(other.record)
 
     def changes(self) -> tuple[DaemonId, ...]:
         """Return the members changed, lost or found since the last call."""
@@ -188,18 +201,21 @@
 
 
 class _Groups:
-    """Members by region, relays by data centre; replaced on any change."""
-
-    def __init__(self, entries: Iterable[Entry]) -> None:
-        self.live: dict[Region, list[DaemonId]] = {}
-        self.lost: dict[Region, list[DaemonId]] = {}
+    """Members by area, relays by data centre; replaced on any change."""
+
+    def __init__(
+        self, entries: Iterable[Entry], area: Callable[[MemberRecord], Area]
+    ) -> None:
+        self._area = area
+        self.live: dict[Area, list[DaemonId]] = {}
+        self.lost: dict[Area, list[DaemonId]] = {}
         self.ranks: dict[DaemonId, int] = {}
-        self.relays: dict[Region, list[DaemonId]] = {}
+        self.relays: dict[Area, list[DaemonId]] = {}
         centres: dict[DataCentre, list[Entry]] = {}
         for entry in entries:
             record = entry.record
             found = self.live if entry.lost is None else self.lost
-            found.setdefault(record.region, []).append(record.daemon)
+            found.setdefault(area(record), []).append(record.daemon)
             if entry.lost is None and not record.leaving:
                 centres.setdefault(record.data_centre, []).append(entry)
         for candidates in centres.values():
@@ -210,7 +226,7 @@
         for rank, entry in enumerate(best):
             record = entry.record
             self.ranks[record.daemon] = rank
-            self.relays.setdefault(record.region, []).append(record.daemon)
+            self.relays.setdefault(self._area(record), []).append(record.daemon)
 
 
 def _by_score(entry: Entry) -> tuple[int, str]:
