Keep health told apart from records; fetch bundles from peers only in need

Change: a record changes a known state only when the announced state changes; offers wait 300 ms, a daemon without a bundle asks one peer after 700 ms; a short queue nearby is preferred to another data centre (spill_pct). Not measured yet.

--- a/greengagemux/accounts.py
+++ b/greengagemux/accounts.py
@@ -5,7 +5,7 @@
 
 from .bundles import Bundle, Caller, Route
 from .events import CallerRequest
-from .ids import RouteName
+from .ids import RouteName, ServiceName
 from .messages import Priority
 from .outcomes import Reason
 from .routes import RouteTable, permitted, priority
@@ -58,6 +58,11 @@
             return Reason.caller_limit
         return Admitted(caller, route, priority(caller, route))
 
+    def may_move(self, service: ServiceName) -> bool:
+        """Return whether requests of people may be offered elsewhere."""
+        known = self._bundle.services.get(service) if self._bundle else None
+        return known is None or known.movable
+
     def route(self, name: RouteName) -> Route | None:
         """Return a route of the bundle in force."""
         return self._bundle.routes.get(name) if self._bundle else None
--- a/greengagemux/approvals.py
+++ b/greengagemux/approvals.py
@@ -34,6 +34,10 @@
 OFFER_PEERS: Final = 3
 #: An offered bundle is requested again after this time.
 FETCH_AGAIN: Final = timedelta(milliseconds=500)
+#: An offered bundle is fetched if the own read has not brought it by then.
+OWN_READ_FIRST: Final = timedelta(milliseconds=300)
+#: Without a bundle, peers are asked this long after the start.
+FIRST_READ_LIMIT: Final = timedelta(milliseconds=700)
 #: Digest that asks for the newest bundle, whichever it is.
 NEWEST: Final = b''
 
@@ -82,6 +86,9 @@
         self._backoff = RETRY_FIRST
         self._lost_since: timedelta | None = None
         self._fetch_due = ZERO
+        self._started: timedelta | None = None
+        #: Newest offer, the stream it came on, and when to take it up.
+        self._offered: tuple[StreamId, BundleOffer, timedelta] | None = None
 
     @property
     def bundle(self) -> Bundle | None:
@@ -96,14 +103,15 @@
         return self._bundle
 
     def connected(self, stream: StreamId) -> None:
-        """Ask a new peer for its bundle while none is known here."""
-        if self._bundle is None:
-            self._outbox.emit(Send(stream, BundleFetch(NEWEST)))
+        """Do nothing: peers are asked only when the log does not answer."""
 
     def tick(
         self, live: Mapping[DaemonId, MemberRecord], now: timedelta
     ) -> None:
-        """Read the log when a read is due."""
+        """Read the log when a read is due, or ask a peer."""
+        if self._started is None:
+            self._started = now
+        self._ask_peer(live, now)
         if self._reading or now < self._read_due:
             return
         self._reading = True
@@ -144,15 +152,51 @@
     ) -> None:
         """Take in a message of a peer about bundles."""
         if isinstance(message, BundleOffer):
-            if self._is_newer(message.version) and now >= self._fetch_due:
-                self._fetch_due = now + FETCH_AGAIN
-                self._outbox.emit(Send(stream, BundleFetch(message.digest)))
+            if self._is_newer(message.version):
+                # The own read mostly brings it within this time, unpaid.
+                due = now + OWN_READ_FIRST
+                self._offered = (stream, message, due)
         elif isinstance(message, BundleRecord):
             self._take(message.offset, message.payload, 'peer', live)
         elif self._bundle is not None:
             record = BundleRecord(self._offset, self._payload)
             self._outbox.emit(Send(stream, record))
 
+    def _ask_peer(
+        self, live: Mapping[DaemonId, MemberRecord], now: timedelta
+    ) -> None:
+        """Fetch what the log has not brought."""
+        if now < self._fetch_due:
+            return
+        if self._offered is not None:
+            stream, offer, due = self._offered
+            if now < due:
+                return
+            self._offered = None
+            if self._is_newer(offer.version):
+                self._fetch_due = now + FETCH_AGAIN
+                self._outbox.emit(Send(stream, BundleFetch(offer.digest)))
+            return
+        if self._bundle is None and self._late(now):
+            self._fetch_due = now + FETCH_AGAIN
+            self._fetch_newest(live)
+
+    def _late(self, now: timedelta) -> bool:
+        return self._started is not None and (
+            now - self._started >= FIRST_READ_LIMIT
+        )
+
+    def _fetch_newest(self, live: Mapping[DaemonId, MemberRecord]) -> None:
+        peers = [each for each in live if self._paths.connected(each)]
+        near = [
+            each
+            for each in peers
+            if live[each].data_centre == self._own.data_centre
+        ]
+        if near or peers:
+            chosen = self._rng.choice(near or peers)
+            self._paths.send(chosen, BundleFetch(NEWEST))
+
     def _read_failed(self, event: LogFailed, now: timedelta) -> None:
         if self._lost_since is None:
             self._lost_since = now
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -48,6 +48,7 @@
 QUEUE_LIMIT: Final = 64
 QUEUE_LIMIT_BYTES: Final = 4 * 1024 * 1024
 KEY_SLOTS: Final = 16
+SPILL_PCT: Final = 100
 DEADLINE_MS: Final = 2_000
 BODY_LIMIT_BYTES: Final = 64 * 1024
 ANSWER_LIMIT_BYTES: Final = 1024 * 1024
@@ -145,6 +146,9 @@
 
     ``false_alarm`` and ``miss`` are probabilities of the detector's test.
     With ``trials_count`` upstreams on probation count towards the floor.
+    Farther upstreams get work once the nearest hold ``spill_pct`` of their
+    slots; ``movable`` requests of people are offered elsewhere before they
+    are queued.
     """
 
     name: ServiceName
@@ -156,6 +160,8 @@
     key_slots: Annotated[int, Field(ge=1, le=4096)] = KEY_SLOTS
     health_path: _Prefix = HEALTH_PATH
     trials_count: bool = False
+    spill_pct: Annotated[int, Field(ge=100, le=1000)] = SPILL_PCT
+    movable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -8,6 +8,7 @@
 from .clocks import ZERO
 from .ids import DaemonId, ServiceName, UpstreamId
 from .messages import (
+    HealthNews,
     Load,
     MemberRecord,
     Priority,
@@ -35,6 +36,8 @@
         self.views: dict[ServiceName, UsableView] = {}
         self._own = own
         self._paths = paths
+        #: Whether health is told apart from records.
+        self.health_apart = False
         self._ahead: dict[UpstreamId, tuple[int, ...]] = {}
         self._shown: dict[ServiceName, Priority] = {}
 
@@ -59,8 +62,12 @@
                 self._show(candidate, priority)
         return view
 
-    def health(self, told: UpstreamHealth, now: timedelta) -> None:
-        """Take over the state that a last hop tells of an upstream."""
+    def hear(self, news: HealthNews, now: timedelta) -> None:
+        """Take over the states that a last hop tells of its upstreams."""
+        for told in news.entries:
+            self._hear(told, now)
+
+    def _hear(self, told: UpstreamHealth, now: timedelta) -> None:
         view = self.view(told.service)
         view.update(told.upstream, told.state, told.severity)
         known = view.candidates.get(told.upstream)
@@ -180,6 +187,10 @@
         view = self.view(each.service)
         known = view.candidates.get(each.upstream)
         if known is not None and known.daemon == record.daemon:
+            if self.health_apart and known.announced is state:
+                # The record says nothing of health.
+                return
+            known.announced = state
             view.update(each.upstream, state, each.severity)
             return
         view.put(
@@ -190,6 +201,7 @@
                 slots=each.slots,
                 state=state,
                 severity=each.severity,
+                announced=state,
                 nearness=self._nearness(record),
                 address=record.peer_address,
                 reachable=reachable,
--- a/greengagemux/choices.py
+++ b/greengagemux/choices.py
@@ -68,6 +68,8 @@
     queued: int = 0
     service_ms: float = 0
     reported: bool = False
+    #: What its daemon's record says; health may be told apart from it.
+    announced: UpstreamState = UpstreamState.serving
     #: Where its daemon accepts streams.
     address: str = ''
     #: When its state was told last.
@@ -106,6 +108,15 @@
     forced: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a choice may use."""
+
+    idempotent: bool
+    remote: bool
+    spill: float
+
+
 def usable(
     candidates: Iterable[Candidate],
     floor_pct: float,
@@ -157,6 +168,8 @@
 
     floor_pct: float
     trials_count: bool = False
+    #: Load, as a multiple of slots, from which a farther tier is tried.
+    spill: float = 1
     candidates: dict[UpstreamId, Candidate] = field(default_factory=dict)
     _current: UsableSet | None = None
 
@@ -216,11 +229,12 @@
     *,
     idempotent: bool = True,
     remote: bool = True,
+    spill: float = 1,
 ) -> Pick | None:
     """Return the better of two random upstreams, or none if none is left.
 
     A farther tier of the same region is tried when the pick of the nearer
-    one is saturated. Another region is used only when ``remote`` allows it
+    one holds ``spill`` times its slots. Another region is used only when ``remote`` allows it
     and no nearer upstream is left. An upstream on probation receives only
     ``idempotent`` requests.
     """
@@ -229,11 +243,10 @@
         # What fails on a sick upstream cannot be run again elsewhere, so the
         # floor is served by idempotent requests while others are left.
         kept = {*excluded, *choices.forced}
-    best = _best(choices, rng, kept, idempotent=idempotent, remote=remote)
+    limits = Limits(idempotent=idempotent, remote=remote, spill=spill)
+    best = _best(choices, rng, kept, limits)
     if best is None and kept is not excluded:
-        best = _best(
-            choices, rng, excluded, idempotent=idempotent, remote=remote
-        )
+        best = _best(choices, rng, excluded, limits)
     return Pick(best, best.upstream in choices.forced) if best else None
 
 
@@ -241,17 +254,16 @@
     choices: UsableSet,
     rng: Random,
     excluded: Collection[UpstreamId],
-    *,
-    idempotent: bool,
-    remote: bool,
+    limits: Limits,
 ) -> Candidate | None:
     best: Candidate | None = None
     for tier in choices.tiers:
         far = tier[0].nearness is Nearness.other_region
-        if far and (best or not remote):
+        if far and (best or not limits.remote):
             break
-        best = _better(best, _pick(tier, rng, excluded, idempotent))
-        if _has_room(best):
+        found = _pick(tier, rng, excluded, limits.idempotent)
+        best = _better(best, found)
+        if best is not None and best.placed() < best.slots * limits.spill:
             break
     return best
 
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -37,7 +37,6 @@
 from .messages import (
     Answer,
     Dispatch,
-    HealthNews,
     MemberRecord,
     Message,
     NotSeen,
@@ -102,7 +101,8 @@
         self._rng = rng
         self._keyed = keyed
         self._accounts = Accounts()
-        self._candidates = Candidates(own, paths)
+        #: Upstreams that requests may be sent to.
+        self.candidates = Candidates(own, paths)
         self._budgets: dict[ServiceName, Budget] = {}
         self._baselines = Baselines()
         self._throttles = Throttles(rng)
@@ -125,7 +125,7 @@
     @property
     def views(self) -> Mapping[ServiceName, UsableView]:
         """Usable upstreams of each service, as this entrance sees them."""
-        return self._candidates.views
+        return self.candidates.views
 
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle; waiting requests keep their old route."""
@@ -135,9 +135,9 @@
             share = bundle.retries_pct / 100
             budget = self._budgets.setdefault(name, Budget(share))
             budget.share = share
-            self._candidates.view(name).set_floor(
-                service.floor_pct, trials_count=service.trials_count
-            )
+            view = self.candidates.view(name)
+            view.set_floor(service.floor_pct, trials_count=service.trials_count)
+            view.spill = service.spill_pct / 100
 
     def members_changed(
         self,
@@ -149,7 +149,7 @@
         self._link.set_members(
             sum(each.region == self._own.region for each in members.values())
         )
-        dropped = self._candidates.members_changed(members, changed, now)
+        dropped = self.candidates.members_changed(members, changed, now)
         for upstream in dropped:
             self._baselines.forget(upstream)
 
@@ -180,6 +180,7 @@
             deadline=now + ms(limit_ms),
             host=event.host.encode(),
             tag=event.tag,
+            may_move=self._accounts.may_move(route.service),
             key=_key_of(event, route) if self._keyed.enabled else '',
         )
         key = throttle_key(waiting)
@@ -275,7 +276,7 @@
 
     def path_opened(self, path: Path, now: timedelta) -> None:
         """Ask for requests that were on a lost stream, place parked ones."""
-        self._candidates.path_changed(path)
+        self.candidates.path_changed(path)
         for waiting in tuple(self._waiting.values()):
             for attempt in tuple(waiting.attempts.values()):
                 if attempt.lost and attempt.daemon == path.daemon:
@@ -285,7 +286,7 @@
 
     def path_lost(self, path: Path, now: timedelta) -> None:
         """Deal with the requests on a stream that ended or went silent."""
-        self._candidates.path_changed(path)
+        self.candidates.path_changed(path)
         for waiting in tuple(self._waiting.values()):
             for attempt in tuple(waiting.attempts.values()):
                 if attempt.stream and attempt.daemon == path.daemon:
@@ -294,11 +295,6 @@
                 # Parked until a path opens, and this one did not.
                 self._place(waiting, now)
 
-    def health(self, news: HealthNews, now: timedelta) -> None:
-        """Take in what a last hop tells of its upstreams."""
-        for entry in news.entries:
-            self._candidates.health(entry, now)
-
     def tick(self, now: timedelta) -> None:
         """Answer requests whose deadline passed, hedge slow ones."""
         self._age_loads(now)
@@ -317,7 +313,7 @@
         self._aged_at = now
         for view in self.views.values():
             age_loads(view.candidates.values())
-        self._candidates.age_health(now)
+        self.candidates.age_health(now)
 
     def _refuse(
         self, event: CallerRequest, reason: Reason, key: Hashable = None
@@ -373,7 +369,7 @@
         if ticket is not None and not self._keyed.may_run(ticket, now):
             self._lose_home(waiting)
             return
-        view = self._candidates.view_of(waiting.route.service, waiting.priority)
+        view = self.candidates.view_of(waiting.route.service, waiting.priority)
         remote = self._link.allows(waiting.priority, now)
         pick = choose(
             view.current(),
@@ -382,6 +378,7 @@
             # The last attempt is not spent on a trial.
             idempotent=waiting.idempotent and not waiting.retries,
             remote=remote,
+            spill=view.spill,
         )
         if pick is None:
             if not remote and has_far(view.current()):
@@ -427,7 +424,7 @@
             # Upstreams behind paths that are still opening may come up
             # before the deadline.
             waiting.excluded.clear()
-            if self._candidates.opening(waiting.route.service):
+            if self.candidates.opening(waiting.route.service):
                 return
         self._conclude(waiting, waiting.last_reason)
 
@@ -444,7 +441,7 @@
                 waiting.route.name, attempt.link_bytes, len(message.body)
             )
         self._throttles.accepted(throttle_key(waiting), now)
-        self._candidates.report(attempt.candidate, message.load, now)
+        self.candidates.report(attempt.candidate, message.load, now)
         if not _is_whole(message):
             self._outbox.emit(
                 Record('answer-damaged', {'peer': attempt.daemon})
@@ -479,7 +476,7 @@
         self._attempts.drop(waiting, attempt)
         self._outbox.emit(_ended(waiting, attempt, message))
         if message.load is not None:
-            self._candidates.report(attempt.candidate, message.load, now)
+            self.candidates.report(attempt.candidate, message.load, now)
         if message.reason is Reason.busy:
             self._move(waiting, now)
             return
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -29,6 +29,8 @@
 FALSE_ALARM: Final = 1e-3
 #: Requests that wait at one upstream. Deadlines bound the wait before this.
 QUEUE_LIMIT: Final = 64
+#: A short queue nearby costs less than the bytes to another data centre.
+SPILL_PCT: Final = 150
 #: Repeats are also made by upstreams' own calls, so a part is left unused.
 RETRY_SHARE_USED: Final = 0.8
 PERCENT: Final = 100
@@ -124,6 +126,8 @@
                 queue_limit=QUEUE_LIMIT,
                 health_path=each.health_path,
                 trials_count=True,
+                spill_pct=SPILL_PCT,
+                movable=False,
             )
             for each in found.services
         }
--- a/greengagemux/receptions.py
+++ b/greengagemux/receptions.py
@@ -145,7 +145,7 @@
 def _health(
     message: HealthNews, daemon: 'Daemon', sender: Sender, now: timedelta
 ) -> None:
-    daemon.entrance.health(message, now)
+    daemon.entrance.candidates.hear(message, now)
 
 
 @receive.register(PromiseRequest)
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -128,6 +128,8 @@
         self.entrance = Entrance(
             own, self.last_hop, self.paths, self.outbox, rng, self.keyed
         )
+        if identity.episodes:
+            self.entrance.candidates.health_apart = True
         self.members = Members(own, rng, by_centre=identity.episodes)
         self.distribution = source.attach(own, self.paths, self.outbox, rng)
         self.discovery: Discovery | None = None
@@ -192,7 +194,7 @@
 
     def _tell_health(self, entries: tuple[UpstreamHealth, ...]) -> None:
         news = HealthNews(entries)
-        self.entrance.health(news, self.outbox.now)
+        self.entrance.candidates.hear(news, self.outbox.now)
         for daemon, record in self.members.live().items():
             if record.data_centre == self.own.data_centre:
                 self.paths.send(daemon, news)
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -100,6 +100,8 @@
     host: bytes = b''
     #: Identity that the caller gave the request.
     tag: str = ''
+    #: Whether its service lets it be offered elsewhere before it is queued.
+    may_move: bool = True
     attempts: dict[RequestId, Attempt] = field(default_factory=dict)
     excluded: set[UpstreamId] = field(default_factory=set)
     reroutes: int = 0
@@ -128,7 +130,7 @@
     @property
     def movable(self) -> bool:
         """Whether it is offered elsewhere instead of queued."""
-        urgent = self.priority is Priority.waiting
+        urgent = self.priority is Priority.waiting and self.may_move
         return urgent and self.moves < MOVE_LIMIT
 
     @property
