--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -81,6 +81,7 @@
 
     #: Below the time after which upstreams close idle connections.
     pooled_for_s = 4
+    accepts_unframed = True
 
     def headers_of(self, effect: CallUpstream) -> Headers:
         """Return the headers as the upstream reads them."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Calls to upstreams on real sockets that answer badly."""
 
 import socket
+import struct
 from collections.abc import Iterator
 
 import pytest
@@ -16,6 +17,7 @@
     UpstreamFailed,
 )
 from greengagemux.ids import CallId, UpstreamId
+from greengagemux.messages import Headers
 
 _OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _LIMIT = 1000
@@ -259,3 +261,73 @@
     except ConnectionResetError:
         return True
     return True
+
+
+class _Tagged(UpstreamCalls):
+    """Calls whose answers repeat the number of their request."""
+
+    accepts_unframed = True
+
+    def is_foreign(self, effect: CallUpstream, headers: Headers) -> bool:
+        """Return whether an answer names another request."""
+        return (b'X-Tag', b'%d' % effect.call) not in headers
+
+
+def _tagged(number: int, body: bytes) -> bytes:
+    head = b'HTTP/1.1 200 OK\r\nX-Tag: %d\r\nContent-Length: %d\r\n\r\n'
+    return head % (number, len(body)) + body
+
+
+@pytest.mark.parametrize('together', [True, False])
+def test_answer_of_another_request_is_skipped(
+    upstream: _Upstream, together: bool
+) -> None:
+    """A late second answer must not end the request that runs now."""
+    upstream.calls = _Tagged(reactor, upstream.events.append)
+    upstream.count = 1
+    upstream.call()
+    connection = upstream.accept()
+    upstream.read(connection)
+    stray, own = _tagged(1, b'stray'), _tagged(2, b'own')
+    if together:
+        connection.send(stray + own)
+    else:
+        connection.send(stray)
+        turn(3)
+        assert not upstream.events
+        connection.send(own)
+    turn_until(lambda: bool(upstream.events))
+    ended = upstream.events[0]
+    assert isinstance(ended, UpstreamAnswered)
+    assert ended.body == b'own'
+
+
+@pytest.mark.parametrize('reset', [True, False])
+def test_answer_that_ends_with_its_connection(
+    upstream: _Upstream, reset: bool
+) -> None:
+    """Without a length only a closed connection shows a whole answer."""
+    upstream.calls = _Tagged(reactor, upstream.events.append)
+    upstream.call()
+    connection = upstream.accept()
+    upstream.read(connection)
+    connection.send(b'HTTP/1.1 200 OK\r\nX-Tag: 1\r\n\r\nwhole')
+    turn(3)
+    if reset:
+        linger = struct.pack('ii', 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    connection.close()
+    ended = upstream.ended()
+    assert isinstance(ended, UpstreamFailed) is reset
+
+
+def test_connection_is_kept_no_longer_than_its_server_says(
+    upstream: _Upstream,
+) -> None:
+    """A request on a connection that is being closed may be lost."""
+    upstream.call()
+    connection = upstream.accept()
+    upstream.read(connection)
+    connection.send(_OK.replace(b'OK\r\n', b'OK\r\nKeep-Alive: timeout=1\r\n'))
+    upstream.ended()
+    turn_until(lambda: _is_closed(connection))
