--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -24,7 +24,13 @@
 )
 from .configurations import Opener
 from .exchanges import PlatformCalls, PlatformListener
-from .servers import Announcements, Readiness, Server
+from .servers import (
+    METRICS_TYPE,
+    Announcements,
+    MetricsPage,
+    Readiness,
+    Server,
+)
 from .settings import PlatformSettings, read_settings
 from .stores import StoreClient
 
@@ -68,9 +74,11 @@
         settings = self._settings
         self._ports.append(self._hub.listen(settings.peer_address))
         readiness = Server(self._reactor, Readiness(self.daemon.ready))
+        metrics = Server(self._reactor, MetricsPage(self.metrics), METRICS_TYPE)
         announcements = Announcements(settings, self.submit)
         self._ports += [
             listen(self._reactor, settings.ready_address, readiness, None),
+            listen(self._reactor, settings.admin_address, metrics, None),
             listen(
                 self._reactor,
                 settings.announce_address,
--- a/greengagemux/platform/servers.py
+++ b/greengagemux/platform/servers.py
@@ -12,11 +12,14 @@
 from ..events import Announced, Event
 from ..ids import ServiceName, UpstreamId
 from ..messages import UpstreamState
+from ..metrics import Metrics
 from .settings import PlatformSettings
 
 logger = logging.getLogger(__name__)
 
 READY_PATH: Final = b'/api/readyz'
+METRICS_PATH: Final = b'/metrics'
+METRICS_TYPE: Final = b'text/plain; version=0.0.4'
 INSTANCES_PATH: Final = b'/api/instances/'
 #: Largest announcement that is read.
 BODY_LIMIT_BYTES: Final = 64 * 1024
@@ -71,7 +74,7 @@
         status, body = answer(command, path, self.content.getvalue())
         self.setResponseCode(status)
         self.responseHeaders.setRawHeaders(
-            b'Content-Type', [b'application/json']
+            b'Content-Type', [self.channel.factory.content_type]
         )
         self.responseHeaders.setRawHeaders(
             b'Content-Length', [b'%d' % len(body)]
@@ -95,9 +98,15 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, handler: Answerer) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        handler: Answerer,
+        content_type: bytes = b'application/json',
+    ) -> None:
         """Answer each request with ``handler``."""
         super().__init__(reactor=reactor, timeout=IDLE_LIMIT_S)
+        self.content_type = content_type
         self.handler = handler
 
     def buildProtocol(self, addr: IAddress | None) -> Any:
@@ -130,6 +139,22 @@
         return status, msgspec.json.encode({'ready': ready, 'why': why})
 
 
+class MetricsPage:
+    """Counters and latency histograms as text."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Show these metrics."""
+        self._metrics = metrics
+
+    def __call__(
+        self, method: bytes, path: bytes, body: bytes
+    ) -> tuple[int, bytes]:
+        """Return the metrics in the format of Prometheus."""
+        if method != b'GET' or path != METRICS_PATH:
+            return http.NOT_FOUND, b''
+        return http.OK, self._metrics.prometheus().encode()
+
+
 class Announcements:
     """Takes the announcements of the upstream beside this daemon."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -52,11 +52,12 @@
     Priority,
     UpstreamState,
 )
+from greengagemux.metrics import Metrics
 from greengagemux.outcomes import Failure, FailureError, Outcome, Reason, Step
 from greengagemux.paths import Paths
 from greengagemux.platform import exchanges, stores
 from greengagemux.platform.configurations import Opener
-from greengagemux.platform.servers import Announcements, Readiness
+from greengagemux.platform.servers import Announcements, MetricsPage, Readiness
 from greengagemux.platform.settings import PlatformSettings, read_settings
 from greengagemux.requests import refusal
 from greengagemux.routes import RouteTable
@@ -260,6 +261,15 @@
         assert server(b'GET', b'/api/readyz', b'')[0] == status
 
 
+def test_metrics_page() -> None:
+    """Counters must be readable on the metrics address."""
+    metrics = Metrics()
+    metrics.count('answers_total', status='200')
+    status, text = MetricsPage(metrics)(b'GET', b'/metrics', b'')
+    assert status == 200
+    assert b'answers_total{status="200"} 1' in text
+
+
 def _call(sent: tuple[tuple[bytes, bytes], ...] = ()) -> CallUpstream:
     return CallUpstream(
         call=CallId(1),
