--- a/greengagemux/accounts.py
+++ b/greengagemux/accounts.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from .bundles import Bundle, Caller, Route
+from .bundles import Bundle, Caller, Route, Service
 from .events import CallerRequest
 from .ids import RouteName, ServiceName
 from .messages import Priority
@@ -58,10 +58,10 @@
             return Reason.caller_limit
         return Admitted(caller, route, priority(caller, route))
 
-    def may_move(self, service: ServiceName) -> bool:
-        """Return whether requests of people may be offered elsewhere."""
-        known = self._bundle.services.get(service) if self._bundle else None
-        return known is None or known.movable
+    def service(self, name: ServiceName) -> Service:
+        """Return a service of the bundle in force, or its defaults."""
+        known = self._bundle.services.get(name) if self._bundle else None
+        return known or Service(name)
 
     def route(self, name: RouteName) -> Route | None:
         """Return a route of the bundle in force."""
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -49,6 +49,7 @@
 QUEUE_LIMIT_BYTES: Final = 4 * 1024 * 1024
 KEY_SLOTS: Final = 16
 SPILL_PCT: Final = 100
+HEDGE_PCT: Final = 800
 DEADLINE_MS: Final = 2_000
 BODY_LIMIT_BYTES: Final = 64 * 1024
 ANSWER_LIMIT_BYTES: Final = 1024 * 1024
@@ -148,7 +149,8 @@
     With ``trials_count`` upstreams on probation count towards the floor.
     Farther upstreams get work once the nearest hold ``spill_pct`` of their
     slots; ``movable`` requests of people are offered elsewhere before they
-    are queued.
+    are queued. A second attempt of an idempotent request starts once the
+    first has lasted ``hedge_pct`` of its expected time.
     """
 
     name: ServiceName
@@ -162,6 +164,7 @@
     trials_count: bool = False
     spill_pct: Annotated[int, Field(ge=100, le=1000)] = SPILL_PCT
     movable: bool = True
+    hedge_pct: Annotated[int, Field(ge=100, le=10_000)] = HEDGE_PCT
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -12,7 +12,7 @@
 from .answers import RECORD_MARGIN, WRITE_GRACE, Origin
 from .attempts import Attempts
 from .baselines import Baselines
-from .bundles import ATTEMPT_LIMIT, Bundle, Caller, Route
+from .bundles import ATTEMPT_LIMIT, HEDGE_PCT, Bundle, Caller, Route
 from .candidates import Candidates
 from .choices import (
     Nearness,
@@ -63,9 +63,8 @@
 #: The same while they refuse for their load: two full queues are evidence
 #: enough, and each offer costs the fleet a message and a refusal.
 OVERLOADED_LIMIT = 2
-#: A second attempt starts when the first is older than this multiple of the
-#: expected service time, and at least ``HEDGE_AFTER`` old.
-HEDGE_FACTOR = 8
+#: A second attempt starts when the first is older than a multiple of the
+#: expected service time (``hedge_pct``), and at least this old.
 HEDGE_AFTER = timedelta(milliseconds=150)
 #: The expected wait in the queue counts this many times.
 HEDGE_QUEUE_FACTOR = 3
@@ -180,7 +179,7 @@
             deadline=now + ms(limit_ms),
             host=event.host.encode(),
             tag=event.tag,
-            may_move=self._accounts.may_move(route.service),
+            service=self._accounts.service(route.service),
             key=_key_of(event, route) if self._keyed.enabled else '',
         )
         key = throttle_key(waiting)
@@ -744,13 +743,16 @@
     if len(waiting.attempts) != 1 or not _has_attempts(waiting):
         return False
     attempt = next(iter(waiting.attempts.values()))
-    return now - attempt.sent_at >= _hedge_after(attempt)
+    factor = waiting.service.hedge_pct / 100
+    return now - attempt.sent_at >= _hedge_after(attempt, factor)
 
 
-def _hedge_after(attempt: Attempt) -> timedelta:
+def _hedge_after(
+    attempt: Attempt, factor: float = HEDGE_PCT / 100
+) -> timedelta:
     if not attempt.expected_ms:
         return HEDGE_UNKNOWN_AFTER
-    expected_ms = attempt.expected_ms * HEDGE_FACTOR
+    expected_ms = attempt.expected_ms * factor
     # A wait in a queue is no sign of a fault; a second attempt would wait too.
     expected_ms += attempt.queue_ms * HEDGE_QUEUE_FACTOR
     return max(HEDGE_AFTER, ms(expected_ms))
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -31,6 +31,9 @@
 QUEUE_LIMIT: Final = 64
 #: A short queue nearby costs less than the bytes to another data centre.
 SPILL_PCT: Final = 150
+#: Gray upstreams here often hang, and one request in a hundred of a sound one
+#: lasts three times as long as the mean.
+HEDGE_PCT: Final = 300
 #: Repeats are also made by upstreams' own calls, so a part is left unused.
 RETRY_SHARE_USED: Final = 0.8
 PERCENT: Final = 100
@@ -128,6 +131,7 @@
                 trials_count=True,
                 spill_pct=SPILL_PCT,
                 movable=False,
+                hedge_pct=HEDGE_PCT,
             )
             for each in found.services
         }
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -8,7 +8,7 @@
 from . import headers
 from .answers import Origin
 from .assignments import Slot
-from .bundles import Caller, Route
+from .bundles import Caller, Route, Service
 from .choices import Candidate
 from .effects import Respond
 from .ids import (
@@ -16,6 +16,7 @@
     ExchangeId,
     Incarnation,
     RequestId,
+    ServiceName,
     StreamId,
     UpstreamId,
 )
@@ -100,8 +101,8 @@
     host: bytes = b''
     #: Identity that the caller gave the request.
     tag: str = ''
-    #: Whether its service lets it be offered elsewhere before it is queued.
-    may_move: bool = True
+    #: Its service, with the limits that held when it arrived.
+    service: Service = Service(ServiceName(''))
     attempts: dict[RequestId, Attempt] = field(default_factory=dict)
     excluded: set[UpstreamId] = field(default_factory=set)
     reroutes: int = 0
@@ -130,7 +131,8 @@
     @property
     def movable(self) -> bool:
         """Whether it is offered elsewhere instead of queued."""
-        urgent = self.priority is Priority.waiting and self.may_move
+        urgent = self.priority is Priority.waiting
+        urgent = urgent and self.service.movable
         return urgent and self.moves < MOVE_LIMIT
 
     @property
