--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -72,6 +72,9 @@
 HEDGE_UNKNOWN_AFTER = timedelta(seconds=1)
 #: Loads that were not reported again for this time count half.
 AGE_INTERVAL = timedelta(seconds=1)
+#: Multiple of the expected time at which a read is tried a second time where
+#: the service sets none.
+HEDGE_FACTOR = HEDGE_PCT / 100
 
 
 _HTTP_ERROR = 500
@@ -748,7 +751,7 @@
 
 
 def _hedge_after(
-    attempt: Attempt, factor: float = HEDGE_PCT / 100
+    attempt: Attempt, factor: float = HEDGE_FACTOR
 ) -> timedelta:
     if not attempt.expected_ms:
         return HEDGE_UNKNOWN_AFTER
