Read the store without waiting while it fails

Ruled out: the hung read from before the outage, which ends 1.5 s after it. Change: after a failure reads do not wait, and a read waits 5 s.

--- a/greengagemux/approvals.py
+++ b/greengagemux/approvals.py
@@ -24,7 +24,7 @@
 STREAM: Final = 'bundles'
 #: One read waits this long at the log. A connection that has gone silent is
 #: noticed at the latest by the read after it.
-READ_WAIT: Final = timedelta(seconds=8)
+READ_WAIT: Final = timedelta(seconds=5)
 #: Waits after failed reads; each failure doubles the wait. Calls are counted
 #: by the platform even while it does not answer them.
 RETRY_FIRST: Final = timedelta(milliseconds=400)
@@ -115,7 +115,9 @@
         if self._reading or now < self._read_due:
             return
         self._reading = True
-        self._outbox.emit(ReadLog(STREAM, self._following, READ_WAIT))
+        # A log that has just failed may take a call and never answer it.
+        wait = READ_WAIT if self._lost_since is None else ZERO
+        self._outbox.emit(ReadLog(STREAM, self._following, wait))
 
     def advance(self) -> None:
         """Do nothing: records are opened at once."""
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -750,9 +750,7 @@
     return now - attempt.sent_at >= _hedge_after(attempt, factor)
 
 
-def _hedge_after(
-    attempt: Attempt, factor: float = HEDGE_FACTOR
-) -> timedelta:
+def _hedge_after(attempt: Attempt, factor: float = HEDGE_FACTOR) -> timedelta:
     if not attempt.expected_ms:
         return HEDGE_UNKNOWN_AFTER
     expected_ms = attempt.expected_ms * factor
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import msgspec
 import pytest
@@ -436,7 +437,7 @@
         )
         self.feed.log_event(event, {}, ZERO)
 
-    def effects(self, kind: type) -> list[object]:
+    def effects(self, kind: type) -> list[Any]:
         """Return the effects of one kind since the last call."""
         return [each for each in self.outbox.drain() if isinstance(each, kind)]
 
@@ -479,6 +480,17 @@
     assert 4 <= reads <= 9
 
 
+def test_read_after_a_failure_does_not_wait(tmp_path: Path) -> None:
+    """A silent log takes calls; a long one would hang past its return."""
+    feed = _Feed(tmp_path)
+    feed.feed.tick({}, ZERO)
+    assert feed.effects(ReadLog)[0].wait == approvals.READ_WAIT
+    failure = Failure(Step.log, 'log', 'silent')
+    feed.feed.log_event(LogFailed(approvals.STREAM, failure), {}, ZERO)
+    feed.feed.tick({}, timedelta(seconds=1))
+    assert feed.effects(ReadLog)[0].wait == ZERO
+
+
 def test_peer_brings_a_newer_bundle(tmp_path: Path) -> None:
     """A daemon without the log must still follow its peers."""
     feed = _Feed(tmp_path)
