--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -29,9 +29,8 @@
 FALSE_ALARM: Final = 1e-3
 #: Requests that wait at one upstream. Deadlines bound the wait before this.
 QUEUE_LIMIT: Final = 64
-#: Upstreams slow down when all slots run, which costs more than the bytes to
-#: another data centre.
-SPILL_PCT: Final = 100
+#: A short queue nearby costs less than the bytes to another data centre.
+SPILL_PCT: Final = 150
 #: Gray upstreams here often hang, and one request in a hundred of a sound one
 #: lasts three times as long as the mean.
 HEDGE_PCT: Final = 300
