--- /dev/null
+++ b/tests/test_stores.py
@@ -0,0 +1,98 @@
+"""The client of the platform's store against a stand-in."""
+
+from collections.abc import Iterator
+
+import pytest
+from sockets import reactor, turn, turn_until
+
+from greengagemux import approvals, discoveries
+from greengagemux.clocks import ZERO
+from greengagemux.effects import AppendLog, ReadLog
+from greengagemux.events import Event, LogAppended, LogFailed, LogRead
+from greengagemux.ids import LogOffset
+from greengagemux.logclients import build_agent
+from greengagemux.platform.servers import Server
+from greengagemux.platform.stores import TOPICS, StoreClient
+from greengagemux_standins.stores import Store
+
+BUNDLES = TOPICS[approvals.STREAM]
+
+
+class _Edge:
+    """A client and the store that it calls."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        server = Server(reactor, self.store)
+        self.port = reactor.listenTCP(0, server, interface='127.0.0.1')
+        url = f'http://127.0.0.1:{self.port.getHost().port}'
+        self.events: list[Event] = []
+        self.client = StoreClient(
+            build_agent(reactor), reactor, url, self.events.append
+        )
+
+    def read(self, stream: str, start: int) -> Event:
+        """Read a stream and return the event."""
+        self.client.read(ReadLog(stream, LogOffset(start), ZERO))
+        return self._next()
+
+    def append(self, stream: str, payload: bytes, key: str) -> Event:
+        """Append to a stream and return the event."""
+        self.client.append(AppendLog(stream, payload, key))
+        return self._next()
+
+    def _next(self) -> Event:
+        turn_until(lambda: bool(self.events))
+        return self.events.pop()
+
+
+@pytest.fixture(name='edge')
+def _edge() -> Iterator[_Edge]:
+    made = _Edge()
+    yield made
+    made.port.stopListening()
+    turn()
+
+
+def test_configuration_is_read_and_followed(edge: _Edge) -> None:
+    """Only the operator's key counts; later records follow by offset."""
+    edge.store.append(BUNDLES, 'other', b'no')
+    edge.store.append(BUNDLES, 'config', b'one')
+    first = edge.read(approvals.STREAM, 0)
+    assert isinstance(first, LogRead)
+    assert [each.payload for each in first.records] == [b'one']
+    edge.store.append(BUNDLES, 'config', b'two')
+    second = edge.read(approvals.STREAM, first.following)
+    assert isinstance(second, LogRead)
+    assert [each.payload for each in second.records] == [b'two']
+
+
+def test_newest_is_read_when_history_is_gone(edge: _Edge) -> None:
+    """A store that forgot its records must not leave an old bundle."""
+    edge.store.append(BUNDLES, 'config', b'one')
+    edge.store.append(BUNDLES, 'config', b'two')
+    edge.store.forget(BUNDLES)
+    found = edge.read(approvals.STREAM, 1)
+    assert isinstance(found, LogRead)
+    assert [each.payload for each in found.records] == [b'two']
+    assert found.following == 2
+
+
+def test_all_pages_of_the_list_are_read(edge: _Edge) -> None:
+    """A daemon must not miss the peers of later pages, or see removed ones."""
+    for name in ('a', 'b', 'c'):
+        written = edge.append(discoveries.STREAM, name.encode(), name)
+        assert isinstance(written, LogAppended)
+    edge.append(discoveries.STREAM, b'', 'b')
+    found = edge.read(discoveries.STREAM, 0)
+    assert isinstance(found, LogRead)
+    assert [each.key for each in found.records] == ['a', 'c']
+
+
+def test_refusal_is_a_failure(edge: _Edge) -> None:
+    """A store that turns this host away must look lost, not empty."""
+    edge.store.up = False
+    assert isinstance(edge.read(approvals.STREAM, 0), LogFailed)
+    failed = edge.append(discoveries.STREAM, b'x', 'k')
+    assert isinstance(failed, LogFailed)
+    assert failed.payload == b'x'
