--- /dev/null
+++ b/tests/test_platform_daemon.py
@@ -0,0 +1,228 @@
+"""One daemon process on the platform's stand-ins, from start to stop."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from sockets import Client, reactor, turn, turn_until
+from twisted.internet.protocol import Factory, Protocol
+
+from greengagemux.platform.servers import Server
+from greengagemux.platform.settings import PATH_VARIABLE
+from greengagemux_standins.stores import Store
+
+HOST = '127.0.0.1'
+CONFIGURATION = {
+    'version': 'r3',
+    'routes': [
+        {
+            'name': 'read',
+            'hostname': 'shop.example',
+            'path_prefix': '/list/',
+            'kind': 'idempotent',
+            'service': 'orders',
+        },
+        {
+            'name': 'write',
+            'hostname': 'shop.example',
+            'path_prefix': '/post/',
+            'kind': 'non_idempotent',
+            'service': 'orders',
+        },
+    ],
+    'services': [{'name': 'orders'}],
+}
+
+
+class _Upstream(Protocol):
+    """Answers each request by its path."""
+
+    transport: Any
+    factory: Any
+
+    def dataReceived(self, data: bytes) -> None:
+        head = data.partition(b'\r\n\r\n')[0].decode()
+        first, *lines = head.split('\r\n')
+        seen = dict(line.split(': ', 1) for line in lines)
+        seen = {name.lower(): found for name, found in seen.items()}
+        self.factory.seen.append((first, seen))
+        path = first.split()[1]
+        status = '503 Full\r\nNot-Executed: 1' if 'full' in path else '200 OK'
+        self.transport.write(
+            (
+                f'HTTP/1.1 {status}\r\nRequest-Id: {seen["request-id"]}\r\n'
+                f'Response-Seal: seal\r\nContent-Length: {len(path)}\r\n\r\n'
+                f'{path}'
+            ).encode()
+        )
+
+
+class _Daemon:
+    """The process, the store, its upstream and its addresses."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = Store()
+        self.store.append(
+            'keyed.op', 'config', json.dumps(CONFIGURATION).encode()
+        )
+        self._ports = [
+            reactor.listenTCP(0, Server(reactor, self.store), interface=HOST)
+        ]
+        factory: Any = Factory.forProtocol(_Upstream)
+        factory.seen = []
+        self.seen: list[tuple[str, dict[str, str]]] = factory.seen
+        self._ports.append(reactor.listenTCP(0, factory, interface=HOST))
+        store, upstream = (port.getHost().port for port in self._ports)
+        names = ('inbound', 'outbound', 'ready', 'control', 'admin')
+        self.ports = dict(zip(names, _free_ports(len(names)), strict=True))
+        lines = [
+            'node_name=one',
+            'zone=a',
+            'region=r',
+            'service=orders',
+            f'ip={HOST}',
+            f'port_range={self.ports["admin"]},{self.ports["admin"]}',
+            'bounds=grace_s=5',
+            f'app_addr={HOST}:{upstream}',
+            f'platform.address={HOST}:{store}',
+        ]
+        lines += [
+            f'listen.{name}={HOST}:{self.ports[name]}' for name in names[:-1]
+        ]
+        path = folder / 'settings.conf'
+        path.write_text('\n'.join(lines))
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'greengagemux.platform'],
+            env={**os.environ, PATH_VARIABLE: str(path)},
+            stdout=subprocess.PIPE,
+        )
+
+    def ask(self, name: str, wire: str) -> bytes:
+        """Send a request to one address until the answer is whole."""
+        end = None
+        while end is None:
+            try:
+                end = socket.create_connection((HOST, self.ports[name]))
+            except ConnectionRefusedError:
+                turn(5)
+        client = Client(end).send(wire.encode())
+        turn_until(
+            lambda: client.read() or client.received.count(b'\r\n\r\n') > 0
+        )
+        turn(5)
+        client.read()
+        client.socket.close()
+        return client.received
+
+    def announce(self, phase: str, sequence: int) -> None:
+        """Let the upstream announce itself."""
+        body = json.dumps(
+            {
+                'service': 'orders',
+                'address': 'own',
+                'slots': 2,
+                'phase': phase,
+                'sequence': sequence,
+                'born': 1,
+            }
+        )
+        wire = (
+            'PUT /api/instances/i-1 HTTP/1.1\r\nHost: x\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'
+        )
+        assert b' 200 ' in self.ask('control', wire)
+
+    def request(self, method: str, path: str) -> bytes:
+        """Send a caller's request and return the answer."""
+        return self.ask(
+            'outbound',
+            f'{method} {path} HTTP/1.1\r\nHost: shop.example\r\n'
+            'Request-Id: r-1\r\nDeadline-Ms: 900\r\n'
+            'Caller-Service: forged\r\n\r\n',
+        )
+
+    def wait_ready(self) -> None:
+        """Wait until the daemon takes callers."""
+        wire = 'GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n'
+        while b' 200 ' not in self.ask('ready', wire):
+            turn(5)
+
+    def stop(self) -> str:
+        """Ask the process to stop, and return its log."""
+        self.process.send_signal(signal.SIGTERM)
+        turn_until(lambda: self.process.poll() is not None)
+        out = self.process.stdout
+        assert out is not None
+        return out.read().decode()
+
+    def close(self) -> None:
+        """End the process and the stand-ins."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.communicate()
+        for port in self._ports:
+            port.stopListening()
+        turn()
+
+
+def _free_ports(count: int) -> list[int]:
+    held = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
+
+
+@pytest.fixture(name='daemon')
+def _daemon(tmp_path: Path) -> Iterator[_Daemon]:
+    made = _Daemon(tmp_path)
+    yield made
+    made.close()
+
+
+def test_request_from_caller_to_upstream(daemon: _Daemon) -> None:
+    """The whole path must work: configuration, check-in, request, stop."""
+    daemon.wait_ready()
+    assert b' 503 ' in daemon.request('GET', '/list/0')
+    daemon.announce('ready', 1)
+    answer = daemon.request('GET', '/list/1?q=2')
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    assert b'Response-Seal: seal' in answer
+    assert answer.endswith(b'/list/1?q=2')
+    line, seen = daemon.seen[0]
+    assert line == 'GET /list/1?q=2 HTTP/1.1'
+    assert seen['host'] == 'shop.example'
+    assert seen['expect-instance'] == 'i-1'
+    assert seen['caller-service'] == 'orders'
+    assert 0 < int(seen['deadline-ms']) <= 900
+    assert b' 404 ' in daemon.request('GET', '/none/')
+    log = daemon.stop()
+    assert daemon.process.returncode == 0
+    placed = [line for line in log.splitlines() if '"request-placed"' in line]
+    assert json.loads(placed[0])['fields']['request'] == 'r-1'
+
+
+def test_refused_write_is_not_run(daemon: _Daemon) -> None:
+    """An upstream that is full must not turn a write into an unknown one."""
+    daemon.wait_ready()
+    daemon.announce('ready', 1)
+    answer = daemon.request('POST', '/post/full')
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After: 0.2' in answer
+    assert len(daemon.seen) == 1
+
+
+def test_draining_upstream_gets_no_work(daemon: _Daemon) -> None:
+    """After the acknowledgement nothing more may reach the upstream."""
+    daemon.wait_ready()
+    daemon.announce('ready', 1)
+    daemon.announce('draining', 2)
+    assert b' 503 ' in daemon.request('GET', '/list/1')
+    assert not daemon.seen
