Leave a hanging read where it is on the platform

Cause: a read that hung was called again on a new connection of the same gray upstream, which counts as a further arrival and takes a second slot there.

--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -412,6 +412,10 @@
             return
         self._observe(job, SampleKind.silent, now)
         job.silent = True
+        if self.hosted.health_apart:
+            # A gray upstream hangs on new connections too, and the system
+            # ends a connection that has gone silent.
+            return
         if not job.dispatch.idempotent or job.fresh or job.call is None:
             return
         if not upstream.retries.spend():
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -197,3 +197,13 @@
     hop.hop.announce(leave, ms(1))
     hop.announce(UpstreamState.serving, sequence=9)
     assert hop.hop.upstreams[UPSTREAM].announced is UpstreamState.draining
+
+
+def test_hanging_read_is_not_sent_to_its_upstream_again() -> None:
+    """A second run where the first one hangs would only take a slot."""
+    hop = _Hop()
+    hop.dispatch(1)
+    assert len(hop.calls()) == 1
+    hop.hop.tick(ms(2500))
+    effects = hop.outbox.drain()
+    assert not [each for each in effects if isinstance(each, CallUpstream)]
