--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -206,4 +206,4 @@
     assert len(hop.calls()) == 1
     hop.hop.tick(ms(2500))
     effects = hop.outbox.drain()
-    assert not [each for each in effects if isinstance(each, CallUpstream)]
+    assert not any(isinstance(each, CallUpstream) for each in effects)
