--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -24,8 +24,8 @@
 BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
 #: Requests of one host in flight; the platform sets no limit of its own.
 IN_FLIGHT: Final = 100_000
-#: Evidence at which an upstream counts as sick: gray episodes here last a few
-#: seconds, so a false alarm costs little and a late one much.
+#: Error rate of the test for slowness: slow episodes here last a few seconds,
+#: so a false alarm costs little and a late one much.
 FALSE_ALARM: Final = 1e-3
 #: Requests that wait at one upstream. Deadlines bound the wait before this.
 QUEUE_LIMIT: Final = 64
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -1,6 +1,5 @@
 """Headers of callers and upstreams, translated at the edges."""
 
-from collections.abc import Callable
 from typing import Any, Final
 
 from .. import headers
@@ -13,7 +12,7 @@
     UpstreamAnswered,
     UpstreamFailed,
 )
-from ..listeners import CallerListener, Cutoff
+from ..listeners import CallerListener
 from ..messages import Headers
 from ..outcomes import Failure, Outcome, Step
 
@@ -55,7 +54,7 @@
         b'transfer-encoding',
     )
 )
-#: Callers come back after a third of the time that they have left at most.
+#: Callers wait for at most a third of the time that they have left.
 RETRY_AFTER: Final = b'Retry-After'
 RETRY_AFTER_S: Final = b'0.2'
 
@@ -123,16 +122,6 @@
         return UpstreamAnswered(effect.call, status, kept, body)
 
 
-def build_listener(
-    reactor: Any,
-    clock: Any,
-    submit: Callable[[Event], None],
-    count_cutoff: Callable[[Cutoff], None],
-) -> PlatformListener:
-    """Return the listener for callers."""
-    return PlatformListener(reactor, clock, submit, count_cutoff)
-
-
 def _from_caller(event: CallerRequest) -> CallerRequest:
     deadline = headers.get(event.headers, DEADLINE.lower())
     tag = headers.get(event.headers, REQUEST_ID) or b''
--- /dev/null
+++ b/tests/test_splits.py
@@ -0,0 +1,74 @@
+"""Services that share the requests of a route."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagemux.bundles import BundleError, Route, Share, parse
+from greengagemux.ids import RouteName, ServiceName
+from greengagemux.splits import Splits
+
+TEXT = """\
+[bundle]
+version = 1
+follows = 0
+
+[service new]
+spill_pct = 150
+
+[service old]
+health_path = /ping
+
+[route r]
+service = old
+prefix = /r/
+methods = GET
+host = shop.example
+attempt_limit = 2
+split = old 90, new 10
+"""
+
+
+def _route(weights: list[int]) -> Route:
+    shares = tuple(
+        Share(ServiceName(f's{place}'), weight)
+        for place, weight in enumerate(weights)
+    )
+    return Route(
+        RouteName('r'), ServiceName('s0'), '/', frozenset(), split=shares
+    )
+
+
+@given(
+    st.lists(st.integers(0, 100), min_size=2, max_size=4).filter(any),
+    st.integers(),
+)
+def test_shares_follow_the_weights(weights: list[int], seed: int) -> None:
+    """Few requests of one entrance must already come close to the weights."""
+    splits = Splits(Random(seed))
+    route = _route(weights)
+    count = 100
+    found = Counter(splits.choose(route).service for _ in range(count))
+    for place, weight in enumerate(weights):
+        share = found[ServiceName(f's{place}')] / count
+        assert abs(share - weight / sum(weights)) <= 0.1
+
+
+def test_keys_of_a_bundle() -> None:
+    """The text form must reach every key that the platform sets."""
+    bundle = parse(TEXT, 'text')
+    route = bundle.routes[RouteName('r')]
+    assert route.split == (Share('old', 90), Share('new', 10))
+    assert (route.host, route.attempt_limit) == ('shop.example', 2)
+    assert bundle.services[ServiceName('new')].spill_pct == 150
+    assert bundle.services[ServiceName('old')].health_path == '/ping'
+
+
+@pytest.mark.parametrize('split', ['old', 'old 90, gone 10', 'old 0, new 0'])
+def test_bad_split_is_named(split: str) -> None:
+    """An operator must see what is wrong with a split."""
+    with pytest.raises(BundleError, match='split'):
+        parse(TEXT.replace('old 90, new 10', split), 'text')
