--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -149,7 +149,8 @@
     With ``trials_count`` upstreams on probation count towards the floor.
     Farther upstreams get work once the nearest hold ``spill_pct`` of their
     slots; ``movable`` requests of people are offered elsewhere before they
-    are queued. A second attempt of an idempotent request starts once the
+    are queued, and with ``preempts`` interrupt internal reads that run. A
+    second attempt of an idempotent request starts once the
     first has lasted ``hedge_pct`` of its expected time.
     """
 
@@ -164,6 +165,7 @@
     trials_count: bool = False
     spill_pct: Annotated[int, Field(ge=100, le=1000)] = SPILL_PCT
     movable: bool = True
+    preempts: bool = True
     hedge_pct: Annotated[int, Field(ge=100, le=10_000)] = HEDGE_PCT
 
 
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -571,7 +571,7 @@
         work.
         """
         first = upstream.queue.oldest(Priority.waiting)
-        if first is None:
+        if first is None or not self.hosted.preempts(upstream.service):
             return
         running = filter(interruptible, reversed(upstream.running.values()))
         job = next(running, None)
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -131,6 +131,8 @@
                 trials_count=True,
                 spill_pct=SPILL_PCT,
                 movable=False,
+                # A request at which its upstream works is never broken off.
+                preempts=False,
                 hedge_pct=HEDGE_PCT,
             )
             for each in found.services
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -125,6 +125,11 @@
             return old.address != event.address or old.boot != event.boot
         return bool(event.boot) and old.address == event.address
 
+    def preempts(self, service: ServiceName) -> bool:
+        """Return whether people may interrupt internal reads."""
+        known = self._services.get(service)
+        return known is None or known.preempts
+
     def health_path(self, service: ServiceName) -> str:
         """Return where upstreams of a service report their health."""
         known = self._services.get(service)
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -3,15 +3,17 @@
 from datetime import timedelta
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from greengagemux.answers import Origin
+from greengagemux.bundles import Service
 from greengagemux.clocks import ZERO, ms
 from greengagemux.convictions import Convictions
 from greengagemux.crashes import CrashReports
 from greengagemux.detectors import Sample, SampleKind
-from greengagemux.effects import CallUpstream, Outbox
+from greengagemux.effects import AbortCall, CallUpstream, Outbox
 from greengagemux.episodes import Belief, EpisodeVerdicts
 from greengagemux.events import Announced, CallFault, Probed, UpstreamFailed
 from greengagemux.ids import (
@@ -114,7 +116,9 @@
         event = Announced(UPSTREAM, SERVICE, 'a:1', 1, state, boot=7, **fields)
         self.hop.announce(event, ZERO)
 
-    def dispatch(self, number: int) -> None:
+    def dispatch(
+        self, number: int, priority: Priority = Priority.waiting
+    ) -> None:
         """Give the upstream a read."""
         message = Dispatch(
             request=RequestId(number),
@@ -127,7 +131,7 @@
             body=b'',
             remaining_ms=1000,
             answer_limit_bytes=100,
-            priority=Priority.waiting,
+            priority=priority,
             caller=CallerName('c'),
             idempotent=True,
         )
@@ -207,3 +211,20 @@
     hop.hop.tick(ms(2500))
     effects = hop.outbox.drain()
     assert not any(isinstance(each, CallUpstream) for each in effects)
+
+
+@pytest.mark.parametrize('preempts', [True, False])
+def test_running_read_is_interrupted_only_where_allowed(
+    *, preempts: bool
+) -> None:
+    """An upstream that is cut off at its work makes the answer unknown."""
+    hop = _Hop()
+    service = Service(SERVICE, preempts=preempts)
+    hop.hop.hosted.configure({SERVICE: service})
+    for number in range(1, 60):
+        hop.dispatch(number, Priority.internal)
+        hop.hop.upstreams[UPSTREAM].preemptions.earn()
+    hop.dispatch(60)
+    hop.hop.tick(ms(500))
+    aborted = any(isinstance(each, AbortCall) for each in hop.outbox.drain())
+    assert aborted is preempts
