Leave health in records alone where it is not told apart

The test fails without the mend. Also removed: an unused method, a copy of the listener's way to report a request, a reason written twice.

--- a/greengagemux/approvals.py
+++ b/greengagemux/approvals.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from .bundles import Bundle
-from .clocks import ZERO
+from .clocks import ZERO, in_ms
 from .effects import Outbox, ReadLog, Record, Send
 from .events import LogAppended, LogFailed, LogRead
 from .ids import DaemonId, LogOffset, StreamId
@@ -136,8 +136,8 @@
             self._read_failed(event, now)
             return
         if self._lost_since is not None:
-            away = now - self._lost_since
-            self._note('log-regained', away_ms=away // timedelta(0, 0, 1000))
+            away_ms = in_ms(now - self._lost_since)
+            self._note('log-regained', away_ms=away_ms)
         self._lost_since = None
         self._backoff = RETRY_FIRST
         self._read_due = now
--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -77,8 +77,11 @@
     def age_health(self, now: timedelta) -> None:
         """Let a bad state be doubted that nobody has confirmed lately.
 
-        Daemons in other data centres hear of a recovery only by trying.
+        Daemons in other data centres hear of a recovery only by trying, where
+        records do not tell them.
         """
+        if not self.health_apart:
+            return
         for view in self.views.values():
             for candidate in view.candidates.values():
                 self._doubt(view, candidate, now)
@@ -102,7 +105,7 @@
     ) -> None:
         """Take over the load that came with an answer or a refusal."""
         candidate.report(load)
-        if load.state is not candidate.state:
+        if self.health_apart and load.state is not candidate.state:
             self.view(candidate.service).update(
                 candidate.upstream, load.state, candidate.severity
             )
--- a/greengagemux/choices.py
+++ b/greengagemux/choices.py
@@ -234,7 +234,8 @@
     """Return the better of two random upstreams, or none if none is left.
 
     A farther tier of the same region is tried when the pick of the nearer
-    one holds ``spill`` times its slots. Another region is used only when ``remote`` allows it
+    one holds ``spill`` times its slots. Another region is used only when
+    ``remote`` allows it
     and no nearer upstream is left. An upstream on probation receives only
     ``idempotent`` requests.
     """
--- a/greengagemux/episodes.py
+++ b/greengagemux/episodes.py
@@ -84,11 +84,6 @@
         super().retire(upstream)
         self._beliefs.pop(upstream, None)
 
-    def gray(self, upstream: UpstreamId) -> float:
-        """Return the probability that an upstream is gray."""
-        known = self._beliefs.get(upstream)
-        return known.gray if known else GRAY_SHARE
-
     def may_probe(self, upstream: UpstreamId, now: timedelta) -> bool:
         """Send no probes: a gray upstream reports that all is well."""
         return False
@@ -113,15 +108,14 @@
         if failed and belief.gray >= SICK_ABOVE:
             self._reject(case, sample, belief, now)
         elif failed and belief.gray >= DOUBT_ABOVE:
-            reason = f'{sample.kind.value}: {belief.gray:.2f} likely gray'
-            case.move(UpstreamState.probation, reason, now)
+            case.move(UpstreamState.probation, _reason(sample, belief), now)
         elif case.state is UpstreamState.probation:
             case.passed += int(not failed)
             if belief.gray < DOUBT_ABOVE:
                 case.severity = 0
                 case.ejections = 0
                 case.detector.reset()
-                reason = f'{belief.gray:.2f} likely gray'
+                reason = _reason(sample, belief)
                 case.move(UpstreamState.serving, reason, now)
 
     def advance(self, case: Case, now: timedelta) -> None:
@@ -137,10 +131,9 @@
     def _reject(
         self, case: Case, sample: Sample, belief: Belief, now: timedelta
     ) -> None:
-        reason = f'{sample.kind.value}: {belief.gray:.2f} likely gray'
         case.severity = severity_of(case)
         case.readmit_at = now + TRIAL_AFTER
-        case.move(UpstreamState.sick, reason, now)
+        case.move(UpstreamState.sick, _reason(sample, belief), now)
 
     def _weigh_time(self, case: Case, sample: Sample, now: timedelta) -> None:
         """Eject an upstream for slowness by Page's test."""
@@ -155,3 +148,7 @@
         )
         if case.state is UpstreamState.serving and reading.cause == 'slowness':
             judge(case, reading, now, ZERO)
+
+
+def _reason(sample: Sample, belief: Belief) -> str:
+    return f'{sample.kind.value}: {belief.gray:.2f} likely gray'
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -397,7 +397,11 @@
     def received(self, exchange: Exchange) -> None:
         """Report a whole request."""
         self._exchanges[exchange.exchange] = exchange
-        self._submit(exchange.caller_request())
+        self._submit(self.request_of(exchange))
+
+    def request_of(self, exchange: Exchange) -> CallerRequest:
+        """Return a request as an event; edges of other dialects override it."""
+        return exchange.caller_request()
 
     def gone(self, exchange: ExchangeId) -> None:
         """Report that a caller closed its connection."""
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -1,6 +1,6 @@
 """Headers of callers and upstreams, translated at the edges."""
 
-from typing import Any, Final
+from typing import Final
 
 from .. import headers
 from ..connections import UpstreamCalls
@@ -12,7 +12,7 @@
     UpstreamAnswered,
     UpstreamFailed,
 )
-from ..listeners import CallerListener
+from ..listeners import CallerListener, Exchange
 from ..messages import Headers
 from ..outcomes import Failure, Outcome, Step
 
@@ -65,10 +65,9 @@
     #: Callers here pipeline only requests that may be repeated.
     pipeline_limit = 16
 
-    def received(self, exchange: Any) -> None:
-        """Report a whole request."""
-        self._exchanges[exchange.exchange] = exchange
-        self._submit(_from_caller(exchange.caller_request()))
+    def request_of(self, exchange: Exchange) -> CallerRequest:
+        """Return a request as an event."""
+        return _from_caller(super().request_of(exchange))
 
     def respond(self, effect: Respond) -> None:
         """Answer a caller that still waits."""
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -1,6 +1,7 @@
 """Guards the capacity floor and the choice of upstream."""
 
 import os
+from datetime import timedelta
 from random import Random
 
 import pytest
@@ -8,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from greengagemux.candidates import Candidates
 from greengagemux.choices import (
     DRAW_WEIGHTS,
     Candidate,
@@ -18,8 +20,23 @@
     choose,
     usable,
 )
-from greengagemux.ids import DaemonId, ServiceName, UpstreamId
-from greengagemux.messages import Load, UpstreamState
+from greengagemux.clocks import ZERO
+from greengagemux.effects import Outbox
+from greengagemux.ids import (
+    DaemonId,
+    DataCentre,
+    Incarnation,
+    Region,
+    ServiceName,
+    UpstreamId,
+)
+from greengagemux.messages import (
+    Load,
+    MemberRecord,
+    UpstreamRecord,
+    UpstreamState,
+)
+from greengagemux.paths import Paths
 
 FLOOR_PCT = 70
 UPSTREAMS = 8
@@ -267,3 +284,35 @@
     suppress_health_check=list(HealthCheck),
 )
 TestFloor = FloorMachine.TestCase
+
+
+def test_records_alone_tell_health_unless_it_is_told_apart() -> None:
+    """Without news of health, a sick upstream must stay as it was announced."""
+    outbox = Outbox()
+    own = _member('a', 'centre-a')
+    candidates = Candidates(own, Paths(outbox, Random(1)))
+    other = _member('b', 'centre-b', UpstreamState.sick)
+    candidates.members_changed({other.daemon: other}, [other.daemon], ZERO)
+    view = candidates.view(ServiceName('s'))
+    for apart, state in (
+        (False, UpstreamState.sick),
+        (True, UpstreamState.probation),
+    ):
+        candidates.health_apart = apart
+        candidates.age_health(timedelta(seconds=5))
+        assert view.candidates[UpstreamId('u')].state is state
+
+
+def _member(
+    name: str, centre: str, state: UpstreamState = UpstreamState.serving
+) -> MemberRecord:
+    upstream = UpstreamRecord(UpstreamId('u'), ServiceName('s'), 2, state)
+    return MemberRecord(
+        daemon=DaemonId(name),
+        incarnation=Incarnation(1),
+        sequence=1,
+        data_centre=DataCentre(centre),
+        region=Region('r'),
+        peer_address='127.0.0.1:1',
+        upstreams=(upstream,),
+    )
