--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -146,7 +146,8 @@
     """A service and its limits.
 
     ``false_alarm`` and ``miss`` are probabilities of the detector's test.
-    With ``trials_count`` upstreams on probation count towards the floor.
+    With ``trials_count`` upstreams on probation count towards the floor, and
+    sick ones get work only when no other is left.
     Farther upstreams get work once the nearest hold ``spill_pct`` of their
     slots; ``movable`` requests of people are offered elsewhere before they
     are queued, and with ``preempts`` interrupt internal reads that run. A
--- a/greengagemux/choices.py
+++ b/greengagemux/choices.py
@@ -92,12 +92,14 @@
     """Upstreams that may receive work, and those only allowed by the floor.
 
     ``tiers`` holds the allowed ones by distance, nearest first: same data
-    centre, same region, other region.
+    centre, same region, other region. With ``forced_last`` the floor's ones
+    are used when no other is left.
     """
 
     allowed: tuple[Candidate, ...]
     forced: frozenset[UpstreamId]
     tiers: tuple[tuple[Candidate, ...], ...] = ()
+    forced_last: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,8 +130,9 @@
     Sick ones are added, least severe first and then by id, until the
     allowed healthy and sick slots reach ``floor_pct`` of all listed slots.
     Draining, unreachable, cold and probation upstreams stay in the total but
-    do not count towards the floor; with ``trials_count`` those on probation
-    do, because they are tried all the time.
+    do not count towards the floor. With ``trials_count`` those on probation
+    do, and sick ones come last: all of them are tried again soon, so that
+    none stays without work.
     """
     listed = sorted(candidates, key=_fixed_order)
     needed = floor_pct / 100 * sum(each.slots for each in listed)
@@ -155,6 +158,7 @@
         tuple(allowed),
         frozenset(each.upstream for each in forced),
         _tiers(allowed),
+        forced_last=trials_count,
     )
 
 
@@ -240,7 +244,7 @@
     ``idempotent`` requests.
     """
     kept: Collection[UpstreamId] = excluded
-    if not idempotent and choices.forced:
+    if choices.forced and (choices.forced_last or not idempotent):
         # What fails on a sick upstream cannot be run again elsewhere, so the
         # floor is served by idempotent requests while others are left.
         kept = {*excluded, *choices.forced}
--- a/greengagemux/entrances.py
+++ b/greengagemux/entrances.py
@@ -58,6 +58,9 @@
 from .splits import Splits
 from .throttles import Throttles
 
+#: Retries that an entrance may make for a service before it earns any. The
+#: budgets of the upstreams bound how many of them arrive.
+FIRST_RETRIES = 4.0
 #: Upstreams a request is offered to before its refusal is passed on.
 REROUTE_LIMIT = 4
 #: The same while they refuse for their load: two full queues are evidence
@@ -135,7 +138,8 @@
         self._link.configure(bundle.region_link_kbit_s)
         for name, service in bundle.services.items():
             share = bundle.retries_pct / 100
-            budget = self._budgets.setdefault(name, Budget(share))
+            fresh = Budget(share, saved=FIRST_RETRIES)
+            budget = self._budgets.setdefault(name, fresh)
             budget.share = share
             view = self.candidates.view(name)
             view.set_floor(service.floor_pct, trials_count=service.trials_count)
@@ -483,8 +487,7 @@
             self._move(waiting, now)
             return
         if message.reason is Reason.retry_budget:
-            if not waiting.attempts:
-                self._conclude(waiting, waiting.last_reason)
+            self._offer_again(waiting, now)
             return
         waiting.last_reason = message.reason
         if waiting.forwarded:
@@ -496,6 +499,16 @@
             return
         self._failed(waiting, message.reason, now)
 
+    def _offer_again(self, waiting: Waiting, now: timedelta) -> None:
+        """Offer a retry to an upstream that has retries left."""
+        if waiting.attempts:
+            return
+        waiting.reroutes += 1
+        if waiting.reroutes >= REROUTE_LIMIT:
+            self._conclude(waiting, waiting.last_reason)
+            return
+        self._place(waiting, now)
+
     def _move(self, waiting: Waiting, now: timedelta) -> None:
         """Place a person's request again, with the load just learned."""
         waiting.moves += 1
@@ -518,6 +531,8 @@
             budget = self._budgets[waiting.route.service]
             final = not budget.spend()
         limit = REROUTE_LIMIT
+        # A queue has taken the time that another upstream would need.
+        final = final or message.reason is Reason.deadline
         if message.reason is Reason.overloaded:
             limit = OVERLOADED_LIMIT
             self._throttles.refused(throttle_key(waiting), now)
--- a/greengagemux/episodes.py
+++ b/greengagemux/episodes.py
@@ -49,12 +49,15 @@
 SICK_ABOVE: Final = 0.5
 #: From this probability on only requests that may run twice are sent; below
 #: it an upstream takes every request.
-DOUBT_ABOVE: Final = 0.1
+DOUBT_ABOVE: Final = 0.15
 #: After a failure an upstream is tried with idempotent requests again only
 #: after this time, so that trials take a small part of the retry budget.
-TRIAL_AFTER: Final = timedelta(seconds=1)
+TRIAL_AFTER: Final = timedelta(milliseconds=700)
+#: The same after its process was found not to listen: a restart takes longer
+#: than an episode's pause, and each trial would be refused.
+CRASH_PAUSE: Final = timedelta(seconds=2)
 #: Requests at the same time while an upstream is on trial.
-TRIAL_LIMIT: Final = 1
+TRIAL_LIMIT: Final = 2
 
 _EXPECTED = frozenset((SampleKind.success, SampleKind.silent))
 
@@ -106,7 +109,11 @@
     ) -> list[StateChange]:
         """Reject an upstream whose process does not listen."""
         failed = Sample(SampleKind.refused, PROBE_ROUTE, 0, fresh=True)
-        return self.observe(upstream, failed, now)
+        changes = self.observe(upstream, failed, now)
+        case = self._cases.get(upstream)
+        if case is not None and case.state is UpstreamState.sick:
+            case.readmit_at = now + CRASH_PAUSE
+        return changes
 
     def trial_limit(self, case: Case) -> int:
         """Return how many requests run at once on probation."""
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -345,6 +345,8 @@
             self._check_silence(running, now)
         for job in self._late(now):
             self._end_late(job, now)
+        for queueing in self.upstreams.values():
+            self._refuse_hopeless(queueing, now)
         for waiting in self.upstreams.values():
             self._fill(waiting, now)
             self._preempt(waiting, now)
@@ -652,6 +654,18 @@
                 upstream.queue.discard(job)
                 self._end(job, not_run(job, Reason.sick), now)
 
+    def _refuse_hopeless(self, upstream: Upstream, now: timedelta) -> None:
+        """Refuse queued requests that can no longer end in time.
+
+        Their callers learn early that they have not run.
+        """
+        for job in tuple(upstream.queue):
+            if job.deadline - ms(job.cost_ms) <= now:
+                # Later requests must not be given the same hope.
+                learn_wait(upstream, job, now)
+                upstream.queue.discard(job)
+                self._end(job, not_run(job, Reason.deadline), now)
+
     def _fits(self, upstream: Upstream, message: Dispatch) -> bool:
         """Return whether the health of an upstream allows a request now."""
         return self.verdicts.admits(
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -102,13 +102,16 @@
 
 
 class HealthNews(Struct, frozen=True, array_like=True, tag='health'):
-    """Changes of upstreams' health, for the daemons of a data centre.
+    """Changes of upstreams' health, for the daemons of a region.
 
-    Between data centres health travels with the load on each answer, because
-    those links are paid by the byte.
+    Links between data centres are paid by the byte, so one daemon of each
+    other data centre gets them and passes them on. Between regions health
+    travels with the load on each answer.
     """
 
     entries: tuple[UpstreamHealth, ...]
+    #: Whether the receiver passes them on in its own data centre.
+    relayed: bool = False
 
 
 class Hello(Struct, frozen=True, array_like=True, tag='hello'):
--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -42,8 +42,8 @@
 #: a refused connection shows that one has ended.
 ANNOUNCE_LEASE: Final = timedelta(minutes=5)
 
-#: Wake-ups are paid for on small hosts; time limits here are 100 ms and more.
-TICK: Final = timedelta(milliseconds=50)
+#: Wake-ups are paid for on small hosts; time limits here are 400 ms and more.
+TICK: Final = timedelta(milliseconds=100)
 COLLECT_EVERY_S: Final = 5.0
 
 EXIT_SETTINGS: Final = 2
--- a/greengagemux/receptions.py
+++ b/greengagemux/receptions.py
@@ -146,6 +146,8 @@
     message: HealthNews, daemon: 'Daemon', sender: Sender, now: timedelta
 ) -> None:
     daemon.entrance.candidates.hear(message, now)
+    if message.relayed:
+        daemon.relay_health(message)
 
 
 @receive.register(PromiseRequest)
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -41,7 +41,13 @@
     UpstreamFailed,
 )
 from .gossips import Directed
-from .ids import DaemonId, Incarnation, ServiceName, StreamId
+from .ids import (
+    DaemonId,
+    Incarnation,
+    ServiceName,
+    StreamId,
+    UpstreamId,
+)
 from .keyed import KeyedWrites
 from .lasthops import LastHop
 from .members import Members
@@ -132,6 +138,7 @@
             self.entrance.candidates.health_apart = True
         self.members = Members(own, rng, by_centre=identity.episodes)
         self.distribution = source.attach(own, self.paths, self.outbox, rng)
+        self._far_news: dict[UpstreamId, UpstreamHealth] = {}
         self.discovery: Discovery | None = None
         if identity.discovers:
             self.discovery = Discovery(own, self.outbox, rng)
@@ -192,12 +199,35 @@
             if self.slots_due is None:
                 self.slots_due = now + SLOTS_WAIT
 
+    def relay_health(self, news: HealthNews) -> None:
+        """Pass health on to the daemons of this data centre."""
+        told = HealthNews(news.entries)
+        for daemon, record in self.members.live().items():
+            if record.data_centre == self.own.data_centre:
+                self.paths.send(daemon, told)
+
+    def tell_far_health(self) -> None:
+        """Tell the other data centres of the region what has changed.
+
+        Changes are collected between ticks: the last one of an upstream
+        counts.
+        """
+        if not self._far_news:
+            return
+        news = HealthNews(tuple(self._far_news.values()), relayed=True)
+        self._far_news.clear()
+        told = {self.own.data_centre}
+        for daemon, record in sorted(self.members.live().items()):
+            if record.region != self.own.region or record.data_centre in told:
+                continue
+            if self.paths.send(daemon, news):
+                told.add(record.data_centre)
+
     def _tell_health(self, entries: tuple[UpstreamHealth, ...]) -> None:
         news = HealthNews(entries)
         self.entrance.candidates.hear(news, self.outbox.now)
-        for daemon, record in self.members.live().items():
-            if record.data_centre == self.own.data_centre:
-                self.paths.send(daemon, news)
+        self.relay_health(news)
+        self._far_news.update({each.upstream: each for each in entries})
 
     def _members_changed(
         self, changed: Iterable[DaemonId], now: timedelta
@@ -244,6 +274,7 @@
 def _tick(event: Tick, daemon: Daemon, now: timedelta) -> None:
     daemon.last_hop.tick(now)
     daemon.entrance.tick(now)
+    daemon.tell_far_health()
     daemon.send_all(daemon.members.tick(now), now)
     daemon.distribution.tick(daemon.members.live(), now)
     daemon.keyed.tick(now)
--- a/greengagemux/retries.py
+++ b/greengagemux/retries.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-#: Retries that an entrance may make for a service before it earns any.
+#: Retries for a service or an upstream before any are earned.
 INITIAL_RETRIES = 1.0
 #: Most retries saved up, so that a quiet hour buys no burst of retries.
 SAVED_LIMIT = 10.0
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -132,6 +132,20 @@
         assert pick.forced == (pick.candidate.upstream in allowed.forced)
 
 
+def test_sick_ones_come_last_where_they_are_tried_soon() -> None:
+    """The floor must not send reads into an episode that ends by itself."""
+    listed = [_candidate(f'g{turn}', UpstreamState.serving) for turn in (1, 2)]
+    listed += [_candidate(f's{turn}', UpstreamState.sick) for turn in (1, 2)]
+    rng = Random(3)
+    early = usable(listed, FLOOR_PCT)
+    assert any(choose(early, rng).forced for _ in range(200))  # type: ignore[union-attr]
+    late = usable(listed, FLOOR_PCT, trials_count=True)
+    assert not any(choose(late, rng).forced for _ in range(200))  # type: ignore[union-attr]
+    left = choose(late, rng, {UpstreamId('g1'), UpstreamId('g2')})
+    assert left is not None
+    assert left.forced
+
+
 def _shares(listed: list[Candidate], draws: int = 4000) -> dict[str, float]:
     rng = Random(5)
     allowed = usable(listed, 0)
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -100,6 +100,16 @@
     assert verdicts.state(UPSTREAM) is UpstreamState.serving
 
 
+def test_crashed_upstream_is_left_alone_for_longer() -> None:
+    """Trials of a process that does not listen only cost retries."""
+    verdicts = _verdicts()
+    verdicts.crashed(UPSTREAM, ZERO)
+    verdicts.tick(ms(1900))
+    assert not _admits(verdicts, idempotent=True)
+    verdicts.tick(ms(2100))
+    assert _admits(verdicts, idempotent=True)
+
+
 def test_failed_trial_ejects_again() -> None:
     """An episode that goes on must not be taken for its end."""
     verdicts = _verdicts()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 from greengagemux.effects import Exit, ReleaseCallers
 from greengagemux.events import StopRequested, StreamOpened, Tick
 from greengagemux.ids import StreamId
+from greengagemux.messages import UpstreamHealth, UpstreamState
 from greengagemux.reducers import TICK, reduce
 
 
@@ -319,6 +320,27 @@
         assert all(c.in_flight < 8 for c in view.candidates.values())
 
 
+def test_health_is_relayed_within_a_region() -> None:
+    """Another data centre must not learn of a gray upstream by refusals."""
+    fleet = started(8)
+    hosted = fleet.nodes['d0'].daemon.last_hop.hosted
+    upstream = next(iter(hosted.by_id.values()))
+    news = UpstreamHealth(
+        upstream.upstream, upstream.service, UpstreamState.sick, 5
+    )
+    hosted.news.append(news)
+    fleet.run(120)
+    heard = {
+        name
+        for name, node in fleet.nodes.items()
+        for view in node.daemon.entrance.views.values()
+        for known in view.candidates.values()
+        if known.upstream == upstream.upstream
+        and known.state is UpstreamState.sick
+    }
+    assert heard == {'d0', 'd4', 'd1', 'd5'}
+
+
 def test_late_greeting_does_not_replace_a_newer_stream() -> None:
     """Requests on a stream that the peer takes for old would be dropped."""
     fleet = started(2)
@@ -380,3 +402,18 @@
     assert fleet.outcome(exchange) == 'not-run'
     assert fleet.reason(exchange) == 'late'
     assert fleet.runs(b'write') == 0
+
+
+def test_retry_that_one_upstream_may_not_take_is_offered_to_others() -> None:
+    """A read must not fail for the spent budget of one upstream."""
+    fleet = started(6)
+    for name, node in fleet.nodes.items():
+        for upstream in node.daemon.last_hop.upstreams.values():
+            upstream.retries.saved = int(name == 'd3')
+    asked = fleet.ask('d0', b'r1')
+    fleet.run(2)
+    runner = _running_at(fleet, b'r1')
+    assert runner != 'd0'
+    fleet.kill(runner)
+    fleet.run(1500)
+    assert fleet.outcome(asked) == 'completed'
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -226,6 +226,18 @@
     assert in_time not in hop.ended
 
 
+def test_queued_request_is_refused_once_it_is_hopeless() -> None:
+    """A caller must not be kept until its deadline for work not begun."""
+    hop = Hop(slots=1)
+    hop.ask(Priority.routine, expected_ms=500)
+    queued = hop.ask(Priority.routine, remaining_ms=1000, expected_ms=500)
+    hop.run(450)
+    assert queued not in hop.ended
+    hop.run(100)
+    assert hop.ended == {queued: (Outcome.not_run, Reason.deadline)}
+    assert hop.hop.upstreams[UP].wait_factors[Priority.routine] > 1
+
+
 def test_waits_longer_than_the_queue_are_learned() -> None:
     """Shedding must count the more urgent requests that arrive meanwhile."""
     hop = Hop(slots=1, queue_limit=100)
