--- a/greengagemux/admissions.py
+++ b/greengagemux/admissions.py
@@ -1,6 +1,7 @@
 """Admission of requests to an upstream: queue by priority and fair share."""
 
 from collections.abc import Iterator
+from datetime import timedelta
 from types import MappingProxyType
 from typing import Generic, Protocol, TypeVar
 
@@ -22,12 +23,21 @@
 
     priority: Priority
 
+    @property
+    def overdue_at(self) -> timedelta | None:
+        """When its start would be too late for its target, if it has one."""
+
 
 Item = TypeVar('Item', bound=Queued)
 
 
 class Queue(Generic[Item]):
-    """Requests that wait for a slot of one upstream."""
+    """Requests that wait for a slot of one upstream.
+
+    Within a class those that miss their target latency run after those that
+    can still meet it. In the order of arrival, an overload would make every
+    request late that is served at all.
+    """
 
     def __init__(self, limit: int, limit_bytes: int) -> None:
         """Bound the queue by requests and by bytes."""
@@ -36,20 +46,41 @@
         self._size_bytes = 0
         self._passed_over = 0
         self._lanes: tuple[Lane[Item], ...] = tuple(Lane() for _ in _ORDER)
+        self._overdue: tuple[Lane[Item], ...] = tuple(Lane() for _ in _ORDER)
 
     def __len__(self) -> int:
         """Return the number of requests that wait."""
-        return sum(map(len, self._lanes))
+        return sum(map(len, self._lanes)) + sum(map(len, self._overdue))
 
     def __iter__(self) -> Iterator[Item]:
         """Iterate over the requests, most urgent class first."""
-        for lane in self._lanes:
+        for lane, overdue in zip(self._lanes, self._overdue, strict=True):
             yield from lane
+            yield from overdue
 
     def ahead(self, priority: Priority) -> int:
         """Return how many requests would run before a new one."""
-        lanes = self._lanes[: RANK[priority] + 1]
-        return sum(map(len, lanes))
+        rank = RANK[priority]
+        overdue = sum(map(len, self._overdue[:rank]))
+        return overdue + sum(map(len, self._lanes[: rank + 1]))
+
+    def overdue(self, priority: Priority) -> int:
+        """Return how many requests of a class miss their target."""
+        return len(self._overdue[RANK[priority]])
+
+    def set_overdue_aside(self, now: timedelta) -> list[Item]:
+        """Put requests that miss their target last in their class.
+
+        Returns those that were put last by this call.
+        """
+        moved: list[Item] = []
+        for lane, overdue in zip(self._lanes, self._overdue, strict=True):
+            late = [item for item in lane if _is_overdue(item, now)]
+            for item in late:
+                lane.discard(item)
+                overdue.add(item)
+            moved += late
+        return moved
 
     def offer(self, item: Item) -> list[Item]:
         """Add a request and return those that must be refused for it.
@@ -66,7 +97,11 @@
 
     def take(self) -> Item | None:
         """Remove and return the request to run next."""
-        filled = [lane for lane in self._lanes if lane]
+        filled = [
+            lane or overdue
+            for lane, overdue in zip(self._lanes, self._overdue, strict=True)
+            if lane or overdue
+        ]
         if not filled:
             return None
         lane = filled[0]
@@ -87,13 +122,20 @@
         self._size_bytes += item.size_bytes
 
     def oldest(self, priority: Priority) -> Item | None:
-        """Return the request of a class that has waited longest."""
-        lane = self._lanes[RANK[priority]]
+        """Return the request of a class that has waited longest.
+
+        One that can meet its target is preferred.
+        """
+        rank = RANK[priority]
+        lane = self._lanes[rank] or self._overdue[rank]
         return lane.oldest() if lane else None
 
     def discard(self, item: Item) -> None:
         """Remove a request that no longer waits for a slot."""
-        self._lanes[RANK[item.priority]].discard(item)
+        rank = RANK[item.priority]
+        overdue = self._overdue[rank]
+        lane = overdue if item in tuple(overdue) else self._lanes[rank]
+        lane.discard(item)
         self._size_bytes -= item.size_bytes
 
     def _over(self) -> bool:
@@ -102,7 +144,15 @@
         return self._size_bytes > self.limit_bytes
 
     def _drop(self) -> Item:
-        lane = next(lane for lane in reversed(self._lanes) if lane)
-        item = lane.drop()
+        ranks = zip(self._lanes, self._overdue, strict=True)
+        item = next(
+            (overdue or lane).drop()
+            for lane, overdue in reversed(tuple(ranks))
+            if lane or overdue
+        )
         self._size_bytes -= item.size_bytes
         return item
+
+
+def _is_overdue(item: Queued, now: timedelta) -> bool:
+    return item.overdue_at is not None and item.overdue_at <= now
--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -141,6 +141,7 @@
             team=waiting.caller.team or '',
             retry=waiting.retried,
             movable=waiting.movable,
+            target_ms=_target_ms(waiting, now),
         )
 
     def _note(self, waiting: Waiting, attempt: Attempt, now: timedelta) -> None:
@@ -196,3 +197,10 @@
 def _queue_ms(candidate: Candidate) -> float:
     queued = max(0, candidate.placed() + 1 - candidate.slots)
     return queued * candidate.service_ms / max(1, candidate.slots)
+
+
+def _target_ms(waiting: Waiting, now: timedelta) -> int:
+    target_ms = waiting.route.target_ms
+    if not target_ms:
+        return 0
+    return max(1, int(target_ms - in_ms(now - waiting.arrived)))
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -206,6 +206,8 @@
     ``methods`` for every method. ``echo_header`` names a header of the
     request that a right answer repeats; an answer that does not is discarded
     as wrong. ``attempt_limit`` bounds the upstreams that may run a request.
+    An answer within ``target_ms`` has its full value; in an overload, requests
+    that miss it wait until the others of their class have run.
     """
 
     name: RouteName
@@ -225,6 +227,7 @@
     attempt_limit: Annotated[int, Field(ge=1, le=10)] = ATTEMPT_LIMIT
     host: Annotated[str, Field(max_length=255)] = ''
     split: _Split = ()
+    target_ms: Annotated[int, Field(ge=0, le=600_000)] = 0
 
 
 @with_config(extra='forbid')
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -61,6 +61,8 @@
     silent: bool = False
     given_up: int = 0
     ahead_ms: float = 0
+    #: Whether later requests were let go first; its wait tells nothing then.
+    set_aside: bool = False
 
     @property
     def identity(self) -> bytes:
@@ -84,6 +86,14 @@
         """Expected service time; 0 when it is not known."""
         return self.dispatch.expected_ms
 
+    @property
+    def overdue_at(self) -> timedelta | None:
+        """When its start would be too late for its target latency."""
+        target_ms = self.dispatch.target_ms
+        if not target_ms:
+            return None
+        return self.arrived + ms(target_ms - self.cost_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class Suspicion:
@@ -183,7 +193,7 @@
 
     Later requests of more urgent classes make the wait of others longer.
     """
-    if not job.ahead_ms or job.given_up:
+    if not job.ahead_ms or job.given_up or job.set_aside:
         return
     factor = upstream.wait_factors[job.priority]
     found = min(in_ms(now - job.arrived) / job.ahead_ms, WAIT_FACTOR_MAX)
@@ -197,6 +207,24 @@
     return ahead * upstream.service_ms / max(1, upstream.slots)
 
 
+def cost_ms_of(upstream: Upstream, job: Job) -> float:
+    """Return the service time to expect of a request."""
+    return job.cost_ms or upstream.service_ms
+
+
+def patience_ms_of(upstream: Upstream, job: Job, now: timedelta) -> float:
+    """Return the time in which a new request has to end.
+
+    While enough overdue ones wait to fill free slots, it is not queued to
+    become one of them.
+    """
+    left_ms = in_ms(job.deadline - now)
+    target_ms = job.dispatch.target_ms
+    if target_ms and upstream.queue.overdue(job.priority) >= upstream.slots:
+        return min(left_ms, target_ms)
+    return left_ms
+
+
 def not_run(job: Job, reason: Reason) -> Refusal:
     """Return the refusal of a request that did not run."""
     return Refusal(
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -1,6 +1,6 @@
 """Lifecycle of requests at the last hop, beside their upstreams."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from datetime import timedelta
 from types import MappingProxyType
 
@@ -41,6 +41,7 @@
     Suspicion,
     Upstream,
     ahead_ms_of,
+    cost_ms_of,
     fault_in,
     has_slot,
     interruptible,
@@ -49,6 +50,7 @@
     new_job,
     not_run,
     overloaded,
+    patience_ms_of,
     unknown,
 )
 from .messages import (
@@ -343,7 +345,8 @@
         self.hosted.apply(self.verdicts.tick(now))
         for running in tuple(self._calls.values()):
             self._check_silence(running, now)
-        for job in self._late(now):
+        late = [job for job in self._jobs.values() if job.deadline <= now]
+        for job in late:
             self._end_late(job, now)
         for queueing in self.upstreams.values():
             self._refuse_hopeless(queueing, now)
@@ -447,7 +450,8 @@
             return
         job.ahead_ms = ahead_ms_of(upstream, job)
         wait_ms = job.ahead_ms * upstream.wait_factors[job.priority]
-        if wait_ms + job.cost_ms > in_ms(job.deadline - now):
+        needed_ms = wait_ms + cost_ms_of(upstream, job)
+        if needed_ms > patience_ms_of(upstream, job, now):
             self._end(job, overloaded(job, upstream), now)
             return
         for refused in upstream.queue.offer(job):
@@ -510,6 +514,7 @@
             return
         # The request that has just ended may have changed the state.
         self._refuse_unfit(upstream, now)
+        self._set_overdue_aside(upstream, now)
         while upstream.queue and has_slot(upstream):
             job = upstream.queue.take()
             if job is None:
@@ -654,13 +659,24 @@
                 upstream.queue.discard(job)
                 self._end(job, not_run(job, Reason.sick), now)
 
+    def _set_overdue_aside(self, upstream: Upstream, now: timedelta) -> None:
+        """Put overdue requests last; refuse those that could not end."""
+        for job in upstream.queue.set_overdue_aside(now):
+            job.set_aside = True
+            overdue = upstream.queue.overdue(job.priority)
+            rounds = overdue / max(1, upstream.slots)
+            wait_ms = rounds * upstream.service_ms
+            if wait_ms + job.cost_ms > in_ms(job.deadline - now):
+                upstream.queue.discard(job)
+                self._end(job, overloaded(job, upstream), now)
+
     def _refuse_hopeless(self, upstream: Upstream, now: timedelta) -> None:
         """Refuse queued requests that can no longer end in time.
 
         Their callers learn early that they have not run.
         """
         for job in tuple(upstream.queue):
-            if job.deadline - ms(job.cost_ms) <= now:
+            if job.deadline - ms(cost_ms_of(upstream, job)) <= now:
                 # Later requests must not be given the same hope.
                 learn_wait(upstream, job, now)
                 upstream.queue.discard(job)
@@ -704,10 +720,6 @@
         self._end(job, unknown(job, reason, ''), now)
         self._fill(upstream, now)
 
-    def _late(self, now: timedelta) -> Iterator[Job]:
-        late = [job for job in self._jobs.values() if job.deadline <= now]
-        yield from late
-
     def _end_late(self, job: Job, now: timedelta) -> None:
         if job.origin not in self._jobs:
             # Ended when the abort of an earlier one refilled its slot.
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -153,7 +153,8 @@
     request is refused rather than queued behind others of its class.
     ``peer_errors`` is the present share of errors of other upstreams.
     ``host`` is the virtual host that the caller named, ``tag`` the identity
-    that it gave the request.
+    that it gave the request. ``target_ms`` is the time left in which an
+    answer has its full value; 0 for none.
     """
 
     request: RequestId
@@ -179,6 +180,7 @@
     peer_errors: float = 0
     host: bytes = b''
     tag: str = ''
+    target_ms: int = 0
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -56,6 +56,8 @@
     weighted_backends: tuple[_Part, ...] = ()
     #: The longest time that a caller is kept waiting.
     timeout_ms: int = 2000
+    #: Time within which an answer has its full value; 0 for none.
+    target_latency_ms: int = 0
     #: Number of upstreams that may run one request, not of calls made.
     max_attempts: int = 1
     #: Rank, 0 is the most urgent.
@@ -172,4 +174,5 @@
         attempt_limit=max(1, each.max_attempts),
         host=each.hostname,
         split=split,
+        target_ms=each.target_latency_ms,
     )
--- a/tests/test_admissions.py
+++ b/tests/test_admissions.py
@@ -22,6 +22,7 @@
     account: str = 'x'
     size_bytes: int = 1
     cost_ms: float = 10
+    overdue_at: timedelta | None = None
 
     @property
     def arrived(self) -> timedelta:
@@ -199,3 +200,39 @@
     lane = queue._lanes[RANK[Priority.routine]]
     known = sum(len(team.accounts) for team in lane._root.accounts.values())
     assert known < 10
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(list(Priority)), st.booleans()), max_size=30
+    )
+)
+def test_overdue_items_run_last_in_their_class(
+    offered: list[tuple[Priority, bool]],
+) -> None:
+    """Guards the order, and that setting aside neither loses nor doubles."""
+    queue: Queue[Item] = Queue(1000, 1000)
+    items = [
+        Item(number, priority, overdue_at=ms(1) if late else ms(100))
+        for number, (priority, late) in enumerate(offered)
+    ]
+    for item in items:
+        queue.offer(item)
+    moved = queue.set_overdue_aside(ms(50))
+    assert {each.number for each in moved} == {
+        each.number for each in items if each.overdue_at == ms(1)
+    }
+    assert not queue.set_overdue_aside(ms(60))
+    assert len(queue) == len(items)
+    for priority in Priority:
+        mine = [each for each in items if each.priority is priority]
+        taken = [each for each in queue if each.priority is priority]
+        late = [each.overdue_at == ms(1) for each in taken]
+        assert late == sorted(late)
+        assert len(taken) == len(mine)
+        assert queue.overdue(priority) == sum(late)
+    for item in items:
+        queue.discard(item)
+    assert not len(queue)
+    assert queue.take() is None
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -238,6 +238,40 @@
     assert hop.hop.upstreams[UP].wait_factors[Priority.routine] > 1
 
 
+def test_request_that_meets_its_target_goes_before_an_overdue_one() -> None:
+    """In the order of arrival an overload makes every answer late."""
+    hop = Hop(slots=1)
+    running = hop.ask(Priority.routine)
+    overdue = hop.ask(Priority.routine, target_ms=100)
+    hop.run(150)
+    fresh = hop.ask(Priority.routine, target_ms=100)
+    urgent = hop.ask(Priority.waiting, target_ms=100)
+    hop.finish(running)
+    hop.finish(urgent)
+    hop.finish(fresh)
+    hop.finish(overdue)
+    assert hop.started == [running, urgent, fresh, overdue]
+
+
+def test_overdue_request_without_a_chance_is_refused() -> None:
+    """A caller must not be kept for a slot that others will take."""
+    hop = Hop(slots=1, queue_limit=100)
+    hop.hop.upstreams[UP].service_ms = 100
+    hop.ask(Priority.routine)
+    waiting = [
+        hop.ask(Priority.routine, target_ms=300, remaining_ms=600)
+        for _ in range(5)
+    ]
+    hop.run(310)
+    hop.ask(Priority.routine, target_ms=300, remaining_ms=600)
+    hop.finish(1)
+    refused = [number for number in waiting if number in hop.ended]
+    assert refused
+    assert {hop.ended[number] for number in refused} == {
+        (Outcome.not_run, Reason.overloaded)
+    }
+
+
 def test_waits_longer_than_the_queue_are_learned() -> None:
     """Shedding must count the more urgent requests that arrive meanwhile."""
     hop = Hop(slots=1, queue_limit=100)
