--- a/greengagemux/timelines.py
+++ b/greengagemux/timelines.py
@@ -94,7 +94,8 @@
 class Criteria:
     """Which events to keep; an empty criterion keeps all.
 
-    ``request`` is an id, or ``DAEMON:ID`` for the ids of one entrance.
+    ``request`` is an id, or ``DAEMON:ID`` for the ids of one entrance. The
+    id that the caller gave its request (``tag``) is one as well.
     """
 
     start: datetime | None = None
@@ -118,9 +119,10 @@
 
     def _has_request(self, event: TimelineEvent) -> bool:
         entrance, colon, request = self.request.rpartition(':')
-        if event.request != request:
+        fields = _fields(event.line)
+        if request not in {event.request, fields.get('tag')}:
             return False
-        owner = _fields(event.line).get('entrance', event.daemon)
+        owner = fields.get('entrance', event.daemon)
         return not colon or owner == entrance
 
 
--- a/tests/test_timelines.py
+++ b/tests/test_timelines.py
@@ -46,6 +46,17 @@
     assert _names(other, one) == ['sent', 'got']
 
 
+def test_request_is_followed_by_the_id_of_its_caller(tmp_path: Path) -> None:
+    """The last hop knows a request by another id than the entrance."""
+    placed = _line('a', '1.0', event='placed', fields={'request': '9c41'})
+    called = {'request': 'a/1/7', 'tag': '9c41'}
+    ended = _line('b', '2.0', event='ended', fields=called)
+    other = _line('b', '3.0', event='other', fields={'request': 'a/1/8'})
+    path = _file(tmp_path, 'a.log', placed, ended, other)
+    criteria = timelines.Criteria(request='9c41')
+    assert _names(path, criteria=criteria) == ['placed', 'ended']
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     groups=st.lists(
