--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -30,6 +30,9 @@
 
 #: Service time assumed before the first answer of an upstream.
 INITIAL_SERVICE_MS = 10.0
+#: Least weight of the newest service time in the mean; the first ones count
+#: alike, so that a fresh process soon knows how long its queues are.
+SERVICE_TIME_WEIGHT = 0.1
 #: Weight of the newest wait in the ratio of waits to queues met.
 WAIT_WEIGHT = 0.1
 WAIT_FACTOR_MAX = 10
@@ -118,6 +121,8 @@
     state: UpstreamState
     running: dict[CallId, Job] = field(default_factory=dict)
     service_ms: float = INITIAL_SERVICE_MS
+    #: Whole answers that have shaped ``service_ms``.
+    answers: int = 0
     wait_factors: dict[Priority, float] = field(
         default_factory=lambda: dict.fromkeys(Priority, 1.0)
     )
@@ -188,6 +193,13 @@
     return job.dispatch.idempotent and not job.silent
 
 
+def learn_service(upstream: Upstream, service_ms: float) -> None:
+    """Take the service time of an answer into the mean."""
+    upstream.answers += 1
+    weight = max(SERVICE_TIME_WEIGHT, 1 / upstream.answers)
+    upstream.service_ms += weight * (service_ms - upstream.service_ms)
+
+
 def learn_wait(upstream: Upstream, job: Job, now: timedelta) -> None:
     """Compare the wait of a request with the queue it met.
 
@@ -228,14 +240,17 @@
 def has_chance(upstream: Upstream, job: Job, now: timedelta) -> bool:
     """Return whether an overdue request is worth keeping.
 
-    One for each slot may fill a gap; more would wait for their deadline,
-    while their callers could have been told long before.
+    One for each slot may fill a gap, if those that go first leave it the
+    time; more would wait for their deadline, while their callers could have
+    been told long before.
     """
+    slots = max(1, upstream.slots)
     overdue = upstream.queue.overdue(job.priority)
-    if overdue > max(1, upstream.slots):
+    if overdue > slots:
         return False
-    needed_ms = upstream.service_ms + job.cost_ms
-    return needed_ms <= in_ms(job.deadline - now)
+    rounds = (upstream.queue.ahead(job.priority) + overdue) / slots
+    wait_ms = rounds * upstream.service_ms * upstream.wait_factors[job.priority]
+    return wait_ms + cost_ms_of(upstream, job) <= in_ms(job.deadline - now)
 
 
 def not_run(job: Job, reason: Reason) -> Refusal:
--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -46,6 +46,7 @@
     has_chance,
     has_slot,
     interruptible,
+    learn_service,
     learn_wait,
     load_of,
     new_job,
@@ -69,8 +70,6 @@
 from .upstreams import ANNOUNCE_LEASE, Upstreams
 from .verdicts import Verdicts
 
-#: Weight of the newest service time in the running mean.
-SERVICE_TIME_WEIGHT = 0.1
 #: A person interrupts an internal request that has run for less than this
 #: share of the mean service time, because little work is lost.
 CHEAP_SHARE = 0.2
@@ -280,8 +279,7 @@
         if event.status >= _HTTP_ERROR:
             kind = SampleKind.error
         else:
-            change = service_ms - upstream.service_ms
-            upstream.service_ms += SERVICE_TIME_WEIGHT * change
+            learn_service(upstream, service_ms)
         self._observe(job, kind, now)
         answer = Answer(
             request=job.origin.request,
@@ -663,6 +661,8 @@
     def _set_overdue_aside(self, upstream: Upstream, now: timedelta) -> None:
         """Put overdue requests last; refuse those that could not end."""
         for job in upstream.queue.set_overdue_aside(now):
+            # Waits so far bound those of the requests that come next.
+            learn_wait(upstream, job, now)
             job.set_aside = True
             if not has_chance(upstream, job, now):
                 upstream.queue.discard(job)
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -30,7 +30,7 @@
 #: Requests that wait at one upstream. Deadlines bound the wait before this.
 QUEUE_LIMIT: Final = 64
 #: A short queue nearby costs less than the bytes to another data centre.
-SPILL_PCT: Final = 150
+SPILL_PCT: Final = 200
 #: Gray upstreams here often hang, and one request in a hundred of a sound one
 #: lasts three times as long as the mean.
 HEDGE_PCT: Final = 300
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -272,6 +272,36 @@
     }
 
 
+def test_overdue_request_behind_a_queue_is_refused() -> None:
+    """It would be passed over until nothing could be done for it."""
+    hop = Hop(slots=1, queue_limit=100)
+    hop.ask(Priority.routine)
+    overdue = hop.ask(Priority.routine, target_ms=300, remaining_ms=600)
+    hop.run(290)
+    hop.hop.upstreams[UP].service_ms = 100
+    for _ in range(3):
+        hop.ask(Priority.routine, target_ms=300, remaining_ms=600)
+    hop.run(10)
+    hop.finish(1)
+    assert hop.ended == {
+        1: (Outcome.completed, None),
+        overdue: (Outcome.not_run, Reason.overloaded),
+    }
+
+
+def test_first_answer_tells_how_long_a_queue_is() -> None:
+    """After a restart, requests must not be queued on a guessed time."""
+    hop = Hop(slots=1)
+    first = hop.ask(Priority.routine)
+    hop.run(200)
+    hop.finish(first)
+    hop.ask(Priority.routine)
+    for _ in range(2):
+        hop.ask(Priority.routine, remaining_ms=700)
+    late = hop.ask(Priority.routine, remaining_ms=700)
+    assert hop.ended[late] == (Outcome.not_run, Reason.overloaded)
+
+
 def test_waits_longer_than_the_queue_are_learned() -> None:
     """Shedding must count the more urgent requests that arrive meanwhile."""
     hop = Hop(slots=1, queue_limit=100)
