--- a/greengagemux/lasthops.py
+++ b/greengagemux/lasthops.py
@@ -664,7 +664,23 @@
             # Waits so far bound those of the requests that come next.
             learn_wait(upstream, job, now)
             job.set_aside = True
-            if not has_chance(upstream, job, now):
+            kept = has_chance(upstream, job, now)
+            self._outbox.emit(
+                Record(
+                    'request-overdue',
+                    {
+                        'request': job.identity.decode(),
+                        'tag': job.dispatch.tag,
+                        'upstream': upstream.upstream,
+                        'waited_ms': in_ms(now - job.arrived),
+                        'left_ms': in_ms(job.deadline - now),
+                        'ahead': upstream.queue.ahead(job.priority),
+                        'kept': kept,
+                    },
+                    detail=True,
+                )
+            )
+            if not kept:
                 upstream.queue.discard(job)
                 self._end(job, overloaded(job, upstream), now)
 
