--- a/greengagemux/verdicts.py
+++ b/greengagemux/verdicts.py
@@ -62,8 +62,6 @@
 PROBE_INTERVAL_SUSPECT = timedelta(milliseconds=500)
 PROBE_INTERVAL_SICK = timedelta(milliseconds=2500)
 PROBE_ROUTE = RouteName('probe')
-#: Interval at which the shell calls ``tick``.
-TICK = timedelta(milliseconds=100)
 #: A gap between two calls beyond a tick by this much is a stall.
 STALL_MARGIN = timedelta(milliseconds=50)
 STALLS_KEPT = 8
