Log what happens to caller connections around a planned stop

The log held no line on connections of callers, so three explanations could not be told apart: a request read after a response that announced the close, a response withheld behind an earlier pipelined request, and a caller that had left.

caller-close-announced, request-after-close and caller-connection-lost name the connection and its exchanges. They are written only for a closing response, a request after one and a connection with unanswered requests.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 listener for callers, on twisted.web."""
 
-from collections.abc import Callable
+import logging
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from enum import Enum
 from io import BytesIO
@@ -17,9 +18,12 @@
 from .effects import Respond
 from .events import CallerDisconnected, CallerRequest, Event
 from .ids import ExchangeId
+from .logs import log_event
 from .outcomes import Outcome, Reason
 from .requests import refusal
 
+logger = logging.getLogger(__name__)
+
 #: Largest request body that is accepted; routes set lower limits.
 BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
 #: A connection that sends nothing for this long is closed, unless its caller
@@ -141,6 +145,7 @@
         headers.setRawHeaders(b'Content-Length', [b'%d' % len(effect.body)])
         if close:
             headers.setRawHeaders(b'Connection', [b'close'])
+            self.channel.close_announced(self)
         self.write(effect.body)  # type: ignore[no-untyped-call]
         self.channel.response_written(len(effect.body))
         self.finish()  # type: ignore[no-untyped-call]
@@ -175,6 +180,10 @@
         self._paused = False
         self._unread_bytes = 0
         self._linger_timer: Any = None
+        #: Number of the connection in the log.
+        self.connection = listener.next_connection()
+        #: Whether a response told the caller that the connection closes.
+        self._close_sent = False
         #: Responses that are withheld until earlier requests are answered.
         self._withheld: dict[Exchange, tuple[Respond, bool]] = {}
 
@@ -254,9 +263,16 @@
 
     def request_completed(self) -> None:
         """Record that the current request is complete."""
+        if self._close_sent:
+            self._log_exchanges('request-after-close', self.requests[-1:])
         self._response_pending = True
         self.listener.request_ended(self)
 
+    def close_announced(self, exchange: Exchange) -> None:
+        """Record that a response tells the caller that the connection closes."""
+        self._close_sent = True
+        self._log_exchanges('caller-close-announced', [exchange])
+
     def response_written(self, size_bytes: int) -> None:
         """Record a response; too many unsent bytes end the connection."""
         self._response_pending = len(self.requests) > 1
@@ -335,6 +351,15 @@
             LINGER_S, self.transport.abortConnection
         )
 
+    def _log_exchanges(self, event: str, exchanges: Sequence[Exchange]) -> None:
+        fields = {
+            'connection': self.connection,
+            'exchanges': [each.exchange for each in exchanges],
+            'withheld': [each.exchange for each in self._withheld],
+            'by_caller': not self._input_discarded,
+        }
+        log_event(logger, event, fields, logging.DEBUG)
+
     def _respondToBadRequestAndDisconnect(self) -> None:
         # The response of twisted.web has neither an outcome nor a length.
         response = refusal(ExchangeId(0), Outcome.not_run, Reason.bad_request)
@@ -344,6 +369,8 @@
         """Cancel the timer and remove the connection from the listener."""
         if self._linger_timer is not None and self._linger_timer.active():
             self._linger_timer.cancel()
+        if self.requests or self._withheld:
+            self._log_exchanges('caller-connection-lost', self.requests)
         self.listener.disconnected(self)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
@@ -377,6 +404,7 @@
         self._exchanges: dict[ExchangeId, Exchange] = {}
         self._channels: set[CallerChannel] = set()
         self._last_exchange = 0
+        self._last_connection = 0
         self._port: Any = None
         self._closing = False
 
@@ -407,6 +435,11 @@
         self._last_exchange += 1
         return ExchangeId(self._last_exchange)
 
+    def next_connection(self) -> int:
+        """Return the number of a new connection."""
+        self._last_connection += 1
+        return self._last_connection
+
     def request_received(self, exchange: Exchange) -> None:
         """Submit a complete request."""
         self._exchanges[exchange.exchange] = exchange
