--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -176,6 +176,20 @@
     assert places == sorted(places)
 
 
+@pytest.mark.known_red
+def test_response_is_withheld_after_pipelined_requests(edge: _Edge) -> None:
+    """A pipelined request that was answered must not block later ones."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET * 2)
+    edge.take(2)
+    edge.answer(1)
+    edge.answer(2, b'second answer')
+    caller.expect(b'second answer')
+    caller.send(_GET)
+    edge.answer(3, b'third answer')
+    caller.expect(b'third answer')
+
+
 def test_idle_connection_is_closed(edge: _Edge) -> None:
     """Idle connections must not accumulate; those with a request stay open."""
     used = Client(edge.port).send(_GET)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -8,6 +8,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from msgspec import structs
 
 from greengagemux.candidates import Candidates
 from greengagemux.selection import (
@@ -31,8 +32,10 @@
     UpstreamId,
 )
 from greengagemux.messages import (
+    HealthUpdate,
     Load,
     MemberRecord,
+    UpstreamHealth,
     UpstreamRecord,
     UpstreamState,
 )
@@ -329,6 +332,29 @@
         assert view.candidates[UpstreamId('u')].state is state
 
 
+@pytest.mark.known_red
+@pytest.mark.parametrize('source', ['load', 'health'])
+def test_leaving_daemon_is_selected_again(source: str) -> None:
+    """Health of its upstream must not hide that a daemon is stopping."""
+    own = _member('a', 'centre-a')
+    candidates = Candidates(own, Paths(Outbox(), Random(1)))
+    candidates.separate_health = True
+    stopping = structs.replace(_member('b', 'centre-b'), leaving=True)
+    members = {stopping.daemon: stopping}
+    candidates.members_changed(members, list(members), ZERO)
+    view = candidates.view(ServiceName('s'))
+    known = view.candidates[UpstreamId('u')]
+    if source == 'load':
+        load = Load(0, 0, 2, 10, UpstreamState.serving)
+        candidates.report(known, load, ZERO)
+    else:
+        entry = UpstreamHealth(
+            known.upstream, known.service, UpstreamState.serving
+        )
+        candidates.receive_health(HealthUpdate((entry,)), ZERO)
+    assert choose(view.current(), Random(1)) is None
+
+
 def _member(
     name: str, centre: str, state: UpstreamState = UpstreamState.serving
 ) -> MemberRecord:
