Add a soak of planned stops on daemons of the platform

The existing soak runs daemons of the product's own interface, whose listener handles pipelined requests one by one. Callers pipeline reads on open connections and use them until the process is gone, while series of restarts overlap.

The upstream and the settings of test_platform_daemon move to the stand-ins.

--- a/greengagemux_standins/cli.py
+++ b/greengagemux_standins/cli.py
@@ -20,6 +20,7 @@
 from .servers import Network
 from .slots import MS_PER_SECOND, Capacity
 from .soaks import soak
+from .stopsoaks import stop_soak
 from .upstreams import Upstream, UpstreamSettings
 
 CRASH_STATUS = 70
@@ -39,6 +40,7 @@
 main.add_command(linked_daemon)
 main.add_command(load_command)
 main.add_command(soak)
+main.add_command(stop_soak)
 
 
 def _parse_prefix_factors(
--- /dev/null
+++ b/greengagemux_standins/platformfleets.py
@@ -0,0 +1,147 @@
+"""Daemons of ``greengagemux.platform`` as processes, and their store."""
+
+import json
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import Any, Final
+
+from greengagemux.platform.servers import Server
+from greengagemux.platform.settings import PATH_VARIABLE
+
+from .platformupstreams import PlatformUpstream
+from .processes import Processes
+from .servers import LOOPBACK
+from .stores import Store
+
+#: Ports of a daemon, in the order of their numbers.
+PORT_NAMES: Final = ('inbound', 'outbound', 'ready', 'control', 'admin')
+#: Time from SIGTERM to SIGKILL on the platform.
+GRACE_S: Final = 6.0
+HOST: Final = 'shop.example'
+READ_PREFIX: Final = '/list/'
+WRITE_PREFIX: Final = '/post/'
+
+_ZONES: Final = ('a', 'b')
+
+
+def configuration(version: int) -> bytes:
+    """Return a configuration with one route for reads and one for writes."""
+    prefixes = {'idempotent': READ_PREFIX, 'non_idempotent': WRITE_PREFIX}
+    routes = [
+        {
+            'name': kind,
+            'hostname': HOST,
+            'path_prefix': prefix,
+            'kind': kind,
+            'service': 'orders',
+            'timeout_ms': 3000,
+            'max_attempts': 3,
+        }
+        for kind, prefix in prefixes.items()
+    ]
+    return json.dumps(
+        {
+            'version': f'r{version}',
+            'routes': routes,
+            'services': [{'name': 'orders'}],
+        }
+    ).encode()
+
+
+def configured_store() -> Store:
+    """Return a store that holds the first configuration."""
+    store = Store()
+    store.append('keyed.op', 'config', configuration(1))
+    return store
+
+
+def settings_text(
+    name: str, zone: str, ports: Mapping[str, int], upstream: str, store: str
+) -> str:
+    """Return the settings of a daemon; ``upstream`` and ``store`` listen."""
+    admin = ports['admin']
+    lines = [
+        f'node_name={name}',
+        f'zone={zone}',
+        'region=r',
+        'service=orders',
+        f'ip={LOOPBACK}',
+        f'port_range={admin},{admin}',
+        f'bounds=grace_s={GRACE_S}',
+        f'app_addr={upstream}',
+        f'platform.address={store}',
+    ]
+    lines += [
+        f'listen.{each}={LOOPBACK}:{ports[each]}' for each in PORT_NAMES[:-1]
+    ]
+    return '\n'.join(lines)
+
+
+class PlatformFleet:
+    """Daemons in two zones, each beside one upstream of this process."""
+
+    def __init__(
+        self,
+        network: Any,
+        processes: Processes,
+        run_dir: Path,
+        base_port: int,
+        upstreams: Iterable[PlatformUpstream],
+    ) -> None:
+        """Prepare; nothing listens yet."""
+        self.processes = processes
+        self.store = configured_store()
+        self.upstreams = {f'd{each.upstream}': each for each in upstreams}
+        self._network = network
+        self._run_dir = run_dir
+        self._base_port = base_port
+        self._version = 1
+        self._store_port: Any = None
+
+    def start(self) -> None:
+        """Listen and start all processes; raises ``CannotListenError``."""
+        self._store_port = self._network.listenTCP(
+            0, Server(self._network, self.store), interface=LOOPBACK
+        )
+        store = f'{LOOPBACK}:{self._store_port.getHost().port}'
+        for place, (name, upstream) in enumerate(self.upstreams.items()):
+            upstream.start()
+            text = settings_text(
+                name,
+                _ZONES[place % len(_ZONES)],
+                self.ports(name),
+                upstream.address,
+                store,
+            )
+            self._settings_path(name).write_text(text)
+            self.start_daemon(name)
+            upstream.announce_to(f'{LOOPBACK}:{self.ports(name)["control"]}')
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon that is not running."""
+        self.processes.start(
+            name,
+            ('-m', 'greengagemux.platform'),
+            {PATH_VARIABLE: str(self._settings_path(name))},
+        )
+
+    def ports(self, name: str) -> dict[str, int]:
+        """Return the ports of a daemon by name."""
+        place = list(self.upstreams).index(name)
+        first = self._base_port + place * len(PORT_NAMES)
+        return {each: first + at for at, each in enumerate(PORT_NAMES)}
+
+    def change(self) -> None:
+        """Store the next version of the configuration."""
+        self._version += 1
+        self.store.append('keyed.op', 'config', configuration(self._version))
+
+    def stop(self) -> None:
+        """Stop all processes and close the stand-ins."""
+        self.processes.stop(self.upstreams)
+        self._store_port.stopListening()
+        for upstream in self.upstreams.values():
+            upstream.stop()
+
+    def _settings_path(self, name: str) -> Path:
+        return self._run_dir.resolve() / f'{name}.conf'
--- /dev/null
+++ b/greengagemux_standins/platformupstreams.py
@@ -0,0 +1,174 @@
+"""Stand-in of an application server on the platform of the users."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from greengagemux.loadclients import Exchange, Pool
+
+from . import servers
+
+#: Interval of announcements (``heartbeat_ms`` of the platform).
+ANNOUNCE_INTERVAL_S: Final = 1.5
+SLOTS: Final = 3
+
+_SEAL: Final = b'seal'
+_HEALTH_TARGET: Final = b'/healthz'
+_MS_PER_SECOND: Final = 1000
+
+
+@dataclass(eq=False, slots=True)
+class Run:
+    """One execution; times are those of the reactor.
+
+    ``finished_s`` is set once the response was written to an open connection,
+    ``broken_off`` if the upstream reset the connection instead.
+    """
+
+    request: str
+    upstream: str
+    method: str
+    begun_s: float
+    finished_s: float | None = None
+    broken_off: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a request costs: its service time, and whether it is broken off."""
+
+    service_s: float = 0
+    breaks_off: bool = False
+
+
+Draw = Callable[[], Work]
+_Received = tuple[str, dict[str, str]]
+
+
+class PlatformUpstream:
+    """Answers each request with its path; refuses paths with ``full``."""
+
+    def __init__(
+        self,
+        network: Any,
+        upstream: str,
+        draw: Draw = Work,
+    ) -> None:
+        """Take the cost of each request from ``draw``."""
+        self.upstream = upstream
+        #: Request line and headers of each request.
+        self.received: list[_Received] = []
+        self.runs: list[Run] = []
+        self._network = network
+        self._draw = draw
+        self._server = servers.HttpServer(network, self._respond)
+        self._sequence = 0
+        self._announcing: LoopingCall | None = None
+
+    @property
+    def address(self) -> str:
+        """Address as ``host:port``; the port is known after the start."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Listen; raises ``CannotListenError``."""
+        self._server.start()
+
+    def announce_to(self, address: str) -> None:
+        """Announce to a daemon until the stop."""
+        pool = Pool(address, self._network)
+        self._announcing = LoopingCall(self._announce, pool)
+        self._announcing.start(ANNOUNCE_INTERVAL_S)
+
+    def stop(self) -> Deferred[None]:
+        """Close the listener and reset all connections."""
+        if self._announcing is not None:
+            self._announcing.stop()
+        return self._server.stop()
+
+    def announcement(self, phase: str = 'ready') -> bytes:
+        """Return the next announcement as an encoded request."""
+        self._sequence += 1
+        body = json.dumps(
+            {
+                'service': 'orders',
+                'address': 'own',
+                'slots': SLOTS,
+                'phase': phase,
+                'sequence': self._sequence,
+                'born': 1,
+            }
+        )
+        return (
+            f'PUT /api/instances/{self.upstream} HTTP/1.1\r\nHost: x\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'
+        ).encode()
+
+    def _announce(self, pool: Pool) -> None:
+        pool.ask(Exchange(self.announcement(), False, _ignore))
+
+    def _respond(self, request: servers.Request) -> None:
+        if request.uri == _HEALTH_TARGET:
+            request.responseHeaders.setRawHeaders(
+                b'Instance-Id', [self.upstream.encode()]
+            )
+            servers.reply(request, servers.OK, b'')
+            return
+        raw = request.requestHeaders.getAllRawHeaders()
+        headers = {
+            name.decode().lower(): found[0].decode() for name, found in raw
+        }
+        method, target = request.method.decode(), request.uri.decode()
+        self.received.append((f'{method} {target} HTTP/1.1', headers))
+        request.responseHeaders.setRawHeaders(
+            b'Request-Id', [headers['request-id'].encode()]
+        )
+        if 'full' in target:
+            request.responseHeaders.setRawHeaders(b'Not-Executed', [b'1'])
+            servers.reply(request, servers.UNAVAILABLE, b'')
+            return
+        run = Run(
+            headers['request-id'],
+            self.upstream,
+            method,
+            self._network.seconds(),
+        )
+        self.runs.append(run)
+        work = self._draw()
+        limit_s = int(headers['deadline-ms']) / _MS_PER_SECOND
+        call = self._network.callLater(
+            min(work.service_s, limit_s),
+            self._end,
+            request,
+            run,
+            work.breaks_off,
+            work.service_s > limit_s,
+        )
+        ended: Deferred[Any] = request.notifyFinish()
+        ended.addErrback(lambda _: call.active() and call.cancel())
+
+    def _end(
+        self,
+        request: servers.Request,
+        run: Run,
+        breaks_off: bool,
+        expired: bool,
+    ) -> None:
+        request.responseHeaders.setRawHeaders(b'Response-Seal', [_SEAL])
+        if expired:
+            servers.reply(request, servers.GATEWAY_TIMEOUT, b'')
+            return
+        if breaks_off:
+            run.broken_off = True
+            servers.abort(request.channel)
+            return
+        servers.reply(request, servers.OK, request.uri)
+        run.finished_s = self._network.seconds()
+
+
+def _ignore(_answer: object) -> None:
+    """Announcements are repeated, so their answers do not matter."""
--- a/greengagemux_standins/processes.py
+++ b/greengagemux_standins/processes.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from pathlib import Path
-from types import TracebackType
+from types import MappingProxyType, TracebackType
 
 from greengagemux.clocks import Clock, SystemClock, ms
 
@@ -15,6 +15,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 STOP_LIMIT_MS = 20_000
 _POLL_S = 0.05
+_NO_VARIABLES: Mapping[str, str] = MappingProxyType({})
 
 
 class LaunchError(Exception):
@@ -56,10 +57,16 @@
         """Return the log file of a process."""
         return self._run_dir / f'{name}.log'
 
-    def start(self, name: str, arguments: Sequence[str]) -> int:
+    def start(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        variables: Mapping[str, str] = _NO_VARIABLES,
+    ) -> int:
         """Start ``python ARGUMENTS`` and return the process id.
 
-        Raises ``LaunchError`` if a process of that name is running.
+        ``variables`` are added to the environment. Raises ``LaunchError`` if
+        a process of that name is running.
         """
         if name in self._children and self.is_running(name):
             raise LaunchError(f'{name} is already running')
@@ -67,6 +74,7 @@
             child = subprocess.Popen(  # noqa: S603
                 (sys.executable, *arguments),
                 cwd=ROOT,
+                env={**os.environ, **variables},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -104,6 +112,10 @@
         """Return whether a process has not ended."""
         return self._child(name).poll() is None
 
+    def status(self, name: str) -> int | None:
+        """Return the exit status of a process, or ``None`` while it runs."""
+        return self._child(name).poll()
+
     def kill(self, name: str) -> None:
         """Send SIGKILL to a process and wait for its end."""
         self._signal(name, signal.SIGKILL)
--- /dev/null
+++ b/greengagemux_standins/stopsoaks.py
@@ -0,0 +1,316 @@
+"""Soak of planned stops: series of restarts that overlap, under load.
+
+The daemons are those of ``greengagemux.platform``.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import click
+from twisted.internet.defer import Deferred, gatherResults
+
+from .demos import termination_raises
+from .platformfleets import GRACE_S, PlatformFleet
+from .platformupstreams import PlatformUpstream, Run, Work
+from .ports import free_base_port
+from .processes import Processes
+from .soakchecks import Verdict
+from .soakfaults import RESTART_S, Fault
+from .stopcallers import Call, Caller, pause
+from .stopchecks import KILL, PAUSE, STOP, Judge
+
+#: Time until all daemons serve.
+START_S: Final = 4
+#: Time between the first stops of two groups of series.
+GROUP_S: Final = 9
+#: Time after the last stop until the load ends.
+SETTLE_S: Final = 3
+
+_SERIES: Final = 3
+_MEDIAN_SERVICE_S: Final = 0.15
+_SIGMA: Final = 0.8
+_BROKEN_OFF_SHARE: Final = 0.005
+_POLL_S: Final = 0.05
+_SHOWN: Final = 5
+
+
+class Step(NamedTuple):
+    """A fault of a plan; a stopped daemon starts ``length_s`` after its end."""
+
+    at_s: float
+    kind: str
+    daemon: str
+    length_s: float
+
+
+def plan_steps(
+    seed: int, daemons: Sequence[str], groups: int, rough_share: float
+) -> list[Step]:
+    """Return series that overlap, each of half of the daemons.
+
+    ``rough_share`` of the steps are kills and pauses.
+    """
+    rng = random.Random(f'{seed} stops')
+    steps = []
+    for group in range(groups):
+        start_s = float(group * GROUP_S)
+        for _ in range(_SERIES):
+            at_s = start_s
+            for daemon in rng.sample(daemons, len(daemons) // 2):
+                kind = STOP
+                if rng.random() < rough_share:
+                    kind = rng.choice((KILL, PAUSE))
+                steps.append(Step(at_s, kind, daemon, rng.uniform(0.2, 1.5)))
+                at_s += rng.uniform(0.5, 1)
+            start_s += rng.uniform(0.5, 1.5)
+    return sorted(steps)
+
+
+@dataclass(slots=True)
+class StopSoak:
+    """One run on a fleet."""
+
+    fleet: PlatformFleet
+    network: Any
+    seed: int
+    steps: Sequence[Step]
+    callers: list[Caller]
+    faults: list[Fault] = field(default_factory=list)
+    overrun: list[str] = field(default_factory=list)
+    _disturbed: set[str] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Send load and carry out the plan."""
+        await pause(self.network, START_S)
+        loads = [
+            Deferred.fromCoroutine(caller.run()) for caller in self.callers
+        ]
+        await gatherResults(
+            [
+                Deferred.fromCoroutine(self._carry_out(step))
+                for step in self.steps
+            ]
+        )
+        await pause(self.network, SETTLE_S)
+        for caller in self.callers:
+            caller.finish()
+        await gatherResults(loads)
+
+    @property
+    def calls(self) -> list[Call]:
+        """All calls."""
+        return [call for caller in self.callers for call in caller.calls]
+
+    @property
+    def runs(self) -> list[Run]:
+        """All executions."""
+        upstreams = self.fleet.upstreams.values()
+        return [run for upstream in upstreams for run in upstream.runs]
+
+    def verdict(self) -> Verdict:
+        """Judge the run."""
+        verdict = Judge(self.runs, self.faults).judge(self.calls)
+        verdict.broken['stop-overran'] += self.overrun
+        for caller in self.callers:
+            verdict.broken['surplus'] += caller.surplus
+        return verdict
+
+    async def _carry_out(self, step: Step) -> None:
+        await pause(self.network, step.at_s)
+        if step.daemon in self._disturbed:
+            return
+        self._disturbed.add(step.daemon)
+        since_s = self.network.seconds()
+        self.fleet.change()
+        if step.kind == PAUSE:
+            self.fleet.processes.pause(step.daemon)
+            await pause(self.network, step.length_s)
+            self.fleet.processes.resume(step.daemon)
+        else:
+            await self._end(step)
+            await pause(self.network, step.length_s)
+            self.fleet.start_daemon(step.daemon)
+        self.faults.append(
+            Fault(step.kind, step.daemon, since_s, self.network.seconds())
+        )
+        # A started process needs a while until it listens again.
+        await pause(self.network, RESTART_S)
+        self._disturbed.remove(step.daemon)
+
+    async def _end(self, step: Step) -> None:
+        processes = self.fleet.processes
+        if step.kind == KILL:
+            processes.kill(step.daemon)
+            return
+        processes.terminate(step.daemon)
+        limit_s = self.network.seconds() + GRACE_S
+        while processes.is_running(step.daemon):
+            if self.network.seconds() > limit_s:
+                processes.kill(step.daemon)
+            await pause(self.network, _POLL_S)
+        status = processes.status(step.daemon)
+        if status:
+            self.overrun.append(f'{step.daemon} ended with {status}')
+
+
+def draw_work(rng: random.Random) -> Work:
+    """Return the cost of a request."""
+    return Work(
+        _MEDIAN_SERVICE_S * rng.lognormvariate(0, _SIGMA),
+        rng.random() < _BROKEN_OFF_SHARE,
+    )
+
+
+def report_lines(soak: StopSoak, verdict: Verdict) -> Iterator[str]:
+    """Yield the report of a run."""
+    kinds = Counter(fault.kind for fault in soak.faults)
+    ends = Counter(f'{call.end.value} {call.status}' for call in soak.calls)
+    result = 'passed' if verdict.clean else 'FAILED'
+    yield f'seed {soak.seed}: {result}, {dict(kinds)}, {dict(ends)}'
+    yield f'    excused: {dict(verdict.excused)}'
+    for name, found in verdict.broken.items():
+        if found:
+            yield f'    {name}: {len(found)}'
+            yield from (f'        {line}' for line in found[:_SHOWN])
+
+
+@click.command(
+    'stop-soak',
+    params=[
+        click.Option(['--seed'], default=1, show_default=True),
+        click.Option(
+            ['--seeds'], default=1, help='Runs; their seeds follow --seed.'
+        ),
+        click.Option(['--daemons'], default=8, show_default=True),
+        click.Option(['--callers'], default=4, help='Callers of each daemon.'),
+        click.Option(['--groups'], default=1, help='Groups of series.'),
+        click.Option(
+            ['--rough-share'],
+            default=float(0),
+            help='Share of kills and pauses among the stops.',
+        ),
+        click.Option(
+            ['--run-dir'],
+            type=click.Path(file_okay=False, path_type=Path),
+            required=True,
+            help='Directory for logs and records, one subdirectory per seed.',
+        ),
+    ],
+)
+def stop_soak(**options: Any) -> None:
+    """Restart daemons of the platform in series, under load.
+
+    Ends with status 1 when a requirement is broken.
+    """
+    from twisted.internet import reactor  # noqa: PLC0415, WPS433
+
+    network: Any = reactor
+    failed: list[int] = []
+    errors: list[Any] = []
+    with termination_raises():
+        whole: Deferred[Any] = Deferred()
+        whole.addCallback(partial(_begin, network, options, failed))
+        whole.addErrback(errors.append)
+        whole.addBoth(partial(_stop, network))
+        network.callWhenRunning(whole.callback, None)
+        network.run()
+        # After a signal, the processes must still be ended.
+        whole.cancel()
+    if errors:
+        errors[0].raiseException()
+    click.echo(f'failed seeds: {failed}')
+    if failed:
+        raise click.exceptions.Exit(1)
+
+
+def _begin(
+    network: Any, options: dict[str, Any], failed: list[int], _none: None
+) -> Deferred[None]:
+    return Deferred.fromCoroutine(_run_all(network, options, failed))
+
+
+def _stop(network: Any, _outcome: object) -> None:
+    if network.running:
+        network.stop()
+
+
+async def _run_all(
+    network: Any, options: dict[str, Any], failed: list[int]
+) -> None:
+    base_port = free_base_port()
+    seeds = range(options['seed'], options['seed'] + options['seeds'])
+    for seed in seeds:
+        clean = await _run(  # noqa: WPS476
+            network, options, seed, base_port
+        )
+        if not clean:
+            failed.append(seed)
+
+
+async def _run(
+    network: Any, options: dict[str, Any], seed: int, base_port: int
+) -> bool:
+    run_dir = options['run_dir'] / f'seed-{seed}'
+    with Processes(run_dir) as processes:
+        soak = _build(network, options, seed, processes, base_port)
+        soak.fleet.start()
+        await soak.run()
+        soak.fleet.stop()
+    verdict = soak.verdict()
+    report = '\n'.join(report_lines(soak, verdict))
+    click.echo(report)
+    _write(run_dir, soak, report)
+    return verdict.clean
+
+
+def _build(
+    network: Any,
+    options: dict[str, Any],
+    seed: int,
+    processes: Processes,
+    base_port: int,
+) -> StopSoak:
+    fleet = PlatformFleet(
+        network,
+        processes,
+        options['run_dir'] / f'seed-{seed}',
+        base_port,
+        [
+            PlatformUpstream(
+                network,
+                str(place),
+                partial(draw_work, random.Random(f'{seed} upstream {place}')),
+            )
+            for place in range(options['daemons'])
+        ],
+    )
+    daemons = list(fleet.upstreams)
+    callers = [
+        Caller(
+            network,
+            daemon,
+            fleet.ports(daemon)['outbound'],
+            f'{seed}-{daemon}-{place}',
+        )
+        for daemon in daemons
+        for place in range(options['callers'])
+    ]
+    steps = plan_steps(seed, daemons, options['groups'], options['rough_share'])
+    return StopSoak(fleet, network, seed, steps, callers)
+
+
+def _write(run_dir: Path, soak: StopSoak, report: str) -> None:
+    """Write what a failed run needs to be looked into."""
+    for name, found in (
+        ('report', [report]),
+        ('calls', soak.calls),
+        ('runs', soak.runs),
+        ('faults', soak.faults),
+    ):
+        lines = '\n'.join(str(each) for each in found)
+        (run_dir / f'{name}.txt').write_text(lines)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -12,97 +12,39 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
 import pytest
 from sockets import Client, reactor, turn, run_reactor_until
-from twisted.internet.protocol import Factory, Protocol
 
 from greengagemux.platform.servers import Server
 from greengagemux.platform.settings import PATH_VARIABLE
-from greengagemux_standins.stores import Store
+from greengagemux_standins.platformfleets import (
+    PORT_NAMES,
+    configured_store,
+    settings_text,
+)
+from greengagemux_standins.platformupstreams import PlatformUpstream
 
 HOST = '127.0.0.1'
-CONFIGURATION = {
-    'version': 'r3',
-    'routes': [
-        {
-            'name': 'read',
-            'hostname': 'shop.example',
-            'path_prefix': '/list/',
-            'kind': 'idempotent',
-            'service': 'orders',
-        },
-        {
-            'name': 'write',
-            'hostname': 'shop.example',
-            'path_prefix': '/post/',
-            'kind': 'non_idempotent',
-            'service': 'orders',
-        },
-    ],
-    'services': [{'name': 'orders'}],
-}
-
-
-class _Upstream(Protocol):
-    """Answers each request with its path; refuses paths with ``full``."""
-
-    transport: Any
-    factory: Any
-
-    def dataReceived(self, data: bytes) -> None:
-        head = data.partition(b'\r\n\r\n')[0].decode()
-        request_line, *lines = head.split('\r\n')
-        headers = dict(line.split(': ', 1) for line in lines)
-        headers = {name.lower(): content for name, content in headers.items()}
-        self.factory.received.append((request_line, headers))
-        path = request_line.split()[1]
-        status = '503 Full\r\nNot-Executed: 1' if 'full' in path else '200 OK'
-        self.transport.write(
-            (
-                f'HTTP/1.1 {status}\r\nRequest-Id: {headers["request-id"]}\r\n'
-                f'Response-Seal: seal\r\nContent-Length: {len(path)}\r\n\r\n'
-                f'{path}'
-            ).encode()
-        )
 
 
 class _Daemon:
     """A daemon process with its addresses, store and upstream."""
 
     def __init__(self, folder: Path) -> None:
-        self.store = Store()
-        self.store.append(
-            'keyed.op', 'config', json.dumps(CONFIGURATION).encode()
+        self.store = configured_store()
+        self._port = reactor.listenTCP(
+            0, Server(reactor, self.store), interface=HOST
         )
-        self._ports = [
-            reactor.listenTCP(0, Server(reactor, self.store), interface=HOST)
-        ]
-        factory: Any = Factory.forProtocol(_Upstream)
-        factory.received = []
-        #: Request line and headers of each request at the upstream.
-        self.received: list[tuple[str, dict[str, str]]] = factory.received
-        self._ports.append(reactor.listenTCP(0, factory, interface=HOST))
-        store, upstream = (port.getHost().port for port in self._ports)
-        names = ('inbound', 'outbound', 'ready', 'control', 'admin')
-        self.ports = dict(zip(names, _free_ports(len(names)), strict=True))
-        lines = [
-            'node_name=one',
-            'zone=a',
-            'region=r',
-            'service=orders',
-            f'ip={HOST}',
-            f'port_range={self.ports["admin"]},{self.ports["admin"]}',
-            'bounds=grace_s=5',
-            f'app_addr={HOST}:{upstream}',
-            f'platform.address={HOST}:{store}',
-        ]
-        lines += [
-            f'listen.{name}={HOST}:{self.ports[name]}' for name in names[:-1]
-        ]
+        self.upstream = PlatformUpstream(reactor, 'i-1')
+        self.upstream.start()
+        store = f'{HOST}:{self._port.getHost().port}'
+        free = _free_ports(len(PORT_NAMES))
+        self.ports = dict(zip(PORT_NAMES, free, strict=True))
         path = folder / 'settings.conf'
-        path.write_text('\n'.join(lines))
+        path.write_text(
+            settings_text('one', 'a', self.ports, self.upstream.address, store)
+        )
         self.process = subprocess.Popen(
             [sys.executable, '-m', 'greengagemux.platform'],
             env={**os.environ, PATH_VARIABLE: str(path)},
@@ -129,22 +71,9 @@
         client.socket.close()
         return client.received
 
-    def announce(self, phase: str, sequence: int) -> None:
+    def announce(self, phase: str) -> None:
         """Announce the upstream in this phase."""
-        body = json.dumps(
-            {
-                'service': 'orders',
-                'address': 'own',
-                'slots': 2,
-                'phase': phase,
-                'sequence': sequence,
-                'born': 1,
-            }
-        )
-        wire = (
-            'PUT /api/instances/i-1 HTTP/1.1\r\nHost: x\r\n'
-            f'Content-Length: {len(body)}\r\n\r\n{body}'
-        )
+        wire = self.upstream.announcement(phase).decode()
         assert b' 200 ' in self.ask('control', wire)
 
     def request(self, method: str, path: str) -> bytes:
@@ -175,8 +104,8 @@
         if self.process.poll() is None:
             self.process.kill()
         self.process.communicate()
-        for port in self._ports:
-            port.stopListening()
+        self._port.stopListening()
+        self.upstream.stop()
         turn()
 
 
@@ -202,12 +131,12 @@
     """
     daemon.wait_ready()
     assert b' 503 ' in daemon.request('GET', '/list/0')
-    daemon.announce('ready', 1)
+    daemon.announce('ready')
     response = daemon.request('GET', '/list/1?q=2')
     assert response.startswith(b'HTTP/1.1 200 ')
     assert b'Response-Seal: seal' in response
     assert response.endswith(b'/list/1?q=2')
-    line, headers = daemon.received[0]
+    line, headers = daemon.upstream.received[0]
     assert line == 'GET /list/1?q=2 HTTP/1.1'
     assert headers['host'] == 'shop.example'
     assert headers['expect-instance'] == 'i-1'
@@ -226,17 +155,17 @@
     The caller gets 503 with ``Retry-After``, and the write is sent only once.
     """
     daemon.wait_ready()
-    daemon.announce('ready', 1)
+    daemon.announce('ready')
     response = daemon.request('POST', '/post/full')
     assert response.startswith(b'HTTP/1.1 503 ')
     assert b'Retry-After: 0.2' in response
-    assert len(daemon.received) == 1
+    assert len(daemon.upstream.received) == 1
 
 
 def test_draining_upstream_gets_no_work(daemon: _Daemon) -> None:
     """A request must not reach an upstream that has announced its drain."""
     daemon.wait_ready()
-    daemon.announce('ready', 1)
-    daemon.announce('draining', 2)
+    daemon.announce('ready')
+    daemon.announce('draining')
     assert b' 503 ' in daemon.request('GET', '/list/1')
-    assert not daemon.received
+    assert not daemon.upstream.received
