--- a/greengagemux_standins/platformfleets.py
+++ b/greengagemux_standins/platformfleets.py
@@ -2,15 +2,19 @@
 
 import json
 from collections.abc import Iterable, Mapping
+from functools import partial
 from pathlib import Path
 from typing import Any, Final
 
+from twisted.internet.defer import Deferred
+
+from greengagemux.loadclients import Answer, Exchange, Lost, Pool
 from greengagemux.platform.servers import Server
 from greengagemux.platform.settings import PATH_VARIABLE
 
 from .platformupstreams import PlatformUpstream
 from .processes import Processes
-from .servers import LOOPBACK
+from .servers import LOOPBACK, OK
 from .stores import Store
 
 #: Ports of a daemon, in the order of their numbers.
@@ -125,6 +129,18 @@
             {PATH_VARIABLE: str(self._settings_path(name))},
         )
 
+    def ready(self, name: str) -> Deferred[bool]:
+        """Ask a daemon whether it accepts callers."""
+        ready: Deferred[bool] = Deferred()
+        pool = Pool(f'{LOOPBACK}:{self.ports(name)["ready"]}', self._network)
+        exchange = Exchange(
+            b'GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n',
+            is_head=False,
+            callback=partial(_tell, ready),
+        )
+        pool.ask(exchange)
+        return ready
+
     def ports(self, name: str) -> dict[str, int]:
         """Return the ports of a daemon by name."""
         place = list(self.upstreams).index(name)
@@ -145,3 +161,7 @@
 
     def _settings_path(self, name: str) -> Path:
         return self._run_dir.resolve() / f'{name}.conf'
+
+
+def _tell(ready: Deferred[bool], answer: Answer | Lost) -> None:
+    ready.callback(isinstance(answer, Answer) and answer.status == OK)
--- a/greengagemux_standins/stopcallers.py
+++ b/greengagemux_standins/stopcallers.py
@@ -23,13 +23,13 @@
 from greengagemux.loads import GRACE_S
 
 from .platformfleets import HOST, READ_PREFIX, WRITE_PREFIX
-from .servers import LOOPBACK, OK
+from .servers import LOOPBACK, OK, UNAVAILABLE
 
 #: Time that a caller gives a request.
 BUDGET_S: Final = 2.5
 
 _CONNECT_LIMIT_S: Final = 1
-_RETRY_AFTER_S: Final = 0.1
+_RETRY_AFTER_S: Final = 0.2
 _WRITE_SHARE: Final = 0.2
 _PIPELINED_SHARE: Final = 0.4
 #: Share of pipelined reads of which a part follows while the first ones run.
@@ -253,6 +253,8 @@
         pause_s = self._rng.expovariate(1 / _MEAN_PAUSE_S)
         if self._rng.random() < _LONG_PAUSE_SHARE:
             pause_s = _LONG_PAUSE_S
+        if self.calls[-1].status == UNAVAILABLE:
+            pause_s = max(pause_s, _RETRY_AFTER_S)
         await pause(self._network, pause_s)
 
     async def _pipeline(self, connection: Connection) -> None:
--- a/greengagemux_standins/stopsoaks.py
+++ b/greengagemux_standins/stopsoaks.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import partial
@@ -20,12 +20,12 @@
 from .ports import free_base_port
 from .processes import Processes
 from .soakchecks import Verdict
-from .soakfaults import RESTART_S, Fault
+from .soakfaults import Fault
 from .stopcallers import Call, Caller, pause
 from .stopchecks import KILL, PAUSE, STOP, Judge
 
-#: Time until all daemons serve.
-START_S: Final = 4
+#: Time in which a started daemon must accept callers.
+READY_LIMIT_S: Final = 20
 #: Time between the first stops of two groups of series.
 GROUP_S: Final = 9
 #: Time after the last stop until the load ends.
@@ -36,6 +36,7 @@
 _SIGMA: Final = 0.8
 _BROKEN_OFF_SHARE: Final = 0.005
 _POLL_S: Final = 0.05
+_READY_POLL_S: Final = 0.2
 _SHOWN: Final = 5
 
 
@@ -81,12 +82,19 @@
     steps: Sequence[Step]
     callers: list[Caller]
     faults: list[Fault] = field(default_factory=list)
-    overrun: list[str] = field(default_factory=list)
+    broken: dict[str, list[str]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     _disturbed: set[str] = field(default_factory=set)
 
     async def run(self) -> None:
         """Send load and carry out the plan."""
-        await pause(self.network, START_S)
+        await gatherResults(
+            [
+                Deferred.fromCoroutine(self._until_ready(name))
+                for name in self.fleet.upstreams
+            ]
+        )
         loads = [
             Deferred.fromCoroutine(caller.run()) for caller in self.callers
         ]
@@ -115,7 +123,7 @@
     def verdict(self) -> Verdict:
         """Judge the run."""
         verdict = Judge(self.runs, self.faults).judge(self.calls)
-        verdict.broken['stop-overran'] += self.overrun
+        verdict.broken.update(self.broken)
         for caller in self.callers:
             verdict.broken['surplus'] += caller.surplus
         return verdict
@@ -138,10 +146,17 @@
         self.faults.append(
             Fault(step.kind, step.daemon, since_s, self.network.seconds())
         )
-        # A started process needs a while until it listens again.
-        await pause(self.network, RESTART_S)
+        await self._until_ready(step.daemon)
         self._disturbed.remove(step.daemon)
 
+    async def _until_ready(self, daemon: str) -> None:
+        limit_s = self.network.seconds() + READY_LIMIT_S
+        while not await self.fleet.ready(daemon):  # noqa: WPS476
+            if self.network.seconds() > limit_s:
+                self.broken['not-ready'].append(daemon)
+                return
+            await pause(self.network, _READY_POLL_S)  # noqa: WPS476
+
     async def _end(self, step: Step) -> None:
         processes = self.fleet.processes
         if step.kind == KILL:
@@ -155,7 +170,9 @@
             await pause(self.network, _POLL_S)
         status = processes.status(step.daemon)
         if status:
-            self.overrun.append(f'{step.daemon} ended with {status}')
+            self.broken['stop-overran'].append(
+                f'{step.daemon} ended with {status}'
+            )
 
 
 def draw_work(rng: random.Random) -> Work:
