Close a connection after the response that announces the close

What callers saw: after a SIGTERM the daemon answered with "Connection: close", kept the connection open and ran whatever came on it next. A caller takes such a request as not read and sends it again, so it ran twice, and its first answer went to nobody.

Cause: Twisted does not act on a Connection header that the application sets; the channel closed only connections of callers that asked for it.

Evidence: test_request_behind_a_closing_response_is_run and test_pipelined_requests_before_a_stop_are_cut_off failed before (the first for a request that crosses the response and for one that had arrived with the request).

Why this works: the last response is followed by the end of the stream and nothing more is read. Closing the socket at once would reset it when input is unread, and the caller could lose the response; so it is closed by the caller or after LINGER_S. Idle connections that a stop closes end the same way. With TLS, which has no half-closed connections, the close is as before.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -8,7 +8,7 @@
 from itertools import takewhile
 from typing import Any, Final
 
-from twisted.internet.interfaces import IAddress
+from twisted.internet.interfaces import IAddress, ISSLTransport
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web import http
@@ -34,8 +34,9 @@
 #: A request must be complete this long after its first byte. The check runs
 #: every second.
 READ_LIMIT: Final = timedelta(seconds=10)
-#: A connection stays open for this long after an early refusal. Closing it at
-#: once could reset it before the caller has read the response.
+#: A connection stays open for this long after its last response, unless its
+#: caller closes it. Closing it with unread input would reset it, and the caller
+#: might lose the response.
 LINGER_S: Final = 2.0
 #: A connection whose caller pipelines requests and does not read is closed
 #: when its unsent responses exceed this.
@@ -150,7 +151,6 @@
         headers.setRawHeaders(b'Content-Length', [b'%d' % len(effect.body)])
         if close:
             headers.setRawHeaders(b'Connection', [b'close'])
-            self.channel.close_announced(self)
         self.write(effect.body)  # type: ignore[no-untyped-call]
         self.channel.response_written(len(effect.body))
         self.finish()  # type: ignore[no-untyped-call]
@@ -187,8 +187,6 @@
         self._linger_timer: Any = None
         #: Number of the connection in the log.
         self.connection = listener.next_connection()
-        #: Whether a response told the caller that the connection closes.
-        self._close_sent = False
         #: Responses that are withheld until earlier requests are answered.
         self._withheld: dict[Exchange, tuple[Respond, bool]] = {}
 
@@ -262,22 +260,18 @@
             response, closing = self._withheld.pop(first)
             # Callers assume that requests after a closing response did not run,
             # so only the response to the last one closes the connection.
-            first.write_response(
-                response, close=closing and len(self.requests) == 1
-            )
+            last = closing and len(self.requests) == 1
+            if last:
+                self._input_discarded = True
+            first.write_response(response, close=last)
+            if last:
+                self.close_after_writes()
 
     def request_completed(self) -> None:
         """Record that the current request is complete."""
-        if self._close_sent:
-            self._log_exchanges('request-after-close', self.requests[-1:])
         self._response_pending = True
         self.listener.request_ended(self)
 
-    def close_announced(self, exchange: Exchange) -> None:
-        """Record that a response tells the caller that the connection closes."""
-        self._close_sent = True
-        self._log_exchanges('caller-close-announced', [exchange])
-
     def response_written(self, size_bytes: int) -> None:
         """Record a response; too many unsent bytes end the connection."""
         self._response_pending = len(self.requests) > 1
@@ -296,7 +290,8 @@
         """Stop counting: the responses were passed to the kernel."""
         self._paused = False
         self._unread_bytes = 0
-        super().resumeProducing()  # type: ignore[no-untyped-call]
+        if not self._input_discarded:
+            super().resumeProducing()  # type: ignore[no-untyped-call]
 
     def setTimeout(self, period: int | None) -> int | None:
         """Start the idle time limit, or end it if ``period`` is ``None``.
@@ -328,9 +323,19 @@
             self.close_after_writes()
 
     def close_after_writes(self) -> None:
-        """Discard further input, and close once all output is sent."""
+        """Send all output, then the end of the stream; read nothing more.
+
+        The caller may send a request again if this daemon has not read it.
+        """
         self._input_discarded = True
-        self.transport.loseConnection()
+        self.setTimeout(None)
+        if ISSLTransport.providedBy(self.transport):
+            # TLS has no half-closed connections.
+            self.transport.loseConnection()
+            return
+        self.transport.pauseProducing()
+        self.transport.loseWriteConnection()
+        self._linger()
 
     def cut_off(self, why: Cutoff) -> None:
         """Abort the connection at once and count it."""
@@ -352,9 +357,13 @@
         head.append(b'Connection: close')
         head += [b'', response.body]
         self.transport.write(b'\r\n'.join(head))
-        self._linger_timer = self.listener.reactor.callLater(
-            LINGER_S, self.transport.abortConnection
-        )
+        self._linger()
+
+    def _linger(self) -> None:
+        if self._linger_timer is None:
+            self._linger_timer = self.listener.reactor.callLater(
+                LINGER_S, self.transport.abortConnection
+            )
 
     def _log_exchanges(self, event: str, exchanges: Sequence[Exchange]) -> None:
         fields = {
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -189,6 +189,45 @@
     caller.expect(b'third answer')
 
 
+@pytest.mark.parametrize(
+    ('limit', 'first', 'second'),
+    [(1, _GET, _GET), (4, _GET, _GET), (1, _GET * 2, b'')],
+)
+def test_request_behind_a_closing_response_is_run(
+    edge: _Edge, limit: int, first: bytes, second: bytes
+) -> None:
+    """A caller sends it again elsewhere, so a write would run twice."""
+    edge.listener.pipeline_limit = limit
+    edge.listener.release(accept=True)
+    caller = Client(edge.port).send(first)
+    edge.answer()
+    caller.socket.setblocking(True)
+    caller.socket.sendall(second)
+    caller.socket.setblocking(False)
+    assert caller.read_all().count(b'HTTP/1.1 ') == 1
+    assert b'Connection: close' in caller.received
+    assert caller.received.endswith(b'answer to /stock/1')
+    turn(5)
+    assert len(edge.requests) == 1
+    run_reactor_until(lambda: not edge.listener.connections)
+
+
+def test_pipelined_requests_before_a_stop_are_cut_off(edge: _Edge) -> None:
+    """Only the response to the last request read may close the connection."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET * 2 + _GET[:-2])
+    edge.take(2)
+    edge.listener.release(accept=True)
+    edge.answer(2)
+    edge.answer(1)
+    caller.expect(b'answer to /stock/1')
+    edge.listener.release(accept=False)
+    caller.send(_GET[-2:])
+    edge.answer(3)
+    assert caller.read_all().count(b'answer to /stock/1') == 3
+    assert caller.received.count(b'Connection: close') == 1
+
+
 def test_idle_connection_is_closed(edge: _Edge) -> None:
     """Idle connections must not accumulate; those with a request stay open."""
     used = Client(edge.port).send(_GET)
