Refuse dispatches at a stopping egress after the notice period

What callers saw: a write was answered 502 although it had only been queued when its egress decided to end.

Cause: an egress had no state for its own stop. It took dispatches and started queued requests until the reactor stopped, so also in the 0.1 s after Exit: the end of each call starts the next queued request. For the same reason an egress whose leaving an ingress had not learned of was never idle; at the stop limit it cut off the requests that ran.

Evidence: test_nothing_starts_after_the_exit failed before (the queued write is not refused before Exit). test_stopping_egress_becomes_idle_under_load, in which no record announces the stop, failed before (writes of the last turns before the stop limit end as unknown).

Ruled out: that only the daemon's own ingress or a tick starts requests after Exit. Ticks end with Exit; calls that end then are enough.

Why this works: after the notice period the egress drains its upstreams, as if they had announced it. Exit comes at a later tick, so the refusals precede it. A dispatch of a request that already runs is still ignored, and a queued request with an aborted call is still refused as unknown.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import replace
 from datetime import timedelta
 from types import MappingProxyType
 
@@ -58,6 +59,7 @@
     overload_refusal,
     completion_limit_ms_of,
     unknown_refusal,
+    within_retry_budget,
 )
 from .messages import (
     Answer,
@@ -135,6 +137,7 @@
         self._calls: dict[CallId, Job] = {}
         self._finished = FinishedJobs()
         self._next_call = 1
+        self._stopping = False
         #: Newest stream of each peer; dispatches on older ones are refused.
         self.epochs = StreamEpochs()
         #: Answers and refusals for this daemon's own ingress.
@@ -152,6 +155,8 @@
                 Record('announcement-late', {'upstream': event.upstream})
             )
             return
+        if self._stopping:
+            event = replace(event, state=UpstreamState.draining)
         for old in tuple(self.upstreams.values()):
             if self.local_upstreams.supersedes(event, old):
                 self._expire(old, now)
@@ -163,6 +168,17 @@
             self._refuse_queued(upstream, Reason.draining, now)
         self._start_queued(upstream, now)
 
+    def stop(self, now: timedelta) -> None:
+        """Drain all upstreams for good.
+
+        Calls that run go on; queued requests and later ones are refused as not
+        run, so that their ingress dispatches them elsewhere.
+        """
+        self._stopping = True
+        for upstream in self.upstreams.values():
+            self.local_upstreams.drain(upstream, now)
+            self._refuse_queued(upstream, Reason.draining, now)
+
     @property
     def busy(self) -> bool:
         """Whether requests are queued or running."""
@@ -185,7 +201,7 @@
             self._refuse(origin, stream, Reason.no_upstream)
             return
         admitted = self._health_admits(upstream, message)
-        if admitted and not self._within_retry_budget(upstream, message):
+        if admitted and not within_retry_budget(upstream, message):
             self._refuse(origin, stream, Reason.retry_budget, upstream)
             return
         if not admitted:
@@ -378,19 +394,6 @@
                 self._probe(startable)
         self._finished.trim(now)
 
-    def _within_retry_budget(
-        self, upstream: Upstream, message: Dispatch
-    ) -> bool:
-        """Count a first call, or spend budget on a retry.
-
-        All ingress daemons share this budget, so that the share of retries
-        that an upstream receives does not depend on their number.
-        """
-        if message.retry:
-            return upstream.retries.spend()
-        upstream.retries.earn()
-        return True
-
     def _observe(self, job: Job, kind: SampleKind, now: timedelta) -> None:
         self._outbox.emit(
             Record(
@@ -458,9 +461,7 @@
         self._start(upstream, job, now)
 
     def _expire(self, upstream: Upstream, now: timedelta) -> None:
-        if upstream.announced is not UpstreamState.draining:
-            upstream.announced = UpstreamState.draining
-            self.local_upstreams.announce_state(upstream, now)
+        self.local_upstreams.drain(upstream, now)
         self._refuse_queued(upstream, Reason.draining, now)
         if not upstream.running:
             self.local_upstreams.remove(upstream)
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -179,6 +179,18 @@
     )
 
 
+def within_retry_budget(upstream: Upstream, message: Dispatch) -> bool:
+    """Count a first call, or spend budget on a retry.
+
+    All ingress daemons share this budget, so that the share of retries that an
+    upstream receives does not depend on their number.
+    """
+    if message.retry:
+        return upstream.retries.spend()
+    upstream.retries.earn()
+    return True
+
+
 def has_slot(upstream: Upstream) -> bool:
     """Return whether a request may start now."""
     if upstream.isolating:
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -69,7 +69,7 @@
 #: A new daemon is not ready before each key slot has an owner, which takes
 #: seconds in a new fleet; after this time it is ready all the same.
 SLOT_OWNERS_TIMEOUT = timedelta(seconds=15)
-#: A stopping daemon accepts connections for at least this long, so that
+#: A stopping daemon accepts connections and dispatches for this long, so that
 #: callers and peers learn of the stop.
 STOP_NOTICE = timedelta(seconds=2)
 
@@ -455,6 +455,9 @@
         return
     if not daemon.callers_released:
         daemon.callers_released = True
+        # An ingress that hasn't learned of the stop would keep the egress busy
+        # until the stop limit, which cuts off the requests that run then.
+        daemon.egress.stop(now)
         daemon.outbox.emit(ReleaseCallers(accept=False))
         return
     busy = {
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -160,6 +160,12 @@
             self.announce_state(known, now)
         return known
 
+    def drain(self, upstream: Upstream, now: timedelta) -> None:
+        """Report an upstream as draining, as if it had announced that."""
+        if upstream.announced is not UpstreamState.draining:
+            upstream.announced = UpstreamState.draining
+            self.announce_state(upstream, now)
+
     def announce_state(self, upstream: Upstream, now: timedelta) -> None:
         """Combine the announced state of an upstream with its health."""
         changes = self._health_tracker.announced(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,13 +1,42 @@
 """Requests through a fleet of daemons under faults."""
 
-import pytest
-from fakes_fleet import FakeFleet, started
+from dataclasses import replace
 
-from greengagemux.effects import Exit, ReleaseCallers
-from greengagemux.events import StopRequested, StreamOpened, Tick
-from greengagemux.ids import StreamId
-from greengagemux.messages import UpstreamHealth, UpstreamState
-from greengagemux.reducers import TICK, reduce
+import pytest
+from fakes_fleet import FakeFleet, Node, started
+
+from greengagemux.clocks import ms
+from greengagemux.effects import (
+    CallUpstream,
+    Effect,
+    Exit,
+    ReleaseCallers,
+    Send,
+)
+from greengagemux.events import (
+    PeerMessage,
+    StopRequested,
+    StreamOpened,
+    Tick,
+    UpstreamAnswered,
+)
+from greengagemux.ids import (
+    CallerName,
+    RequestId,
+    RouteName,
+    ServiceName,
+    StreamId,
+    UpstreamId,
+)
+from greengagemux.messages import (
+    Dispatch,
+    Priority,
+    Refusal,
+    UpstreamHealth,
+    UpstreamState,
+)
+from greengagemux.outcomes import Outcome, Reason
+from greengagemux.reducers import STOP_NOTICE, TICK, reduce
 
 
 def _others(fleet: FakeFleet, name: str) -> list[str]:
@@ -37,6 +66,39 @@
     raise AssertionError('no request left d0')
 
 
+def _dispatched(node: Node, number: int, stream: StreamId) -> PeerMessage:
+    """Return the dispatch of a write to the upstream of a daemon."""
+    return PeerMessage(
+        stream,
+        Dispatch(
+            request=RequestId(number),
+            upstream=UpstreamId(f'{node.name}-u0'),
+            service=ServiceName('ledger'),
+            route=RouteName('intake'),
+            method=b'POST',
+            target=b'/intake/1',
+            headers=((b'X-Request-Tag', b'w%d' % number),),
+            body=b'',
+            remaining_ms=20_000,
+            answer_limit_bytes=1000,
+            priority=Priority.routine,
+            caller=CallerName('anonymous'),
+            idempotent=False,
+        ),
+    )
+
+
+def _limit_stop(node: Node, limit_ms: float) -> None:
+    daemon = node.daemon
+    daemon.options = replace(daemon.options, stop_limit=ms(limit_ms))
+
+
+def _stop_unannounced(node: Node) -> None:
+    """Stop a daemon whose record of leaving reaches no ingress."""
+    node.daemon.members.set_own = lambda *_record: None  # type: ignore[method-assign]
+    node.submit(StopRequested())
+
+
 def test_every_ingress_serves() -> None:
     """Guards against a daemon that cannot serve as ingress."""
     fleet = started(4)
@@ -451,3 +513,92 @@
     fleet.kill(runner)
     fleet.run(1500)
     assert fleet.outcome(exchange) == 'completed'
+
+
+def test_nothing_starts_after_the_exit() -> None:
+    """Guards against a write that starts in a process that is about to end.
+
+    Neither a queued write nor one that arrives after the exit may start; both
+    are refused as not run.
+    """
+    fleet = started(2)
+    node = fleet.nodes['d1']
+    node.upstreams['d1-u0'].service_ms = 60_000
+    _limit_stop(node, 2200)
+    node.submit(StopRequested())
+    fleet.run(1900)
+    stream = min(node.daemon.inbound)
+    for number in range(1001, 1006):
+        node.submit(_dispatched(node, number, stream))
+    running = tuple(node.calls)
+    assert len(running) == 4
+    effects = []
+    for _ in range(16):
+        fleet.clock.advance(TICK)
+        effects += reduce(node.daemon, Tick(fleet.clock.wall()), fleet.now)
+    end = effects.index(Exit())
+    assert _refused(effects[:end]) == {1005}
+    late = reduce(node.daemon, _dispatched(node, 1006, stream), fleet.now)
+    late += reduce(
+        node.daemon, UpstreamAnswered(running[0], 200, (), b''), fleet.now
+    )
+    assert _refused(late) == {1006}
+    assert not any(isinstance(each, CallUpstream) for each in late)
+
+
+def _refused(effects: list[Effect]) -> set[int]:
+    """Return the requests that are refused as draining and not run."""
+    refusals = [
+        each.message
+        for each in effects
+        if isinstance(each, Send) and isinstance(each.message, Refusal)
+    ]
+    return {
+        each.request
+        for each in refusals
+        if each.reason is Reason.draining and each.outcome is Outcome.not_run
+    }
+
+
+def test_stopping_egress_becomes_idle_under_load() -> None:
+    """Guards against a stop that is never idle and cuts off its last writes.
+
+    No ingress learns that the daemon is leaving, nor does its own.
+    """
+    fleet = started(3, upstreams=3)
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 300
+    for local in fleet.nodes['d0'].upstreams.values():
+        fleet.drain(local)
+    fleet.run(1500)
+    node = fleet.nodes['d1']
+    _limit_stop(node, 4000)
+    _stop_unannounced(node)
+    for turn in range(100):
+        name = 'd1' if turn % 4 == 3 and turn < 48 else 'd0'
+        fleet.ask(name, b'w%d' % turn, b'/intake/1')
+        fleet.run(50)
+    fleet.run(1000)
+    outcomes = [fleet.outcome(exchange) for exchange in fleet.requests]
+    assert outcomes == ['completed'] * 100
+    stopped = [each for each in fleet.records['d1'] if each.name == 'stopped']
+    assert stopped[0].fields['idle']
+
+
+def test_running_write_is_not_refused_by_a_stop() -> None:
+    """Guards against "not run" for a write that runs, and a second run."""
+    fleet = started(2)
+    node = fleet.nodes['d1']
+    node.upstreams['d1-u0'].service_ms = 1000
+    node.submit(StopRequested())
+    fleet.run(1900)
+    stream = min(node.daemon.inbound)
+    dispatched = _dispatched(node, 1001, stream)
+    node.submit(dispatched)
+    effects = []
+    while fleet.now < node.daemon.stopping_since + STOP_NOTICE + TICK * 4:
+        fleet.clock.advance(TICK)
+        effects += reduce(node.daemon, Tick(fleet.clock.wall()), fleet.now)
+    effects += reduce(node.daemon, dispatched, fleet.now)
+    assert not _refused(effects)
+    assert fleet.runs(b'w1001') == 1
