Don't count refusals as draining against the limit of reroutes

What callers would see: 503 for a request that no upstream has run, while others serve: four egress daemons that stop at the same time refuse it, and the ingress gives up.

Cause: every refusal as not run counts towards REROUTE_LIMIT (4).

Evidence: test_many_stopping_egress_daemons_fail_no_request failed before: with 11 of 12 egress daemons stopping, all writes ended as not run.

Ruled out: the retry budget, which a refusal as draining does not spend, and the throttles, which count refusals as overloaded only.

Why this works: a refusal by an upstream that is leaving says nothing about the others. No upstream is selected twice for a request, except after a path has opened or at the limit of moves, so these refusals are bounded by the number of upstreams; the deadline holds as before.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -66,7 +66,8 @@
 #: Initial retry budget of a service at each ingress. The retry budgets at the
 #: egress bound how many of these retries reach an upstream.
 FIRST_RETRIES = 4.0
-#: Upstreams that may refuse a request before the caller gets the refusal.
+#: Upstreams that may refuse a request before the caller gets the refusal; those
+#: that are draining don't count.
 REROUTE_LIMIT = 4
 #: The same for refusals as overloaded: two full queues are enough evidence
 #: of an overload, and each further dispatch costs a message and a refusal.
@@ -564,7 +565,10 @@
     ) -> None:
         if pending.attempts:
             return
-        pending.reroutes += 1
+        if message.reason is not Reason.draining:
+            # A refusal by one that is leaving says nothing about the others.
+            # It bounds itself: no upstream is selected twice for a request.
+            pending.reroutes += 1
         final = message.reason is Reason.crashes_upstreams
         if message.reason is Reason.upstream_failed:
             # The egress called the upstream, which refused the connection. As
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -602,3 +602,21 @@
     effects += reduce(node.daemon, dispatched, fleet.now)
     assert not _refused(effects)
     assert fleet.runs(b'w1001') == 1
+
+
+def test_many_stopping_egress_daemons_fail_no_request() -> None:
+    """Guards against a request that fails because several daemons stop.
+
+    The ingress has learned of none of the stops.
+    """
+    fleet = started(12)
+    for number in range(11):
+        fleet.nodes[f'd{number}'].daemon.egress.stop(fleet.now)
+    exchanges = [
+        fleet.ask('d0', b'w%d' % turn, b'/intake/1') for turn in range(8)
+    ]
+    fleet.run(1000)
+    outcomes = [fleet.outcome(exchange) for exchange in exchanges]
+    assert outcomes == ['completed'] * 8
+    for request in fleet.requests.values():
+        assert fleet.runs(request.tag) == 1
