Let requests finish until the last sixth of the grace period

What callers saw: at the stop limit (0.8 of the grace period, 4.8 s) a daemon closed connections whose upstreams were still at work. A request may come up to 2 s after the SIGTERM with 3 s left, and the platform excuses a cut only in the last sixth of the grace period, from 5.0 s on.

Evidence: test_stop_ends_before_requests_may_be_cut_off failed before.

Why this works: the limit is 0.9 of the grace period; the tick and the exit delay after it take 0.2 s of the 0.6 s that remain.

--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -36,8 +36,9 @@
 
 LOG_LEVEL: Final = 'debug'
 #: Part of the platform's grace period in which pending requests may finish;
-#: the rest is a margin before the process is killed.
-STOP_SHARE: Final = 0.8
+#: the rest is a margin before the process is killed. The platform excuses a
+#: request that is cut off only in the last sixth of the period.
+STOP_SHARE: Final = 0.9
 #: An upstream may lose its connection to the announcement address while
 #: requests still reach it, so missing announcements don't prove that it has
 #: ended. A refused connection does.
@@ -61,7 +62,7 @@
         incarnation = new_incarnation(process.clock)
         super().__init__(
             process,
-            _build_daemon(settings, incarnation),
+            build_daemon(settings, incarnation),
             tick=TICK,
             gc_interval_s=GC_INTERVAL_S,
         )
@@ -127,9 +128,10 @@
     run_runtime(process, PlatformRuntime(settings, process))
 
 
-def _build_daemon(
+def build_daemon(
     settings: PlatformSettings, incarnation: Incarnation
 ) -> Daemon:
+    """Return the state of a daemon with the options for the platform."""
     own = MemberRecord(
         daemon=settings.daemon,
         incarnation=incarnation,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -56,12 +56,13 @@
 from greengagemux.metrics import Metrics
 from greengagemux.outcomes import Failure, FailureError, Outcome, Reason, Step
 from greengagemux.paths import Paths
-from greengagemux.platform import exchanges, stores
+from greengagemux.platform import daemons, exchanges, stores
 from greengagemux.platform.configurations import ConfigurationDecoder
 from greengagemux.platform.servers import Announcements, MetricsPage, Readiness
 from greengagemux.platform.settings import PlatformSettings, read_settings
 from greengagemux.requests import refusal
 from greengagemux.routes import RouteTable
+from greengagemux.runtimes import EXIT_DELAY_S
 
 LINES = """\
 node_name=sidecar-a-1
@@ -130,6 +131,16 @@
     assert settings.bounds.floor_share == 0.6
 
 
+def test_stop_ends_before_requests_may_be_cut_off(tmp_path: Path) -> None:
+    """A request may be cut off only in the last sixth of the grace period."""
+    settings = _settings(tmp_path)
+    daemon = daemons.build_daemon(settings, Incarnation(1))
+    grace = timedelta(seconds=settings.bounds.stop_limit_s)
+    assert grace * 5 / 6 <= daemon.options.stop_limit
+    exit_delay = timedelta(seconds=EXIT_DELAY_S)
+    assert daemon.options.stop_limit + daemons.TICK + exit_delay < grace
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'key'),
     [
