Keep the upstream of a stopping daemon in service until it refuses work

What callers saw: with the record of a stopping daemon final, its upstream got nothing for 2.1 s of notice and 1.2 s of restart.

Cause: the record said that the daemon leaves from the SIGTERM on, though it takes and finishes requests for another 2 s.

Evidence: test_upstream_of_a_stopping_daemon_idles_through_the_notice fails with leave_after = 0. Ruled out: lost health updates (the idle upstreams are those of stopping and starting daemons).

Why this works: the record is sent LEAVE_LEAD before the egress refuses new requests. A request placed until then ends before the stop limit, as nothing placed later runs there.

--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -14,7 +14,7 @@
 from ..logclients import build_agent
 from ..messages import MemberRecord
 from ..outcomes import FailureError
-from ..reducers import Daemon, DaemonOptions
+from ..reducers import STOP_NOTICE, Daemon, DaemonOptions
 from ..runtimes import (
     Process,
     Runtime,
@@ -39,6 +39,10 @@
 #: the rest is a margin before the process is killed. The platform excuses a
 #: request that is cut off only in the last sixth of the period.
 STOP_SHARE: Final = 0.9
+#: Time for the record of a leaving daemon to reach the others before its egress
+#: refuses new requests. Until then its upstream stays in service: nothing else
+#: reaches it, and it would idle through the notice and the restart.
+LEAVE_LEAD: Final = timedelta(milliseconds=500)
 #: An upstream may lose its connection to the announcement address while
 #: requests still reach it, so missing announcements don't prove that it has
 #: ended. A refused connection does.
@@ -149,6 +153,7 @@
         episodes=True,
         tick=TICK,
         announce_lease=ANNOUNCE_LEASE,
+        leave_after=STOP_NOTICE - LEAVE_LEAD,
     )
     source = ApprovedSource(ConfigurationDecoder(settings))
     return Daemon(options, source, Random(f'{own.daemon}/{incarnation}'))
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -102,6 +102,9 @@
     episodes: bool = False
     #: An upstream is removed this long after its last announcement.
     announce_lease: timedelta = ANNOUNCE_LEASE
+    #: A stopping daemon announces after this time that it is leaving; until
+    #: then its upstreams get new requests.
+    leave_after: timedelta = ZERO
 
 
 class Daemon:
@@ -150,6 +153,8 @@
         self.incarnations: dict[StreamId, Incarnation] = {}
         self.inbound: set[StreamId] = set()
         self.stopping_since: timedelta | None = None
+        #: Whether the member record says that this daemon is leaving.
+        self.leaving = False
         #: Whether connections of callers are no longer accepted.
         self.callers_released = False
         #: Whether each key slot had an owner, or ``slots_deadline`` passed.
@@ -198,7 +203,7 @@
         if egress.local_upstreams.changed:
             egress.local_upstreams.changed = False
             self.members.set_own(
-                egress.local_upstreams.records(), self.stopping, now
+                egress.local_upstreams.records(), self.leaving, now
             )
         changed = self.members.changes()
         if changed:
@@ -427,7 +432,7 @@
     if daemon.stopping:
         return
     daemon.stopping_since = now
-    daemon.members.set_own(daemon.egress.local_upstreams.records(), True, now)
+    _leave_when_due(daemon, now, now)
     daemon.keyed.stop()
     if daemon.discovery is not None:
         daemon.discovery.leave()
@@ -449,7 +454,15 @@
             daemon.outbox.emit(OpenStream(_UNKNOWN_DAEMON, address))
 
 
+def _leave_when_due(daemon: Daemon, since: timedelta, now: timedelta) -> None:
+    if not daemon.leaving and now - since >= daemon.options.leave_after:
+        daemon.leaving = True
+        records = daemon.egress.local_upstreams.records()
+        daemon.members.set_own(records, True, now)
+
+
 def _check_stop(daemon: Daemon, since: timedelta, now: timedelta) -> None:
+    _leave_when_due(daemon, since, now)
     waited = now - since
     if waited < STOP_NOTICE:
         return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -585,6 +585,26 @@
     assert stopped[0].fields['idle']
 
 
+def test_upstream_of_a_stopping_daemon_idles_through_the_notice() -> None:
+    """Guards against capacity that is lost before the daemon refuses work."""
+    fleet = started(2)
+    node = fleet.nodes['d1']
+    daemon = node.daemon
+    daemon.options = replace(daemon.options, leave_after=STOP_NOTICE - ms(500))
+    for local in fleet.nodes['d0'].upstreams.values():
+        fleet.drain(local)
+    fleet.run(1500)
+    node.submit(StopRequested())
+    fleet.run(1400)
+    exchange = fleet.ask('d0', b'w1', b'/intake/1')
+    fleet.run(400)
+    assert fleet.outcome(exchange) == 'completed'
+    late = fleet.ask('d0', b'w2', b'/intake/1')
+    fleet.run(400)
+    assert fleet.outcome(late) == 'not-run'
+    assert not fleet.runs(b'w2')
+
+
 def test_running_write_is_not_refused_by_a_stop() -> None:
     """Guards against "not run" for a write that runs, and a second run."""
     fleet = started(2)
