--- a/greengagemux_standins/uses.py
+++ b/greengagemux_standins/uses.py
@@ -10,6 +10,7 @@
 
 MIB = 1024 * 1024
 PERCENT = 100
+_NS_PER_SECOND = 1_000_000_000
 _TICKS_S = os.sysconf('SC_CLK_TCK')
 _STREAM_COUNTERS = ('stream_sent_bytes_total', 'stream_received_bytes_total')
 
@@ -40,6 +41,18 @@
     )
 
 
+def processor_wait_s(process: int) -> float:
+    """Return how long the main thread waited for a processor.
+
+    A process that has ended has no known wait; 0 is returned.
+    """
+    try:
+        columns = (Path('/proc') / str(process) / 'schedstat').read_text()
+    except OSError:
+        return 0
+    return int(columns.split()[1]) / _NS_PER_SECOND
+
+
 def _counters(metrics: str) -> Iterator[float]:
     for line in metrics.splitlines():
         if line.startswith(_STREAM_COUNTERS):
