--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -9,7 +9,10 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from sockets import Client, reactor, turn, run_reactor_until
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from greengagemux import limits, listeners
 from greengagemux.addresses import Address
@@ -338,3 +341,95 @@
     )
     assert ended.returncode == 1
     assert f"cannot serve: Couldn't listen on 127.0.0.1:{taken}" in ended.stderr
+
+
+class _Transport(StringTransport):
+    """A transport that keeps what is written."""
+
+    half_closed = False
+
+    def loseWriteConnection(self) -> None:
+        self.half_closed = True
+
+
+class _Connection:
+    """One caller connection without sockets."""
+
+    def __init__(self, limit: int) -> None:
+        self.events: list[Event] = []
+        self.listener = listeners.CallerListener(
+            MemoryReactorClock(), ManualClock(), self.events.append, print
+        )
+        self.listener.pipeline_limit = limit
+        self.channel = self.listener.buildProtocol(None)
+        self.transport = _Transport()
+        self.channel.makeConnection(self.transport)
+        self.pending: list[CallerRequest] = []
+        self.taken = 0
+
+    def send(self, wire: bytes) -> None:
+        if self.transport.producerState == 'producing':
+            self.channel.dataReceived(wire)
+        self._take()
+
+    def answer(self, place: int) -> None:
+        if not self.pending:
+            return
+        request = self.pending.pop(place % len(self.pending))
+        body = b'<%d>' % request.exchange
+        self.listener.respond(Respond(request.exchange, 200, (), body))
+        self._take()
+
+    def answered(self) -> list[int]:
+        """Return the exchanges whose responses were written, in order."""
+        parts = self.transport.value().split(b'<')[1:]
+        return [int(part.partition(b'>')[0]) for part in parts]
+
+    def _take(self) -> None:
+        requests = [e for e in self.events if isinstance(e, CallerRequest)]
+        self.pending += requests[self.taken :]
+        self.taken = len(requests)
+
+
+_caller_steps = st.lists(
+    st.one_of(
+        st.tuples(st.just('send'), st.integers(1, 3)),
+        st.tuples(st.just('part'), st.integers(1, len(_GET) - 1)),
+        st.tuples(st.just('answer'), st.integers(0, 3)),
+        st.tuples(st.just('release'), st.integers(0, 1)),
+    ),
+    max_size=30,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(steps=_caller_steps, limit=st.integers(1, 4))
+def test_request_that_was_taken_gets_no_answer(
+    steps: list[tuple[str, int]], limit: int
+) -> None:
+    """Each taken request is answered once, in order, until the last response."""
+    connection = _Connection(limit)
+    rest = b''
+    for name, amount in steps:
+        match name:
+            case 'send':
+                connection.send(rest + _GET * amount)
+                rest = b''
+            case 'part' if not rest:
+                connection.send(_GET[:amount])
+                rest = _GET[amount:]
+            case 'answer':
+                connection.answer(amount)
+            case 'release':
+                connection.listener.release(accept=bool(amount))
+    connection.send(rest)
+    while connection.pending:
+        connection.answer(0)
+    assert connection.answered() == sorted(connection.answered())
+    assert len(connection.answered()) == connection.taken
+    wire = connection.transport.value()
+    assert wire.count(b'Connection: close') <= 1
+    if b'Connection: close' in wire:
+        last = wire.rpartition(b'Connection: close')[2]
+        assert last.count(b'<') == 1
+        assert connection.transport.half_closed
