Answer the requests that are pending when a stop reaches its limit

What callers saw: at the stop limit the daemon closed their connections without an answer, also of requests that had not run.

Cause: Exit closes connections; nothing ended the pending requests.

Evidence: test_stop_limit_leaves_a_caller_without_an_answer failed before.

Why this works: before Exit each pending request is answered, as not run if no attempt may have run it, else as unknown; its attempts are cancelled. Exit sends what is written before it closes a connection.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -336,9 +336,27 @@
             if pending is not None:
                 self._expire(pending, now)
         for slow in tuple(self._pending.values()):
-            if _is_slow(slow, now) and self._spend_retry(slow):
+            if _is_slow(slow, now) and _spend_retry(self._budgets, slow):
                 self._retry(slow, now)
 
+    def stop(self, now: timedelta) -> None:
+        """Answer the requests that are pending when the daemon ends.
+
+        The result of a write with a key is no longer waited for.
+        """
+        for pending in tuple(self._pending.values()):
+            if pending.attempts:
+                pending.may_have_run = True
+            self._attempts.cancel(pending, now)
+            if pending.permit is None:
+                self._end_failed(pending, Reason.draining)
+            elif not pending.answered:
+                pending.answered = True
+                self._reply(
+                    pending,
+                    Refusal(RequestId(0), Reason.draining, Outcome.unknown),
+                )
+
     def _age_loads(self, now: timedelta) -> None:
         if now - self._aged_at < AGE_INTERVAL:
             return
@@ -500,7 +518,7 @@
             pending.fallback = message
             if pending.attempts:
                 return
-            if self._spend_retry(pending):
+            if _spend_retry(self._budgets, pending):
                 self._retry(pending, now)
                 return
         self._attempts.cancel(pending, now)
@@ -613,7 +631,7 @@
         pending.last_reason = reason
         if pending.attempts:
             return
-        if self._spend_retry(pending):
+        if _spend_retry(self._budgets, pending):
             self._retry(pending, now)
             return
         self._end_failed(pending, reason)
@@ -631,7 +649,7 @@
         if unreachable:
             self._attempts.drop(pending, attempt)
             self._attempt_failed(pending, Reason.connection_lost, now)
-        elif not already_lost and self._spend_retry(pending):
+        elif not already_lost and _spend_retry(self._budgets, pending):
             self._retry(pending, now)
 
     def _reattach(
@@ -647,11 +665,6 @@
             return
         self._attempts.reattach(attempt, path)
 
-    def _spend_retry(self, pending: PendingRequest) -> bool:
-        if not pending.idempotent or not _may_attempt_again(pending):
-            return False
-        return self._budgets[pending.route.service].spend()
-
     def _retry(self, pending: PendingRequest, now: timedelta) -> None:
         pending.retries += 1
         self._place(pending, now)
@@ -817,6 +830,15 @@
     return xxhash.xxh3_64_intdigest(message.body) == message.digest
 
 
+def _spend_retry(
+    budgets: Mapping[ServiceName, RetryBudget], pending: PendingRequest
+) -> bool:
+    """Return whether a request may be retried, and count the retry."""
+    if not pending.idempotent or not _may_attempt_again(pending):
+        return False
+    return budgets[pending.route.service].spend()
+
+
 def _may_attempt_again(pending: PendingRequest) -> bool:
     """Return whether the request's attempt limit allows another attempt."""
     limit = min(ATTEMPT_LIMIT, pending.route.attempt_limit)
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -480,5 +480,6 @@
     }
     idle = not any(busy.values())
     if idle or waited >= daemon.options.stop_limit:
+        daemon.ingress.stop(now)
         daemon.outbox.emit(Record('stopped', {'idle': idle, **busy}))
         daemon.outbox.emit(Exit())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -605,6 +605,24 @@
     assert not fleet.runs(b'w2')
 
 
+def test_stop_limit_leaves_a_caller_without_an_answer() -> None:
+    """Guards against a connection that is closed while its request is pending."""
+    fleet = started(2)
+    node = fleet.nodes['d0']
+    _limit_stop(node, 2200)
+    for each in fleet.nodes.values():
+        for local in each.upstreams.values():
+            local.service_ms = 60_000
+    node.submit(StopRequested())
+    fleet.run(1900)
+    exchange = fleet.ask('d0', b'w1', b'/intake/1')
+    fleet.run(1000)
+    assert node.exited
+    assert fleet.outcome(exchange) == 'unknown'
+    assert fleet.reason(exchange) == 'draining'
+    assert fleet.runs(b'w1') == 1
+
+
 def test_running_write_is_not_refused_by_a_stop() -> None:
     """Guards against "not run" for a write that runs, and a second run."""
     fleet = started(2)
