--- a/greengagemux_standins/stopsoaks.py
+++ b/greengagemux_standins/stopsoaks.py
@@ -186,7 +186,8 @@
         """Add samples to the waits of ``soak``."""
         self._soak = soak
         self._before_s = soak.network.seconds()
-        self._waited_s: dict[int, float] = {}
+        own = os.getpid()
+        self._waited_s = {own: processor_wait_s(own)}
 
     def sample(self) -> None:
         """Add the waits since the last sample that are not short.
