--- a/greengagemux_standins/stopchecks.py
+++ b/greengagemux_standins/stopchecks.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
+from greengagemux.loads import GRACE_S
+
 from .platformupstreams import Run
 from .servers import OK, TOO_MANY_REQUESTS, UNAVAILABLE
 from .soakchecks import LEAVING_S, RECOVERY_S, Verdict
@@ -78,8 +80,11 @@
                 late_s = run.begun_s - stop.since_s
                 if late_s <= LEAVING_S or run.begun_s >= stop.until_s:
                     continue
-                if self._is_starved({stop.target}, stop.since_s, run.begun_s):
-                    self.verdict.excused['late work, starved'] += 1
+                late_s -= self._waited_s(
+                    {stop.target}, stop.since_s, run.begun_s
+                )
+                if late_s <= LEAVING_S:
+                    self.verdict.excused['late work'] += 1
                     continue
                 self.verdict.broken['work-after-stop'].append(
                     f'{late_s:.2f} s: {run}'
@@ -109,18 +114,17 @@
         unread = call.end is End.behind_close and call.method == 'GET'
         if unread or call.end is End.given_up:
             return str(call.end.value)
+        waited_s = self._waited_s(daemons, call.sent_s, call.ended_s)
+        if call.end is End.hung and waited_s < GRACE_S:
+            return ''
         expiry_s = call.sent_s + BUDGET_S - SLACK_S
-        if call.ended_s >= expiry_s and self._is_starved(
-            daemons, call.sent_s, call.ended_s
-        ):
-            return 'late, starved'
-        if any(run.finished_s and run.finished_s < expiry_s for run in runs):
+        is_late = call.ended_s >= expiry_s
+        limit_s = expiry_s - waited_s if is_late else expiry_s
+        if any(run.finished_s and run.finished_s < limit_s for run in runs):
             return ''
         if any(run.broken_off for run in runs):
             return 'broken off'
-        if runs and call.ended_s >= expiry_s:
-            return 'time budget'
-        return ''
+        return 'late' if is_late else ''
 
     def _is_rough(self, daemon: str, call: Call) -> bool:
         return any(
@@ -129,17 +133,16 @@
             for fault in self._rough[daemon]
         )
 
-    def _is_starved(
+    def _waited_s(
         self, daemons: set[str], since_s: float, until_s: float
-    ) -> bool:
-        """Return whether waits for a processor explain a late end."""
-        waited_s = sum(
+    ) -> float:
+        """Return how long daemons and the soak waited for a processor."""
+        return sum(
             wait.waited_s
             for process in daemons | {SOAK}
             for wait in self._waits[process]
             if wait.since_s < until_s and since_s < wait.until_s
         )
-        return waited_s > SLACK_S
 
     def _around(self, call: Call, runs: Sequence[Run]) -> list[str]:
         """Return the stops of the daemons of a call while it waited."""
--- a/tests/test_stopsoaks.py
+++ b/tests/test_stopsoaks.py
@@ -69,14 +69,14 @@
 
 def test_starved_process_excuses_only_late_ends() -> None:
     """A busy machine must hide no closed connection and no early 502."""
-    waits = [Wait('d2', 10, 10.4, 0.3)]
+    waits = [Wait('d2', 8.2, 10.4, 2)]
     runs = [_run()]
     late = _call(End.hung, ended_s=13)
-    assert Judge(runs, [], waits).judge([late]).excused['late, starved']
+    assert Judge(runs, [], waits).judge([late]).excused['late']
     early = _call(End.closed)
     assert Judge(runs, [], waits).judge([early]).broken['unanswered']
-    elsewhere = [Wait('d3', 10, 10.4, 0.3)]
-    assert Judge(runs, [], elsewhere).judge([late]).broken['unanswered']
+    for wait in (waits[0]._replace(waited_s=1), Wait('d3', 8.2, 10.4, 2)):
+        assert Judge(runs, [], [wait]).judge([late]).broken['unanswered']
 
 
 def test_run_without_answers_fails() -> None:
