End connections of callers without losing their last response

Cause: the close was decided when a response arrived and not when it was written, and it began with a timer that aborts.

Why this works: the channel asks for the state of the listener when it writes. The last response is followed by the end of the stream, input is read and discarded, and the connection is closed (not reset) by its caller, after LINGER_S or at the idle limit. After the notice a connection takes only the request that it is receiving. Idle connections close at once, as before.

caller-connection-closed names what the daemon itself closes with requests.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -34,9 +34,9 @@
 #: A request must be complete this long after its first byte. The check runs
 #: every second.
 READ_LIMIT: Final = timedelta(seconds=10)
-#: A connection stays open for this long after its last response, unless its
-#: caller closes it. Closing it with unread input would reset it, and the caller
-#: might lose the response.
+#: Input is read and discarded for this long after the last response, unless the
+#: caller closes the connection. Closing it with unread input would reset it, and
+#: the caller might lose the response.
 LINGER_S: Final = 2.0
 #: A connection whose caller pipelines requests and does not read is closed
 #: when its unsent responses exceed this.
@@ -88,6 +88,8 @@
         self.exchange = self._listener.next_exchange()
         self._received_bytes = 0
         self._refused = False
+        #: Whether the request was received whole and submitted.
+        self.complete = False
 
     def gotLength(self, length: int | None) -> None:
         """Refuse a request whose ``Content-Length`` exceeds the limit."""
@@ -112,6 +114,7 @@
         """Submit a complete request; forms and cookies are not parsed."""
         if self._refused:
             return
+        self.complete = True
         self.channel.request_completed()
         self.method = command
         self.uri = path
@@ -138,9 +141,9 @@
             host=self._host(),
         )
 
-    def respond(self, effect: Respond, *, close: bool) -> None:
+    def respond(self, effect: Respond) -> None:
         """Respond once all earlier requests of the connection are answered."""
-        self.channel.respond(self, effect, close=close)
+        self.channel.respond(self, effect)
 
     def write_response(self, effect: Respond, *, close: bool) -> None:
         """Write a complete response."""
@@ -188,7 +191,11 @@
         #: Number of the connection in the log.
         self.connection = listener.next_connection()
         #: Responses that are withheld until earlier requests are answered.
-        self._withheld: dict[Exchange, tuple[Respond, bool]] = {}
+        self._withheld: dict[Exchange, Respond] = {}
+        #: Whether no request after those being received is read.
+        self._ends_after_requests = False
+        #: Whether the close of the connection has begun.
+        self._closing = False
 
     def dataReceived(self, data: bytes) -> None:
         """Read requests; input after a refusal is discarded."""
@@ -220,6 +227,8 @@
         requests would run one after another.
         """
         super().allContentReceived()  # type: ignore[no-untyped-call]
+        if self._ends_after_requests:
+            self._input_discarded = True
         if self._input_discarded or not self.persistent:
             return
         if len(self.requests) < self.listener.pipeline_limit:
@@ -250,22 +259,19 @@
         if last and self._savedTimeOut:
             self.setTimeout(self._savedTimeOut)
 
-    def respond(
-        self, exchange: Exchange, effect: Respond, *, close: bool
-    ) -> None:
+    def respond(self, exchange: Exchange, effect: Respond) -> None:
         """Write a response in request order, and withheld ones after it."""
-        self._withheld[exchange] = (effect, close)
+        self._withheld[exchange] = effect
         while self.requests and self.requests[0] in self._withheld:
             first = self.requests[0]
-            response, closing = self._withheld.pop(first)
             # Callers assume that requests after a closing response did not run,
             # so only the response to the last one closes the connection.
+            closing = self.listener.closing or self._ends_after_requests
             last = closing and len(self.requests) == 1
-            if last:
-                self._input_discarded = True
-            first.write_response(response, close=last)
-            if last:
-                self.close_after_writes()
+            self._input_discarded = self._input_discarded or last
+            first.write_response(self._withheld.pop(first), close=last)
+            if last and self.persistent:
+                self._half_close()
 
     def request_completed(self) -> None:
         """Record that the current request is complete."""
@@ -290,8 +296,7 @@
         """Stop counting: the responses were passed to the kernel."""
         self._paused = False
         self._unread_bytes = 0
-        if not self._input_discarded:
-            super().resumeProducing()  # type: ignore[no-untyped-call]
+        super().resumeProducing()  # type: ignore[no-untyped-call]
 
     def setTimeout(self, period: int | None) -> int | None:
         """Start the idle time limit, or end it if ``period`` is ``None``.
@@ -317,25 +322,44 @@
         self.listener.count_cutoff(Cutoff.idle)
         super().timeoutConnection()  # type: ignore[no-untyped-call]
 
-    def close_idle(self) -> None:
-        """Close the connection unless it has a request in progress."""
-        if not self._response_pending and not self.listener.is_receiving(self):
+    def finish(self) -> None:
+        """Close the connection after the requests that it has received.
+
+        A request that was received in part is read to its end.
+        """
+        receiving = self.listener.is_receiving(self) or any(
+            not each.complete for each in self.requests
+        )
+        if self._response_pending or receiving:
+            self._ends_after_requests = True
+            self._input_discarded = self._input_discarded or not receiving
+        else:
             self.close_after_writes()
 
     def close_after_writes(self) -> None:
-        """Send all output, then the end of the stream; read nothing more.
-
-        The caller may send a request again if this daemon has not read it.
-        """
+        """Discard further input, and close once all output is sent."""
+        if self._closing:
+            return
+        self._closing = True
+        if self.requests:
+            self._log_exchanges('caller-connection-closed', self.requests)
         self._input_discarded = True
-        self.setTimeout(None)
+        self.loseConnection()  # type: ignore[no-untyped-call]
+
+    def _half_close(self) -> None:
+        """Send all output, then the end of the stream; discard input."""
+        self._closing = True
         if ISSLTransport.providedBy(self.transport):
             # TLS has no half-closed connections.
-            self.transport.loseConnection()
+            self.loseConnection()  # type: ignore[no-untyped-call]
             return
-        self.transport.pauseProducing()
+        # A transport with a paused producer would not end the stream.
+        self.transport.unregisterProducer()
+        self.transport.resumeProducing()
         self.transport.loseWriteConnection()
-        self._linger()
+        self._linger_timer = self.listener.reactor.callLater(
+            LINGER_S, self.loseConnection
+        )
 
     def cut_off(self, why: Cutoff) -> None:
         """Abort the connection at once and count it."""
@@ -357,13 +381,9 @@
         head.append(b'Connection: close')
         head += [b'', response.body]
         self.transport.write(b'\r\n'.join(head))
-        self._linger()
-
-    def _linger(self) -> None:
-        if self._linger_timer is None:
-            self._linger_timer = self.listener.reactor.callLater(
-                LINGER_S, self.transport.abortConnection
-            )
+        self._linger_timer = self.listener.reactor.callLater(
+            LINGER_S, self.transport.abortConnection
+        )
 
     def _log_exchanges(self, event: str, exchanges: Sequence[Exchange]) -> None:
         fields = {
@@ -420,7 +440,8 @@
         self._last_exchange = 0
         self._last_connection = 0
         self._port: Any = None
-        self._closing = False
+        #: Whether the last response of each connection closes it.
+        self.closing = False
 
     def listen(self, address: Address, tls: Any = None) -> Any:
         """Listen for callers and return the port.
@@ -475,7 +496,7 @@
         """Send a response unless the caller has disconnected."""
         exchange = self._exchanges.pop(effect.exchange, None)
         if exchange is not None:
-            exchange.respond(effect, close=self._closing)
+            exchange.respond(effect)
 
     def disconnected(self, channel: CallerChannel) -> None:
         """Remove a closed connection."""
@@ -524,13 +545,13 @@
         Unless ``accept``, the listener also stops accepting connections and
         closes those without a request.
         """
-        self._closing = True
+        self.closing = True
         if accept:
             return
         if self._port is not None:
             self._port.stopListening()
         for channel in tuple(self._channels):
-            channel.close_idle()
+            channel.finish()
 
     def disconnect_all(self) -> None:
         """Close all connections, each after its pending output."""
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
@@ -231,6 +232,62 @@
     assert caller.received.count(b'Connection: close') == 1
 
 
+@pytest.mark.parametrize('size_bytes', [1000, 70_000, 400_000])
+def test_slow_reader_gets_a_part_of_the_last_response(
+    edge: _Edge, size_bytes: int
+) -> None:
+    """A caller may need longer than ``LINGER_S`` to read the last response."""
+    edge.listener.release(accept=True)
+    target = socket.socket()
+    target.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    target.connect(('127.0.0.1', edge.port.getHost().port))
+    caller = Client(target).send(_GET)
+    edge.answer(body=b'x' * size_bytes)
+    until_s = time.monotonic() + 5 * listeners.LINGER_S
+    run_reactor_until(lambda: time.monotonic() > until_s)
+    assert caller.read_all().endswith(b'\r\n\r\n' + b'x' * size_bytes)
+
+
+def test_closed_connection_is_kept_after_the_last_response(
+    edge: _Edge, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Once its caller has closed it too, a connection must be removed."""
+    monkeypatch.setattr(listeners, 'LINGER_S', 60)
+    edge.listener.release(accept=True)
+    caller = Client(edge.port).send(_GET)
+    edge.answer()
+    assert caller.read_all()
+    run_reactor_until(lambda: not edge.listener.connections)
+
+
+def test_pipelining_caller_keeps_a_stopping_daemon_busy(edge: _Edge) -> None:
+    """After the notice of a stop, later requests of a connection must wait."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET * 2)
+    edge.take(2)
+    edge.listener.release(accept=False)
+    caller.send(_GET)
+    turn(5)
+    edge.answer(1)
+    edge.answer(2)
+    assert caller.read_all().count(b'HTTP/1.1 ') == 2
+    assert caller.received.count(b'Connection: close') == 1
+    assert len(edge.requests) == 2
+
+
+def test_response_from_before_a_stop_leaves_the_connection_open(
+    edge: _Edge,
+) -> None:
+    """A response that was withheld since before the stop must close, too."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET * 2)
+    edge.take(2)
+    edge.answer(2)
+    edge.listener.release(accept=True)
+    edge.answer(1)
+    assert caller.read_all().count(b'Connection: close') == 1
+
+
 def test_idle_connection_is_closed(edge: _Edge) -> None:
     """Idle connections must not accumulate; those with a request stay open."""
     used = Client(edge.port).send(_GET)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -60,6 +60,7 @@
 from greengagemux.platform.configurations import ConfigurationDecoder
 from greengagemux.platform.servers import Announcements, MetricsPage, Readiness
 from greengagemux.platform.settings import PlatformSettings, read_settings
+from greengagemux.reducers import STOP_NOTICE
 from greengagemux.requests import refusal
 from greengagemux.routes import RouteTable
 from greengagemux.runtimes import EXIT_DELAY_S
@@ -141,6 +142,14 @@
     assert daemon.options.stop_limit + daemons.TICK + exit_delay < grace
 
 
+def test_upstream_is_out_of_service_for_the_whole_notice(
+    tmp_path: Path,
+) -> None:
+    """The daemon must leave only shortly before its egress refuses requests."""
+    daemon = daemons.build_daemon(_settings(tmp_path), Incarnation(1))
+    assert STOP_NOTICE / 2 < daemon.options.leave_after < STOP_NOTICE
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'key'),
     [
@@ -396,7 +405,7 @@
     def __init__(self, sent: list[Respond]) -> None:
         self._sent = sent
 
-    def respond(self, effect: Respond, *, close: bool) -> None:
+    def respond(self, effect: Respond) -> None:
         self._sent.append(effect)
 
 
