Close a connection on which a response cannot be written

What callers would see: nothing until their deadline, on all later requests of the connection. Cause: a response is taken from the withheld ones before it is written; after an exception its request stays the first of the list. Evidence: test_response_that_cannot_be_written_blocks_later_ones failed before. Why this works: the connection is aborted, so that its callers try elsewhere; the runtime logs the exception as before.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -269,10 +269,20 @@
             closing = self.listener.closing or self._ends_after_requests
             last = closing and len(self.requests) == 1
             self._input_discarded = self._input_discarded or last
-            first.write_response(self._withheld.pop(first), close=last)
+            self._write_response(first, self._withheld.pop(first), close=last)
             if last and self.persistent:
                 self._half_close()
 
+    def _write_response(
+        self, exchange: Exchange, effect: Respond, *, close: bool
+    ) -> None:
+        try:
+            exchange.write_response(effect, close=close)
+        except Exception:
+            # Later responses would wait for this one for ever.
+            self.transport.abortConnection()
+            raise
+
     def request_completed(self) -> None:
         """Record that the current request is complete."""
         self._response_pending = True
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 from sockets import Client, reactor, turn, run_reactor_until
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.web.http_headers import InvalidHeaderName
 
 from greengagemux import limits, listeners
 from greengagemux.addresses import Address
@@ -288,6 +289,20 @@
     assert caller.read_all().count(b'Connection: close') == 1
 
 
+def test_response_that_cannot_be_written_blocks_later_ones(
+    edge: _Edge,
+) -> None:
+    """Its connection must be closed, or its caller waits for ever."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET * 2)
+    first = edge.take(2)
+    broken = Respond(edge.requests[0].exchange, 200, ((b'a b', b''),), b'')
+    with pytest.raises(InvalidHeaderName):
+        edge.listener.respond(broken)
+    assert first.exchange != broken.exchange
+    assert not caller.read_all()
+
+
 def test_idle_connection_is_closed(edge: _Edge) -> None:
     """Idle connections must not accumulate; those with a request stay open."""
     used = Client(edge.port).send(_GET)
