Answer earlier requests before a faulty pipelined one

What callers saw: the refusal of a faulty request in the place of the response to the request before it, which was cut off 2 s later. Cause: refuse() writes to the connection without regard to pending requests. Why this works: with requests pending, the last response closes the connection, which tells the caller that the faulty one has not run. It is still counted.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -384,6 +384,12 @@
         self._input_discarded = True
         self.listener.count_cutoff(why)
         self.listener.request_ended(self)
+        if any(each.complete for each in self.requests):
+            # The responses to earlier requests come first, and the last one
+            # tells the caller that later requests have not run.
+            self._ends_after_requests = True
+            self.requests = [each for each in self.requests if each.complete]
+            return
         self.setTimeout(None)
         head = [b'HTTP/1.1 %d Refused' % response.status]
         head += [b'%b: %b' % pair for pair in response.headers]
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -303,6 +303,17 @@
     assert not caller.read_all()
 
 
+def test_bad_request_is_answered_before_earlier_ones(edge: _Edge) -> None:
+    """Its refusal must not take the place of an earlier response."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET + b'GET /a b HTTP/1.1\r\n\r\n')
+    edge.answer()
+    assert caller.read_all().count(b'HTTP/1.1 ') == 1
+    assert caller.received.startswith(b'HTTP/1.1 200 ')
+    assert b'Connection: close' in caller.received
+    assert edge.cutoffs == {'bad_http': 1}
+
+
 def test_idle_connection_is_closed(edge: _Edge) -> None:
     """Idle connections must not accumulate; those with a request stay open."""
     used = Client(edge.port).send(_GET)
