Time a partial request that arrives behind another one

What happened: a connection with a part of a pipelined request stayed open for ever. Cause: the read time limit starts only while no response is pending. Evidence: test_partial_request_behind_a_response_is_not_timed failed before. Why this works: the limit starts when the last response before it is written.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -290,7 +290,11 @@
 
     def response_written(self, size_bytes: int) -> None:
         """Record a response; too many unsent bytes end the connection."""
-        self._response_pending = len(self.requests) > 1
+        behind = self.requests[1:]
+        self._response_pending = any(each.complete for each in behind)
+        if behind and not self._response_pending:
+            # A part of the next request has been received.
+            self.listener.request_started(self)
         if not self._paused:
             return
         self._unread_bytes += size_bytes
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -314,6 +314,18 @@
     assert edge.cutoffs == {'bad_http': 1}
 
 
+def test_partial_request_behind_a_response_is_not_timed(edge: _Edge) -> None:
+    """A part of a pipelined request must start the read time limit."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET + _GET[:-2])
+    edge.answer()
+    caller.expect(b'answer to')
+    edge.clock.advance(listeners.READ_LIMIT)
+    edge.listener.cut_off_slow()
+    caller.read_all()
+    assert edge.cutoffs == {'slow': 1}
+
+
 def test_idle_connection_is_closed(edge: _Edge) -> None:
     """Idle connections must not accumulate; those with a request stay open."""
     used = Client(edge.port).send(_GET)
