--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
@@ -13,6 +14,7 @@
 from hypothesis import strategies as st
 from sockets import Client, reactor, turn, run_reactor_until
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.web.http_headers import InvalidHeaderName
 
 from greengagemux import limits, listeners
 from greengagemux.addresses import Address
@@ -231,6 +233,99 @@
     assert caller.received.count(b'Connection: close') == 1
 
 
+@pytest.mark.parametrize('size_bytes', [1000, 70_000, 400_000])
+def test_slow_reader_gets_a_part_of_the_last_response(
+    edge: _Edge, size_bytes: int
+) -> None:
+    """A caller may need longer than ``LINGER_S`` to read the last response."""
+    edge.listener.release(accept=True)
+    target = socket.socket()
+    target.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    target.connect(('127.0.0.1', edge.port.getHost().port))
+    caller = Client(target).send(_GET)
+    edge.answer(body=b'x' * size_bytes)
+    until_s = time.monotonic() + 5 * listeners.LINGER_S
+    run_reactor_until(lambda: time.monotonic() > until_s)
+    assert caller.read_all().endswith(b'\r\n\r\n' + b'x' * size_bytes)
+
+
+def test_closed_connection_is_kept_after_the_last_response(
+    edge: _Edge, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Once its caller has closed it too, a connection must be removed."""
+    monkeypatch.setattr(listeners, 'LINGER_S', 60)
+    edge.listener.release(accept=True)
+    caller = Client(edge.port).send(_GET)
+    edge.answer()
+    assert caller.read_all()
+    run_reactor_until(lambda: not edge.listener.connections)
+
+
+def test_pipelining_caller_keeps_a_stopping_daemon_busy(edge: _Edge) -> None:
+    """After the notice of a stop, later requests of a connection must wait."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET * 2)
+    edge.take(2)
+    edge.listener.release(accept=False)
+    caller.send(_GET)
+    turn(5)
+    edge.answer(1)
+    edge.answer(2)
+    assert caller.read_all().count(b'HTTP/1.1 ') == 2
+    assert caller.received.count(b'Connection: close') == 1
+    assert len(edge.requests) == 2
+
+
+def test_response_from_before_a_stop_leaves_the_connection_open(
+    edge: _Edge,
+) -> None:
+    """A response that was withheld since before the stop must close, too."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET * 2)
+    edge.take(2)
+    edge.answer(2)
+    edge.listener.release(accept=True)
+    edge.answer(1)
+    assert caller.read_all().count(b'Connection: close') == 1
+
+
+def test_response_that_cannot_be_written_blocks_later_ones(
+    edge: _Edge,
+) -> None:
+    """Its connection must be closed, or its caller waits for ever."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET * 2)
+    first = edge.take(2)
+    broken = Respond(edge.requests[0].exchange, 200, ((b'a b', b''),), b'')
+    with pytest.raises(InvalidHeaderName):
+        edge.listener.respond(broken)
+    assert first.exchange != broken.exchange
+    assert not caller.read_all()
+
+
+def test_bad_request_is_answered_before_earlier_ones(edge: _Edge) -> None:
+    """Its refusal must not take the place of an earlier response."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET + b'GET /a b HTTP/1.1\r\n\r\n')
+    edge.answer()
+    assert caller.read_all().count(b'HTTP/1.1 ') == 1
+    assert caller.received.startswith(b'HTTP/1.1 200 ')
+    assert b'Connection: close' in caller.received
+    assert edge.cutoffs == {'bad_http': 1}
+
+
+def test_partial_request_behind_a_response_is_not_timed(edge: _Edge) -> None:
+    """A part of a pipelined request must start the read time limit."""
+    edge.listener.pipeline_limit = 4
+    caller = Client(edge.port).send(_GET + _GET[:-2])
+    edge.answer()
+    caller.expect(b'answer to')
+    edge.clock.advance(listeners.READ_LIMIT)
+    edge.listener.cut_off_slow()
+    caller.read_all()
+    assert edge.cutoffs == {'slow': 1}
+
+
 def test_idle_connection_is_closed(edge: _Edge) -> None:
     """Idle connections must not accumulate; those with a request stay open."""
     used = Client(edge.port).send(_GET)
