--- a/greengagemux_standins/stopchecks.py
+++ b/greengagemux_standins/stopchecks.py
@@ -19,6 +19,9 @@
 #: An answer this close to the end of the time budget may come too late.
 SLACK_S: Final = 0.2
 
+#: Least wait for a processor within a sample that counts as a stall.
+STALL_S: Final = 0.2
+
 #: Name under which the waits of the soak itself are kept.
 SOAK: Final = 'soak'
 
@@ -80,8 +83,9 @@
                 late_s = run.begun_s - stop.since_s
                 if late_s <= LEAVING_S or run.begun_s >= stop.until_s:
                     continue
+                # Short waits do not delay a notice by seconds.
                 late_s -= self._waited_s(
-                    {stop.target}, stop.since_s, run.begun_s
+                    {stop.target}, stop.since_s, run.begun_s, STALL_S
                 )
                 if late_s <= LEAVING_S:
                     self.verdict.excused['late work'] += 1
@@ -134,14 +138,23 @@
         )
 
     def _waited_s(
-        self, daemons: set[str], since_s: float, until_s: float
+        self,
+        daemons: set[str],
+        since_s: float,
+        until_s: float,
+        least_s: float = 0,
     ) -> float:
-        """Return how long daemons and the soak waited for a processor."""
+        """Return how long daemons and the soak waited for a processor.
+
+        Samples with less than ``least_s`` are left out.
+        """
         return sum(
             wait.waited_s
             for process in daemons | {SOAK}
             for wait in self._waits[process]
-            if wait.since_s < until_s and since_s < wait.until_s
+            if wait.since_s < until_s
+            and since_s < wait.until_s
+            and wait.waited_s >= least_s
         )
 
     def _around(self, call: Call, runs: Sequence[Run]) -> list[str]:
--- a/tests/test_stopsoaks.py
+++ b/tests/test_stopsoaks.py
@@ -79,6 +79,17 @@
         assert Judge(runs, [], [wait]).judge([late]).broken['unanswered']
 
 
+def test_short_waits_do_not_excuse_late_work() -> None:
+    """Work that goes on after a stop must be found on a busy machine."""
+    answered = _call(End.answered, 200)
+    short = [Wait('d2', 7 + at / 4, 7.25 + at / 4, 0.1) for at in range(12)]
+    verdict = Judge([_run()], [EARLY_STOP], short).judge([answered])
+    assert verdict.broken['work-after-stop']
+    stall = [Wait('d2', 7, 8, 0.9)]
+    verdict = Judge([_run()], [EARLY_STOP], stall).judge([answered])
+    assert verdict.clean
+
+
 def test_run_without_answers_fails() -> None:
     """A soak whose requests are all refused shows nothing."""
     verdict = Judge([], []).judge([_call(End.answered, 503)])
