End peer streams at the exit only after their last messages are received

What callers would see: 502 for a request that ran to its end, because its answer is lost when the egress exits.

Cause: Exit closed all streams with loseConnection. That stops reading, writes only what had already been passed to the transport, and closes the socket. Fragments of a long answer that wait in FrameWriter are dropped. Unread input resets the connection, which discards what the kernel has not delivered. A stream whose producer is paused never closes; the end of the process after 0.1 s cuts it off. Over TLS a stream doesn't close while a producer is registered. A hello that arrives later, or a path that reopens, gives the exiting process a new stream.

Ruled out: the order of effects; answers and refusals are sent before Exit.

Why this works: a stopping hub writes all fragments, then sends FIN (over TLS a close alert) and reads and discards until the peer closes its side, so no input is unread. Requests that arrive before the end of the output are still refused. The reactor stops when all streams have ended, after at least EXIT_DELAY_S as before, for responses to callers, and at most EXIT_LIMIT_S (0.3 s).

The fixture of test_streams also calls close_all, as its peers don't close; its assertion is unchanged.

--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -62,6 +62,9 @@
 FLUSH_LINES_PER_TICK: Final = 60
 #: Time for the last responses to be sent before the reactor stops.
 EXIT_DELAY_S: Final = 0.1
+#: Most time for peers to receive the last messages and end their streams. With
+#: the stop limit it must stay within the time before the process is killed.
+EXIT_LIMIT_S: Final = 0.3
 
 
 class Timer:
@@ -341,7 +344,16 @@
         self._hub.stop()
         self._handler.flush()
         # Responses written in this turn have not been sent yet.
-        self._reactor.callLater(EXIT_DELAY_S, self._reactor.stop)
+        due_s = self._reactor.seconds() + EXIT_LIMIT_S
+        self._reactor.callLater(EXIT_DELAY_S, self._stop_reactor, due_s)
+
+    def _stop_reactor(self, due_s: float) -> None:
+        """Stop once all streams have ended, at the latest at ``due_s``."""
+        if self._hub.has_streams and self._reactor.seconds() < due_s:
+            self._reactor.callLater(EXIT_DELAY_S, self._stop_reactor, due_s)
+            return
+        self._hub.close_all()
+        self._reactor.stop()
 
 
 def build_process(daemon: DaemonId, level: str) -> Process:
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -108,6 +108,8 @@
         self._hello_timer: Any = None
         self._paused = False
         self._fragment_due = False
+        self._finishing = False
+        self._output_ended = False
         self._unsent_bytes = 0
         self.stream = hub.new_stream()
 
@@ -134,8 +136,14 @@
         self.send(self._own_hello)
 
     def dataReceived(self, data: bytes) -> None:
-        """Read messages; a malformed one ends this stream only."""
+        """Read messages; a malformed one ends this stream only.
+
+        After the end of the output, which could carry no reply, input is
+        discarded.
+        """
         self._hub.counters.received_bytes(len(data))
+        if self._output_ended:
+            return
         try:
             self._read(data)
         except FailureError as error:
@@ -176,6 +184,16 @@
         self._hub.counters.failed(failure)
         self.transport.abortConnection()
 
+    def finish(self) -> None:
+        """End the stream once all messages have been sent.
+
+        Input is still read until the peer ends its side: closing a connection
+        with unread input resets it, which destroys what the peer has not yet
+        received.
+        """
+        self._finishing = True
+        self._write_fragment()
+
     def pauseProducing(self) -> None:
         """Stop writing fragments until the peer has read more."""
         self._paused = True
@@ -294,12 +312,24 @@
         if self._paused or not self.connected or self._fragment_due:
             return
         fragment = self._writer.next_fragment()
-        if not fragment:
-            return
-        self._write(fragment)
+        if fragment:
+            self._write(fragment)
         if self._writer.pending:
             self._fragment_due = True
             self._hub.reactor.callLater(FRAGMENT_PAUSE_S, self._next_fragment)
+        elif self._finishing:
+            self._end_output()
+
+    def _end_output(self) -> None:
+        """Tell the peer that no message follows those already written."""
+        self._output_ended = True
+        if self._hub.certificates is None:
+            self.transport.loseWriteConnection()
+            return
+        # TLS has no half-close. This sends a close alert after the output, and
+        # input is read until the alert of the peer.
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
 
     def _next_fragment(self) -> None:
         self._fragment_due = False
@@ -342,6 +372,7 @@
         self._opening_addresses: set[str] = set()
         self._inbound_count = 0
         self._port: Any = None
+        self._stopping = False
 
     def listen(self, address: Address) -> Any:
         """Accept streams of peers; raises ``CannotListenError``."""
@@ -360,7 +391,7 @@
         The result is reported as an event.
         """
         target = str(address)
-        if target in self._opening_addresses:
+        if self._stopping or target in self._opening_addresses:
             return
         self._opening_addresses.add(target)
         factory = _OutboundFactory(self, daemon, address)
@@ -393,11 +424,26 @@
         if known is not None:
             known.close()
 
+    @property
+    def has_streams(self) -> bool:
+        """Whether any stream is open."""
+        return bool(self._streams)
+
     def stop(self) -> None:
-        """Stop accepting streams and close all open ones."""
+        """Open and accept no more streams; end each once its output is sent.
+
+        A stream stays open until its peer has ended its side.
+        """
+        self._stopping = True
         if self._port is not None:
             self._port.stopListening()
         for stream in tuple(self._streams.values()):
+            stream.finish()
+
+    def close_all(self) -> None:
+        """Close all streams, whether or not their peers have ended them."""
+        for stream in tuple(self._streams.values()):
+            stream.transport.unregisterProducer()
             stream.transport.loseConnection()
 
     def accept(self) -> PeerStream | None:
@@ -432,6 +478,8 @@
         self.submit(
             StreamOpened(stream.stream, hello, bool(address), address, number)
         )
+        if self._stopping:
+            stream.finish()
 
     def lost(
         self, stream: PeerStream, hello: Hello | None, failure: Failure
--- a/tests/test_certificates.py
+++ b/tests/test_certificates.py
@@ -20,10 +20,11 @@
 from greengagemux.addresses import Address
 from greengagemux.certificates import Certificates
 from greengagemux.clocks import SystemClock
-from greengagemux.events import StreamOpened
-from greengagemux.ids import DaemonId
+from greengagemux.events import PeerMessage, StreamClosed, StreamOpened
+from greengagemux.ids import DaemonId, RequestId
 from greengagemux.listeners import listen
-from greengagemux.outcomes import FailureError
+from greengagemux.messages import Refusal
+from greengagemux.outcomes import FailureError, Outcome, Reason
 from greengagemux.settings import TlsSettings
 
 _LOCAL = Address('127.0.0.1', 0)
@@ -148,6 +149,28 @@
     assert not first.failures + second.failures
 
 
+def test_stop_ends_a_stream_after_its_last_message(
+    fleet: _Authority, hub_of: Callable[..., _Hub]
+) -> None:
+    """A stop must not cut off a long message, nor leave the stream open."""
+    first = hub_of(fleet.issue('own-1'))
+    second = hub_of(fleet.issue('peer-1'), 'peer-1')
+    address = Address('127.0.0.1', second.port.getHost().port)
+    first.hub.open(DaemonId('peer-1'), address)
+    run_reactor_until(
+        lambda: first.of(StreamOpened) and second.of(StreamOpened)
+    )
+    last = Refusal(
+        RequestId(1), Reason.draining, Outcome.not_run, detail='x' * 1_000_000
+    )
+    first.hub.send(first.of(StreamOpened)[0].stream, last)
+    first.hub.stop()
+    run_reactor_until(
+        lambda: first.of(StreamClosed) and second.of(StreamClosed)
+    )
+    assert [each.message for each in second.of(PeerMessage)] == [last]
+
+
 @pytest.mark.parametrize('kind', ['none', 'foreign', 'expired', 'plain'])
 def test_peer_without_a_valid_certificate_gets_nothing(
     fleet: _Authority, hub_of: Callable[..., _Hub], kind: str
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -16,6 +16,7 @@
 
 import pytest
 from sockets import Client, reactor, turn, run_reactor_until
+from test_streams import _hello, _wire
 from twisted.internet.protocol import Factory, Protocol
 
 from greengagemux.platform.servers import Server
@@ -220,6 +221,17 @@
     assert json.loads(placed[0])['fields']['request'] == 'r-1'
 
 
+def test_peer_that_stays_open_does_not_block_the_stop(daemon: _Daemon) -> None:
+    """A stop must end in time though a peer does not end its stream."""
+    daemon.wait_ready()
+    connection = socket.create_connection((HOST, daemon.ports['inbound']))
+    peer = Client(connection).send(_wire(_hello()))
+    run_reactor_until(lambda: peer.read() or peer.received)
+    assert '"stopped"' in daemon.stop()
+    assert daemon.process.returncode == 0
+    peer.socket.close()
+
+
 def test_refused_write_is_not_run(daemon: _Daemon) -> None:
     """A write that the upstream refused must be reported as not run.
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -33,6 +33,7 @@
     Hello,
     Message,
     Ping,
+    Pong,
 )
 from greengagemux.outcomes import Failure, FailureError
 
@@ -120,6 +121,7 @@
     made = _Hub()
     yield made
     made.hub.stop()
+    made.hub.close_all()
     turn()
     assert not made.hub._streams
 
@@ -288,6 +290,80 @@
     hub.peer()
 
 
+def _messages(wire: bytes) -> list[Message]:
+    payloads = FrameReader('own-1').feed(wire)
+    return [decode(payload[8:], 'own-1') for payload in payloads]
+
+
+@pytest.mark.parametrize('size', [1_000_000, 8_000_000])
+def test_stop_sends_all_fragments(hub: _Hub, size: int) -> None:
+    """A long answer must not be cut off by the stop of its egress.
+
+    The longer one exceeds the buffers of the sockets.
+    """
+    peer = hub.peer()
+    answer = _hello('x' * size)
+    hub.hub.send(hub.of(StreamOpened)[0].stream, answer)
+    hub.hub.stop()
+    assert _messages(peer.read_all())[1:] == [answer]
+
+
+def test_stop_does_not_reset_a_stream_with_input(hub: _Hub) -> None:
+    """Input that arrives during a stop must not destroy answers in transit."""
+    narrow = socket.socket()
+    narrow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    narrow.connect(('127.0.0.1', hub.port.getHost().port))
+    peer = Client(narrow).send(_wire(_hello()))
+    run_reactor_until(lambda: hub.of(StreamOpened))
+    answer = _hello('x' * 20_000)
+    for _ in range(20):
+        hub.hub.send(hub.of(StreamOpened)[0].stream, answer)
+        turn(2)
+    hub.hub.stop()
+    peer.socket.send(_wire(Ping(1)))
+    turn()
+    assert _messages(peer.read_all())[1:] == [answer] * 20
+    run_reactor_until(lambda: hub.of(StreamClosed))
+
+
+def test_stop_ends_a_stream_with_unsent_data(hub: _Hub) -> None:
+    """A stream must end once its peer has read what was unsent at the stop."""
+    peer = hub.peer()
+    answer = _hello('x' * 20_000)
+    for _ in range(500):
+        hub.hub.send(hub.of(StreamOpened)[0].stream, answer)
+    turn()
+    hub.hub.stop()
+    assert _messages(peer.read_all())[1:] == [answer] * 500
+    run_reactor_until(lambda: hub.of(StreamClosed))
+
+
+def test_answer_during_a_stop_is_sent(hub: _Hub) -> None:
+    """A request that arrives while a stream closes must still be refused."""
+    peer = hub.peer()
+    stream = hub.of(StreamOpened)[0].stream
+    hub.hub.send(stream, _hello('x' * 1_000_000))
+    hub.hub.stop()
+    peer.send(_wire(Ping(1)))
+    run_reactor_until(lambda: hub.of(PeerMessage))
+    hub.hub.send(stream, Pong(1))
+    assert Pong(1) in _messages(peer.read_all())
+
+
+def test_stop_leaves_no_stream_open(hub: _Hub) -> None:
+    """Neither a late hello nor a path may give a stopping hub a new stream."""
+    late = Client(hub.port)
+    run_reactor_until(lambda: late.read() or late.received)
+    hub.hub.stop()
+    late.send(_wire(_hello())).read_all()
+    listening = socket.create_server(('127.0.0.1', 0))
+    listening.setblocking(False)
+    hub.hub.open(DaemonId(''), Address(*listening.getsockname()))
+    turn()
+    assert not _accepted(listening, [])
+    listening.close()
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.binary(max_size=200),
