Deliver messages of the fake network only to the stream end they were sent to

A message of a stalled stream arrived after its receiver had been killed and started again: the new process had given the same number to another stream. TCP delivers nothing to a process that did not accept the connection.

Also names the end of the notice in the reducer after what it means.

--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -155,8 +155,8 @@
         self.stopping_since: timedelta | None = None
         #: Whether the member record says that this daemon is leaving.
         self.leaving = False
-        #: Whether connections of callers are no longer accepted.
-        self.callers_released = False
+        #: Whether callers and peers can no longer send new requests.
+        self.notice_over = False
         #: Whether each key slot had an owner, or ``slots_deadline`` passed.
         self.slots_ready = False
         self.slots_deadline: timedelta | None = None
@@ -466,8 +466,8 @@
     waited = now - since
     if waited < STOP_NOTICE:
         return
-    if not daemon.callers_released:
-        daemon.callers_released = True
+    if not daemon.notice_over:
+        daemon.notice_over = True
         # An ingress that hasn't learned of the stop would keep the egress busy
         # until the stop limit, which cuts off the requests that run then.
         daemon.egress.stop(now)
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -460,7 +460,7 @@
             return
 
         def arrive() -> None:
-            if other.stream in other.node.stream_ends:
+            if other.node.stream_ends.get(other.stream) is other:
                 other.node.submit(events.PeerMessage(other.stream, message))
 
         self.after(STREAM_LATENCY, arrive)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -63,7 +63,7 @@
 from greengagemux.reducers import STOP_NOTICE
 from greengagemux.requests import refusal
 from greengagemux.routes import RouteTable
-from greengagemux.runtimes import EXIT_DELAY_S
+from greengagemux.runtimes import EXIT_LIMIT_S
 
 LINES = """\
 node_name=sidecar-a-1
@@ -138,8 +138,8 @@
     daemon = daemons.build_daemon(settings, Incarnation(1))
     grace = timedelta(seconds=settings.bounds.stop_limit_s)
     assert grace * 5 / 6 <= daemon.options.stop_limit
-    exit_delay = timedelta(seconds=EXIT_DELAY_S)
-    assert daemon.options.stop_limit + daemons.TICK + exit_delay < grace
+    exit_limit = timedelta(seconds=EXIT_LIMIT_S)
+    assert daemon.options.stop_limit + daemons.TICK + exit_limit < grace
 
 
 def test_upstream_is_out_of_service_for_the_whole_notice(
