Parse input of upstreams in short turns

Callers saw: while an upstream sent very small parts at full speed, calls on other connections waited. Cause: one read of 64 KiB holds 10,900 chunks of one byte, 3,600 informational responses or 1,700 responses to other requests, and all of them were parsed at once. Ruled out: the machine's load (the test measures processor time of the thread), the search for line ends (0.3 ms for 64 KiB of header lines). Fix: after 5 ms a connection stops reading, and goes on in the next turn of the reactor, when the other sockets were served. As it does not read meanwhile, the parser's buffer stays below one read above the limit of a head.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -38,6 +38,9 @@
 KEEP_ALIVE_MARGIN_S: Final = 1
 #: Largest status line and headers of a response.
 HEAD_LIMIT_BYTES: Final = 64 * 1024
+#: A connection whose input takes longer to parse yields to the other sockets, as
+#: a block of very small chunks takes 100 ms, a quarter of a short deadline.
+PARSE_TURN_S: Final = 0.005
 #: Longest text of a failure; longer ones are cut.
 MAX_DETAIL_CHARS: Final = 200
 #: Statuses that can be passed on to callers; others count as malformed.
@@ -72,12 +75,14 @@
 
     transport: Any
 
-    def __init__(self, on_idle: Callable[['UpstreamConnection'], None]) -> None:
+    def __init__(
+        self, reactor: Any, on_idle: Callable[['UpstreamConnection'], None]
+    ) -> None:
         """Call ``on_idle`` whenever another exchange may start."""
+        self._reactor = reactor
         self._on_idle = on_idle
         self._parser = _new_parser()
         self._exchange: _UpstreamExchange | None = None
-        self._timer: Any = None
         #: How long the connection may stay idle, by ``Keep-Alive``.
         self.keep_alive_s = float(POOL_IDLE_LIMIT_S)
         self.closed = False
@@ -138,18 +143,33 @@
         self._fail(fault, reason.getErrorMessage())
 
     def _receive(self, data: bytes) -> None:
+        self._parser.receive_data(data)
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse the received input, or a part of it and the rest later."""
         try:
-            self._parse(data)
+            self._handle_events()
         except h11.RemoteProtocolError as error:
             has_status = self._exchange is not None and self._exchange.status
             fault = CallFault.truncated if has_status else CallFault.malformed
             self._fail(fault, str(error))
 
-    def _parse(self, data: bytes) -> None:
-        self._parser.receive_data(data)
-        more = True
-        while more:
-            more = self._handle_next_event()
+    def _handle_events(self) -> None:
+        until_s = self._reactor.seconds() + PARSE_TURN_S
+        while self._handle_next_event():
+            if self._exchange is None or self.closed:
+                continue
+            if self._reactor.seconds() > until_s:
+                self.transport.pauseProducing()
+                self._reactor.callLater(0, self._resume)
+                return
+
+    def _resume(self) -> None:
+        if self.closed:
+            return
+        self.transport.resumeProducing()
+        self._parse()
 
     def _handle_next_event(self) -> bool:
         """Handle one parser event; return whether another may follow."""
@@ -223,11 +243,14 @@
 
     noisy = False
 
-    def __init__(self, on_idle: Callable[[UpstreamConnection], None]) -> None:
+    def __init__(
+        self, reactor: Any, on_idle: Callable[[UpstreamConnection], None]
+    ) -> None:
+        self._reactor = reactor
         self._on_idle = on_idle
 
     def buildProtocol(self, addr: IAddress | None) -> UpstreamConnection:
-        return UpstreamConnection(self._on_idle)
+        return UpstreamConnection(self._reactor, self._on_idle)
 
 
 class _Pool:
@@ -365,7 +388,7 @@
         endpoint: Any = TCP4ClientEndpoint(
             self._reactor, target.host, target.port, timeout=CONNECT_TIMEOUT_S
         )
-        return endpoint.connect(_ConnectionFactory(on_idle))
+        return endpoint.connect(_ConnectionFactory(self._reactor, on_idle))
 
     def _build_exchange(self, effect: CallUpstream) -> _UpstreamExchange:
         headers = [(b'Host', effect.host or effect.address.encode())]
--- /dev/null
+++ b/tests/test_endless.py
@@ -0,0 +1,156 @@
+"""Guards against upstreams that send bytes without end."""
+
+import os
+import time
+from collections.abc import Iterator
+from itertools import count
+from pathlib import Path
+
+import pytest
+from endless_upstreams import FAST, FORMS, WHOLE, EndlessUpstream
+from sockets import CONDITION_TIMEOUT_S, reactor, turn
+
+from greengagemux.connections import PROBE_TIMEOUT_S, UpstreamCalls
+from greengagemux.effects import CallUpstream, ProbeUpstream
+from greengagemux.events import (
+    Event,
+    Probed,
+    UpstreamAnswered,
+    UpstreamFailed,
+)
+from greengagemux.ids import CallId, UpstreamId
+from greengagemux.platform.exchanges import PlatformCalls
+
+#: Time limit of a call, after which the egress aborts it.
+DEADLINE_S = 0.8
+#: Processor time of one turn of the reactor. A call beside the endless bytes
+#: takes about five turns, and time limits on the platform are at least 400 ms.
+TURN_LIMIT_S = 0.4 / 5
+#: Connections that send without end at the same time.
+CONNECTIONS = 4
+ANSWER_LIMIT_BYTES = 1024 * 1024
+#: Four bodies at their limit, several times over for copies and parts.
+MEMORY_LIMIT_BYTES = 64 * 1024 * 1024
+#: Time for the upstream to notice a closed connection.
+CLOSE_LIMIT_S = 1.0
+
+
+class _Caller:
+    """Calls to one upstream, and the events they ended with."""
+
+    def __init__(self, upstream: EndlessUpstream, calls: type) -> None:
+        self.upstream = upstream
+        self.events: dict[CallId, UpstreamAnswered | UpstreamFailed] = {}
+        self.probed: list[Probed] = []
+        self.calls: UpstreamCalls = calls(reactor, self._submit)
+        self._numbers = count(1)
+        self._resident_bytes = _resident_bytes()
+        self.longest_turn_s = float(0)
+
+    def call(self, target: str, *, fresh: bool = True) -> CallId:
+        call = CallId(next(self._numbers))
+        self.calls.call(
+            CallUpstream(
+                call=call,
+                address=self.upstream.address,
+                method=b'POST',
+                target=target.encode(),
+                headers=(),
+                body=b'body',
+                limit_bytes=ANSWER_LIMIT_BYTES,
+                fresh=fresh,
+                upstream=UpstreamId('u0'),
+                tag=f'r-{call}',
+            )
+        )
+        return call
+
+    def run(self) -> None:
+        """Run the reactor once; fail if memory has grown above the limit."""
+        # Unlike elapsed time, it leaves out waits on a busy machine.
+        started_s = time.thread_time()
+        reactor.iterate(0.001)
+        turn_s = time.thread_time() - started_s
+        self.longest_turn_s = max(self.longest_turn_s, turn_s)
+        grown_bytes = _resident_bytes() - self._resident_bytes
+        assert grown_bytes < MEMORY_LIMIT_BYTES, grown_bytes
+
+    def call_other(self, *, fresh: bool = True) -> None:
+        """Carry out a call beside the endless bytes."""
+        started_s = time.monotonic()
+        call = self.call('/fast/ok', fresh=fresh)
+        while call not in self.events:
+            assert time.monotonic() - started_s < CONDITION_TIMEOUT_S
+            self.run()
+        assert isinstance(self.events[call], UpstreamAnswered)
+
+    def _submit(self, event: Event) -> None:
+        if isinstance(event, Probed):
+            self.probed.append(event)
+        if isinstance(event, UpstreamAnswered | UpstreamFailed):
+            assert event.call not in self.events
+            self.events[event.call] = event
+
+
+def _resident_bytes() -> int:
+    pages = Path('/proc/self/statm').read_text().split()[1]
+    return int(pages) * os.sysconf('SC_PAGE_SIZE')
+
+
+@pytest.fixture(name='upstream')
+def _upstream() -> Iterator[EndlessUpstream]:
+    instance = EndlessUpstream()
+    yield instance
+    instance.close()
+    turn()
+
+
+@pytest.mark.parametrize(
+    ('kind', 'form'),
+    [(PlatformCalls, form) for form in FORMS]
+    # Without the platform's headers no answer is that of another request.
+    + [(UpstreamCalls, form) for form in FORMS if 'other' not in form],
+)
+def test_endless_bytes_neither_block_other_calls_nor_fill_memory(
+    upstream: EndlessUpstream, kind: type, form: str
+) -> None:
+    """Their own call must not get them as an answer, nor count as not sent."""
+    caller = _Caller(upstream, kind)
+    until_s = time.monotonic() + DEADLINE_S
+    calls = [
+        caller.call(f'/{form}/{FAST}', fresh=False) for _ in range(CONNECTIONS)
+    ]
+    while time.monotonic() < until_s:
+        caller.call_other()
+    for call in calls:
+        event = caller.events.get(call)
+        if isinstance(event, UpstreamAnswered):
+            assert form in WHOLE
+            assert event.body == b'ok'
+        if isinstance(event, UpstreamFailed):
+            assert event.sent
+        caller.calls.abort(call)
+    limit_s = time.monotonic() + CLOSE_LIMIT_S
+    while not upstream.has_ended(form, CONNECTIONS):
+        assert time.monotonic() < limit_s
+        caller.run()
+    caller.call_other(fresh=False)
+    assert caller.longest_turn_s < TURN_LIMIT_S
+    caller.calls.drop(upstream.address)
+
+
+@pytest.mark.parametrize('form', FORMS)
+def test_probe_of_endless_bytes_ends(
+    upstream: EndlessUpstream, form: str
+) -> None:
+    """A probe must end in time, and close its connection."""
+    caller = _Caller(upstream, PlatformCalls)
+    until_s = time.monotonic() + PROBE_TIMEOUT_S + CLOSE_LIMIT_S
+    caller.calls.probe(
+        ProbeUpstream(UpstreamId('u0'), upstream.address, f'/{form}/{FAST}')
+    )
+    while not (caller.probed and upstream.has_ended(form)):
+        assert time.monotonic() < until_s
+        caller.run()
+    assert len(caller.probed) == 1
+    assert not caller.probed[0].refused
