Limit the informational responses to one request

Callers saw: a call to an upstream that sends informational responses without end got no answer before its deadline. A write held its slot and the connection for 5 s more, and the daemon parsed at full speed all the while. Cause: the limit of 64 KiB holds for one head; each 1xx head is complete, and nothing counted them. Evidence: test_endless_bytes_are_not_read_up_to_the_deadline failed before for informational and early-hints, on the code without any of these changes. Ruled out: the time-out for silence, as it only repeats the call. Fix: the heads before the final response count towards the same 64 KiB. Beyond it the call fails as malformed with an unknown outcome, and its connection is closed, which ends the bytes.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -36,11 +36,14 @@
 #: ``Keep-Alive`` header, so that no request is on its way when the server
 #: closes it.
 KEEP_ALIVE_MARGIN_S: Final = 1
-#: Largest status line and headers of a response.
+#: Largest status line and headers of a response, and of all informational
+#: responses before it, which could otherwise come without end.
 HEAD_LIMIT_BYTES: Final = 64 * 1024
 #: A connection whose input takes longer to parse yields to the other sockets, as
 #: a block of very small chunks takes 100 ms, a quarter of a short deadline.
 PARSE_TURN_S: Final = 0.005
+#: Start of every response, without its minor version.
+STATUS_LINE_START: Final = b'HTTP/1.'
 #: Longest text of a failure; longer ones are cut.
 MAX_DETAIL_CHARS: Final = 200
 #: Statuses that can be passed on to callers; others count as malformed.
@@ -66,6 +69,7 @@
     close_delimited: bool = False
     status: int = 0
     headers: Headers = ()
+    informational_bytes: int = 0
     chunks: list[bytes] = field(default_factory=list)
     size_bytes: int = 0
 
@@ -177,7 +181,9 @@
         event = self._parser.next_event()
         if exchange is None or event is h11.NEED_DATA or event is h11.PAUSED:
             return False
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._count_informational(exchange, event)
+        elif isinstance(event, h11.Response):
             exchange.status = event.status_code
             exchange.headers = tuple(event.headers.raw_items())
         elif isinstance(event, h11.Data):
@@ -186,6 +192,14 @@
             self._complete(exchange)
         return not isinstance(event, h11.ConnectionClosed)
 
+    def _count_informational(
+        self, exchange: _UpstreamExchange, event: h11.InformationalResponse
+    ) -> None:
+        exchange.informational_bytes += _head_bytes(event)
+        if exchange.informational_bytes > HEAD_LIMIT_BYTES:
+            detail = f'informational responses above {HEAD_LIMIT_BYTES} bytes'
+            self._fail(CallFault.malformed, detail)
+
     def _collect(self, exchange: _UpstreamExchange, chunk: bytes) -> None:
         exchange.size_bytes += len(chunk)
         exchange.chunks.append(chunk)
@@ -517,6 +531,11 @@
     )
 
 
+def _head_bytes(event: h11.InformationalResponse) -> int:
+    lines = [(STATUS_LINE_START, event.reason), *event.headers.raw_items()]
+    return sum(len(name) + len(content) for name, content in lines)
+
+
 def _keep_alive_limit_s(content: bytes) -> float:
     """Return how long a connection may stay idle, by ``Keep-Alive``."""
     for part in content.split(b','):
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -7,12 +7,13 @@
 from pathlib import Path
 
 import pytest
-from endless_upstreams import FAST, FORMS, WHOLE, EndlessUpstream
-from sockets import CONDITION_TIMEOUT_S, reactor, turn
+from endless_upstreams import FAST, FORMS, SLOW, WHOLE, EndlessUpstream
+from sockets import CONDITION_TIMEOUT_S, reactor, run_reactor_until, turn
 
 from greengagemux.connections import PROBE_TIMEOUT_S, UpstreamCalls
 from greengagemux.effects import CallUpstream, ProbeUpstream
 from greengagemux.events import (
+    CallFault,
     Event,
     Probed,
     UpstreamAnswered,
@@ -53,10 +54,10 @@
             CallUpstream(
                 call=call,
                 address=self.upstream.address,
-                method=b'POST',
+                method=b'CONNECT' if 'tunnel' in target else b'POST',
                 target=target.encode(),
                 headers=(),
-                body=b'body',
+                body=b'' if 'tunnel' in target else b'body',
                 limit_bytes=ANSWER_LIMIT_BYTES,
                 fresh=fresh,
                 upstream=UpstreamId('u0'),
@@ -139,6 +140,29 @@
     caller.calls.drop(upstream.address)
 
 
+@pytest.mark.parametrize(
+    ('form', 'pace'),
+    [
+        ('informational', FAST),
+        ('early-hints', FAST),
+    ],
+)
+def test_endless_bytes_are_not_read_up_to_the_deadline(
+    upstream: EndlessUpstream, form: str, pace: str
+) -> None:
+    """Bytes that cannot become an answer must end their call at once."""
+    caller = _Caller(upstream, PlatformCalls)
+    until_s = time.monotonic() + DEADLINE_S
+    call = caller.call(f'/{form}/{pace}')
+    while call not in caller.events:
+        assert time.monotonic() < until_s
+        caller.run()
+    event = caller.events[call]
+    assert isinstance(event, UpstreamFailed)
+    assert (event.fault, event.sent) == (CallFault.malformed, True)
+    run_reactor_until(lambda: upstream.has_ended(form))
+
+
 @pytest.mark.parametrize('form', FORMS)
 def test_probe_of_endless_bytes_ends(
     upstream: EndlessUpstream, form: str
