Limit the responses to other requests that a call skips

Callers saw: a call to an upstream that repeats responses to other requests without end got no answer before its deadline; a write held its slot 5 s more. Cause: each such response is skipped with a new parser, any number of times, and the limit of the body starts anew with each. Evidence: test_endless_bytes_are_not_read_up_to_the_deadline failed before for other-answers, other-bodies and other-chunked, on the code without any of these changes. Ruled out: to close at the first one, as this cut off upstreams that were at work on the current request. Fix: after 16 skipped responses the call fails as malformed with an unknown outcome, and its connection is closed.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -39,6 +39,9 @@
 #: Largest status line and headers of a response, and of all informational
 #: responses before it, which could otherwise come without end.
 HEAD_LIMIT_BYTES: Final = 64 * 1024
+#: Responses to other requests before that to the current one. Each request gets
+#: one response, so only a few late ones can come before it.
+MAX_SKIPPED_RESPONSES: Final = 16
 #: A connection whose input takes longer to parse yields to the other sockets, as
 #: a block of very small chunks takes 100 ms, a quarter of a short deadline.
 PARSE_TURN_S: Final = 0.005
@@ -70,6 +73,7 @@
     status: int = 0
     headers: Headers = ()
     informational_bytes: int = 0
+    skipped_count: int = 0
     chunks: list[bytes] = field(default_factory=list)
     size_bytes: int = 0
 
@@ -227,6 +231,13 @@
 
         A new parser, in the state after sending the request, reads it.
         """
+        exchange.skipped_count += 1
+        if exchange.skipped_count > MAX_SKIPPED_RESPONSES:
+            detail = (
+                f'above {MAX_SKIPPED_RESPONSES} responses to other requests'
+            )
+            self._fail(CallFault.malformed, detail)
+            return
         rest = self._parser.trailing_data[0]
         self._parser = _new_parser()
         self._parser.send(exchange.request)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -145,6 +145,9 @@
     [
         ('informational', FAST),
         ('early-hints', FAST),
+        ('other-answers', FAST),
+        ('other-bodies', FAST),
+        ('other-chunked', FAST),
     ],
 )
 def test_endless_bytes_are_not_read_up_to_the_deadline(
