End a call whose upstream switches protocols

Callers saw: a CONNECT request got no answer before its deadline, although the upstream had accepted it. Bytes that then came filled the daemon's memory: four connections took it above the 64 MiB of the test within 0.8 s. Cause: after a success to CONNECT the parser pauses. Its limit of unparsed bytes does not hold while it is paused, and no event follows. Evidence: test_endless failed before for tunnel, on the code without any of these changes: above the limit of memory, and no end of the call. Ruled out: 101 responses, as Upgrade headers are not forwarded and the parser refuses the status then (form switch, which passed before). Fix: a paused parser with a call in progress ends the call as malformed with an unknown outcome, and closes the connection.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -183,7 +183,10 @@
         """Handle one parser event; return whether another may follow."""
         exchange = self._exchange
         event = self._parser.next_event()
-        if exchange is None or event is h11.NEED_DATA or event is h11.PAUSED:
+        if exchange is None or event is h11.NEED_DATA:
+            return False
+        if event is h11.PAUSED:
+            self._fail(CallFault.malformed, 'the upstream switched protocols')
             return False
         if isinstance(event, h11.InformationalResponse):
             self._count_informational(exchange, event)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -148,6 +148,7 @@
         ('other-answers', FAST),
         ('other-bodies', FAST),
         ('other-chunked', FAST),
+        ('tunnel', SLOW),
     ],
 )
 def test_endless_bytes_are_not_read_up_to_the_deadline(
