Refuse bytes that do not start a response at once

Callers saw: when an upstream sent a few bytes after a complete response, the next call on the kept connection could meet the later ones, and waited for its deadline instead of a new attempt: a read got 504 after 0.99 s, while a new connection worked. Cause: the parser looks at the status line only once the head has ended, or is above 64 KiB, which bytes that come slowly do not reach. Ruled out: the check for unread input before a kept connection is used, as these bytes came after it. Fix: bytes that differ from the start of a status line end the call at once, as malformed with an unknown outcome.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -183,7 +183,10 @@
         """Handle one parser event; return whether another may follow."""
         exchange = self._exchange
         event = self._parser.next_event()
-        if exchange is None or event is h11.NEED_DATA:
+        if exchange is None:
+            return False
+        if event is h11.NEED_DATA:
+            self._check_start(exchange)
             return False
         if event is h11.PAUSED:
             self._fail(CallFault.malformed, 'the upstream switched protocols')
@@ -199,6 +202,14 @@
             self._complete(exchange)
         return not isinstance(event, h11.ConnectionClosed)
 
+    def _check_start(self, exchange: _UpstreamExchange) -> None:
+        """Fail early, as the parser waits for the end of the head."""
+        if exchange.status:
+            return
+        start = self._parser.trailing_data[0][: len(STATUS_LINE_START)]
+        if not STATUS_LINE_START.startswith(start):
+            self._fail(CallFault.malformed, f'no status line: {start!r}')
+
     def _count_informational(
         self, exchange: _UpstreamExchange, event: h11.InformationalResponse
     ) -> None:
--- a/tests/endless_upstreams.py
+++ b/tests/endless_upstreams.py
@@ -40,6 +40,7 @@
     'early-hints': (b'', b'HTTP/1.1 103 E\r\n' + b'A: x\r\n' * 99 + b'\r\n'),
     'switch': (b'HTTP/1.1 101 S\r\n\r\n', b'x'),
     'tunnel': (_HEAD + b'\r\n', b'x'),
+    'garbage': (b'', b'x'),
     'after-length': (_OK, b'x'),
     'late-after-length': (_OK, b'x'),
     'same-answers': (_OK, b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx'),
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -149,6 +149,7 @@
         ('other-bodies', FAST),
         ('other-chunked', FAST),
         ('tunnel', SLOW),
+        ('garbage', SLOW),
     ],
 )
 def test_endless_bytes_are_not_read_up_to_the_deadline(
