--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -36,8 +36,17 @@
 #: ``Keep-Alive`` header, so that no request is on its way when the server
 #: closes it.
 KEEP_ALIVE_MARGIN_S: Final = 1
-#: Largest status line and headers of a response.
+#: Largest status line and headers of a response, and of all informational
+#: responses before it, which could otherwise come without end.
 HEAD_LIMIT_BYTES: Final = 64 * 1024
+#: Responses to other requests before that to the current one. Each request gets
+#: one response, so only a few late ones can come before it.
+MAX_SKIPPED_RESPONSES: Final = 16
+#: A connection whose input takes longer to parse yields to the other sockets, as
+#: a block of very small chunks takes 100 ms, a quarter of a short deadline.
+PARSE_TURN_S: Final = 0.005
+#: Start of every response, without its minor version.
+STATUS_LINE_START: Final = b'HTTP/1.'
 #: Longest text of a failure; longer ones are cut.
 MAX_DETAIL_CHARS: Final = 200
 #: Statuses that can be passed on to callers; others count as malformed.
@@ -63,6 +72,8 @@
     close_delimited: bool = False
     status: int = 0
     headers: Headers = ()
+    informational_bytes: int = 0
+    skipped_count: int = 0
     chunks: list[bytes] = field(default_factory=list)
     size_bytes: int = 0
 
@@ -72,12 +83,14 @@
 
     transport: Any
 
-    def __init__(self, on_idle: Callable[['UpstreamConnection'], None]) -> None:
+    def __init__(
+        self, reactor: Any, on_idle: Callable[['UpstreamConnection'], None]
+    ) -> None:
         """Call ``on_idle`` whenever another exchange may start."""
+        self._reactor = reactor
         self._on_idle = on_idle
         self._parser = _new_parser()
         self._exchange: _UpstreamExchange | None = None
-        self._timer: Any = None
         #: How long the connection may stay idle, by ``Keep-Alive``.
         self.keep_alive_s = float(POOL_IDLE_LIMIT_S)
         self.closed = False
@@ -138,26 +151,49 @@
         self._fail(fault, reason.getErrorMessage())
 
     def _receive(self, data: bytes) -> None:
+        self._parser.receive_data(data)
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse the received input, or a part of it and the rest later."""
         try:
-            self._parse(data)
+            self._handle_events()
         except h11.RemoteProtocolError as error:
             has_status = self._exchange is not None and self._exchange.status
             fault = CallFault.truncated if has_status else CallFault.malformed
             self._fail(fault, str(error))
 
-    def _parse(self, data: bytes) -> None:
-        self._parser.receive_data(data)
-        more = True
-        while more:
-            more = self._handle_next_event()
+    def _handle_events(self) -> None:
+        until_s = self._reactor.seconds() + PARSE_TURN_S
+        while self._handle_next_event():
+            if self._exchange is None or self.closed:
+                continue
+            if self._reactor.seconds() > until_s:
+                self.transport.pauseProducing()
+                self._reactor.callLater(0, self._resume)
+                return
+
+    def _resume(self) -> None:
+        if self.closed:
+            return
+        self.transport.resumeProducing()
+        self._parse()
 
     def _handle_next_event(self) -> bool:
         """Handle one parser event; return whether another may follow."""
         exchange = self._exchange
         event = self._parser.next_event()
-        if exchange is None or event is h11.NEED_DATA or event is h11.PAUSED:
+        if exchange is None:
+            return False
+        if event is h11.NEED_DATA:
+            self._check_start(exchange)
             return False
-        if isinstance(event, h11.Response):
+        if event is h11.PAUSED:
+            self._fail(CallFault.malformed, 'the upstream switched protocols')
+            return False
+        if isinstance(event, h11.InformationalResponse):
+            self._count_informational(exchange, event)
+        elif isinstance(event, h11.Response):
             exchange.status = event.status_code
             exchange.headers = tuple(event.headers.raw_items())
         elif isinstance(event, h11.Data):
@@ -166,6 +202,22 @@
             self._complete(exchange)
         return not isinstance(event, h11.ConnectionClosed)
 
+    def _check_start(self, exchange: _UpstreamExchange) -> None:
+        """Fail early, as the parser waits for the end of the head."""
+        if exchange.status:
+            return
+        start = self._parser.trailing_data[0][: len(STATUS_LINE_START)]
+        if not STATUS_LINE_START.startswith(start):
+            self._fail(CallFault.malformed, f'no status line: {start!r}')
+
+    def _count_informational(
+        self, exchange: _UpstreamExchange, event: h11.InformationalResponse
+    ) -> None:
+        exchange.informational_bytes += _head_bytes(event)
+        if exchange.informational_bytes > HEAD_LIMIT_BYTES:
+            detail = f'informational responses above {HEAD_LIMIT_BYTES} bytes'
+            self._fail(CallFault.malformed, detail)
+
     def _collect(self, exchange: _UpstreamExchange, chunk: bytes) -> None:
         exchange.size_bytes += len(chunk)
         exchange.chunks.append(chunk)
@@ -193,6 +245,13 @@
 
         A new parser, in the state after sending the request, reads it.
         """
+        exchange.skipped_count += 1
+        if exchange.skipped_count > MAX_SKIPPED_RESPONSES:
+            detail = (
+                f'above {MAX_SKIPPED_RESPONSES} responses to other requests'
+            )
+            self._fail(CallFault.malformed, detail)
+            return
         rest = self._parser.trailing_data[0]
         self._parser = _new_parser()
         self._parser.send(exchange.request)
@@ -223,11 +282,14 @@
 
     noisy = False
 
-    def __init__(self, on_idle: Callable[[UpstreamConnection], None]) -> None:
+    def __init__(
+        self, reactor: Any, on_idle: Callable[[UpstreamConnection], None]
+    ) -> None:
+        self._reactor = reactor
         self._on_idle = on_idle
 
     def buildProtocol(self, addr: IAddress | None) -> UpstreamConnection:
-        return UpstreamConnection(self._on_idle)
+        return UpstreamConnection(self._reactor, self._on_idle)
 
 
 class _Pool:
@@ -365,7 +427,7 @@
         endpoint: Any = TCP4ClientEndpoint(
             self._reactor, target.host, target.port, timeout=CONNECT_TIMEOUT_S
         )
-        return endpoint.connect(_ConnectionFactory(on_idle))
+        return endpoint.connect(_ConnectionFactory(self._reactor, on_idle))
 
     def _build_exchange(self, effect: CallUpstream) -> _UpstreamExchange:
         headers = [(b'Host', effect.host or effect.address.encode())]
@@ -494,6 +556,11 @@
     )
 
 
+def _head_bytes(event: h11.InformationalResponse) -> int:
+    lines = [(STATUS_LINE_START, event.reason), *event.headers.raw_items()]
+    return sum(len(name) + len(content) for name, content in lines)
+
+
 def _keep_alive_limit_s(content: bytes) -> float:
     """Return how long a connection may stay idle, by ``Keep-Alive``."""
     for part in content.split(b','):
