--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -195,7 +195,7 @@
         #: Whether no request after those being received is read.
         self._ends_after_requests = False
         #: Whether the close of the connection has begun.
-        self._closing = False
+        self._close_begun = False
 
     def dataReceived(self, data: bytes) -> None:
         """Read requests; input after a refusal is discarded."""
@@ -352,9 +352,9 @@
 
     def close_after_writes(self) -> None:
         """Discard further input, and close once all output is sent."""
-        if self._closing:
+        if self._close_begun:
             return
-        self._closing = True
+        self._close_begun = True
         if self.requests:
             self._log_exchanges('caller-connection-closed', self.requests)
         self._input_discarded = True
@@ -362,7 +362,7 @@
 
     def _half_close(self) -> None:
         """Send all output, then the end of the stream; discard input."""
-        self._closing = True
+        self._close_begun = True
         if ISSLTransport.providedBy(self.transport):
             # TLS has no half-closed connections.
             self.loseConnection()  # type: ignore[no-untyped-call]
@@ -410,7 +410,7 @@
             'connection': self.connection,
             'exchanges': [each.exchange for each in exchanges],
             'withheld': [each.exchange for each in self._withheld],
-            'by_caller': not self._input_discarded,
+            'by_daemon': self._input_discarded,
         }
         log_event(logger, event, fields, logging.DEBUG)
 
