--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -585,7 +585,7 @@
             return
         if message.reason is not Reason.draining:
             # A refusal by one that is leaving says nothing about the others.
-            # It bounds itself: no upstream is selected twice for a request.
+            # It is excluded, unless the request waits for a path to open.
             pending.reroutes += 1
         final = message.reason is Reason.crashes_upstreams
         if message.reason is Reason.upstream_failed:
