--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -147,7 +147,7 @@
     options = DaemonOptions(
         own=own,
         seeds=tuple(str(seed) for seed in settings.seeds),
-        stop_limit=ms(1000 * STOP_SHARE * settings.bounds.stop_limit_s),
+        stop_limit=ms(1000 * STOP_SHARE * settings.bounds.grace_s),
         keyed=False,
         discovers=True,
         episodes=True,
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -27,7 +27,7 @@
     """Limits that the platform sets for daemons."""
 
     #: Time between the request to stop and the kill of the process.
-    stop_limit_s: float
+    grace_s: float
     #: Least share of a service's upstreams that must stay in use.
     floor_share: float
     #: Retries that an upstream service may receive per request.
@@ -147,7 +147,7 @@
                 detail = f'bounds: {name} = {number!r}: allowed is a number'
                 raise _failure(self._path, detail) from error
         return Bounds(
-            stop_limit_s=bounds['grace_s'],
+            grace_s=bounds['grace_s'],
             floor_share=bounds['floor_share'],
             retry_share=bounds['retry_budget_ratio'],
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -128,7 +128,7 @@
     assert str(settings.peer_address) == '10.1.0.38:8146'
     assert str(settings.admin_address) == '10.1.0.38:7380'
     assert [str(seed) for seed in settings.seeds] == ['10.1.0.7:8146']
-    assert settings.bounds.stop_limit_s == 5
+    assert settings.bounds.grace_s == 5
     assert settings.bounds.floor_share == 0.6
 
 
@@ -136,7 +136,7 @@
     """A request may be cut off only in the last sixth of the grace period."""
     settings = _settings(tmp_path)
     daemon = daemons.build_daemon(settings, Incarnation(1))
-    grace = timedelta(seconds=settings.bounds.stop_limit_s)
+    grace = timedelta(seconds=settings.bounds.grace_s)
     assert grace * 5 / 6 <= daemon.options.stop_limit
     exit_limit = timedelta(seconds=EXIT_LIMIT_S)
     assert daemon.options.stop_limit + daemons.TICK + exit_limit < grace
