--- a/tests/test_certificates.py
+++ b/tests/test_certificates.py
@@ -135,17 +135,22 @@
     return context
 
 
+def _connect(first: _Hub, second: _Hub) -> None:
+    """Open a stream from one hub to another, whose daemon is ``peer-1``."""
+    address = Address('127.0.0.1', second.port.getHost().port)
+    first.hub.open(DaemonId('peer-1'), address)
+    run_reactor_until(
+        lambda: first.of(StreamOpened) and second.of(StreamOpened)
+    )
+
+
 def test_peers_with_certificates_of_the_authority(
     fleet: _Authority, hub_of: Callable[..., _Hub]
 ) -> None:
     """Daemons of one fleet must be able to connect over TLS."""
     first = hub_of(fleet.issue('own-1'))
     second = hub_of(fleet.issue('peer-1'), 'peer-1')
-    address = Address('127.0.0.1', second.port.getHost().port)
-    first.hub.open(DaemonId('peer-1'), address)
-    run_reactor_until(
-        lambda: first.of(StreamOpened) and second.of(StreamOpened)
-    )
+    _connect(first, second)
     assert not first.failures + second.failures
 
 
@@ -155,11 +160,7 @@
     """A stop must not cut off a long message, nor leave the stream open."""
     first = hub_of(fleet.issue('own-1'))
     second = hub_of(fleet.issue('peer-1'), 'peer-1')
-    address = Address('127.0.0.1', second.port.getHost().port)
-    first.hub.open(DaemonId('peer-1'), address)
-    run_reactor_until(
-        lambda: first.of(StreamOpened) and second.of(StreamOpened)
-    )
+    _connect(first, second)
     last = Refusal(
         RequestId(1), Reason.draining, Outcome.not_run, detail='x' * 1_000_000
     )
