--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, Final
 
 import h11
@@ -20,8 +21,15 @@
 
 from .addresses import Address
 from .effects import CallUpstream, ProbeUpstream
-from .events import CallFault, Event, Probed, UpstreamAnswered, UpstreamFailed
-from .ids import CallId
+from .events import (
+    CallFault,
+    Event,
+    Probed,
+    UpstreamAnswered,
+    UpstreamFailed,
+    UpstreamStated,
+)
+from .ids import CallId, UpstreamId
 from .messages import Headers
 from .outcomes import Failure, Step
 from .sockets import enable_keep_alive
@@ -57,6 +65,10 @@
 Submit = Callable[[Event], None]
 
 
+def _ignore_head(status: int, headers: Headers) -> None:
+    """Do nothing with the head of a response."""
+
+
 @dataclass(slots=True)
 class _UpstreamExchange:
     """One request on a connection and what was received of its response."""
@@ -68,6 +80,8 @@
     on_response: Callable[[int, Headers, bytes], None]
     on_failure: Callable[[CallFault, str], None]
     is_for_other_request: Callable[[Headers], bool] = lambda headers: False
+    #: Called with each final status and its headers, before the body arrives.
+    on_head: Callable[[int, Headers], None] = _ignore_head
     #: Whether a response without a length may end with the connection.
     close_delimited: bool = False
     status: int = 0
@@ -196,6 +210,7 @@
         elif isinstance(event, h11.Response):
             exchange.status = event.status_code
             exchange.headers = tuple(event.headers.raw_items())
+            exchange.on_head(exchange.status, exchange.headers)
         elif isinstance(event, h11.Data):
             self._collect(exchange, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -336,7 +351,7 @@
     """Carries out calls to upstreams and submits their results as events.
 
     Subclasses for upstreams that use other headers override ``headers_of``,
-    ``is_for_other_request`` and ``ended``.
+    ``is_for_other_request``, ``statement_of`` and ``ended``.
     """
 
     #: Pooled connections are closed after this long without a call.
@@ -363,6 +378,11 @@
         """Return whether a response is for another request."""
         return False
 
+    def statement_of(
+        self, upstream: UpstreamId, status: int, headers: Headers
+    ) -> UpstreamStated | None:
+        """Return what a response states about its upstream, if anything."""
+
     def ended(
         self, effect: CallUpstream, status: int, headers: Headers, body: bytes
     ) -> Event:
@@ -397,9 +417,12 @@
         Any response counts as alive, whatever it says: health reports can be
         late or wrong.
         """
-        _Probe(self._reactor, self._submit, effect).start(
-            self._connect(effect.address, UpstreamConnection.close)
-        )
+        _Probe(
+            self._reactor,
+            self._submit,
+            effect,
+            partial(self._read_head, effect.upstream),
+        ).start(self._connect(effect.address, UpstreamConnection.close))
 
     def abort(self, call: CallId) -> None:
         """Cancel a call by closing its connection."""
@@ -443,9 +466,24 @@
             lambda *response: self._responded(effect, *response),
             lambda *fault: self._exchange_failed(effect, *fault),
             lambda received: self.is_for_other_request(effect, received),
+            on_head=partial(self._read_call_head, effect),
             close_delimited=self.accepts_close_delimited,
         )
 
+    def _read_call_head(
+        self, effect: CallUpstream, status: int, headers: Headers
+    ) -> None:
+        # A late response to another request may be older than the newest one.
+        if not self.is_for_other_request(effect, headers):
+            self._read_head(effect.upstream, status, headers)
+
+    def _read_head(
+        self, upstream: UpstreamId, status: int, headers: Headers
+    ) -> None:
+        statement = self.statement_of(upstream, status, headers)
+        if statement is not None:
+            self._submit(statement)
+
     def _start(
         self,
         effect: CallUpstream,
@@ -492,10 +530,15 @@
     """One probe on a connection of its own."""
 
     def __init__(
-        self, reactor: Any, submit: Submit, effect: ProbeUpstream
+        self,
+        reactor: Any,
+        submit: Submit,
+        effect: ProbeUpstream,
+        on_head: Callable[[int, Headers], None],
     ) -> None:
         self._submit = submit
         self._effect = effect
+        self._on_head = on_head
         self._done = False
         self._cancel: Callable[[], None] = self._do_nothing
         self._timer = reactor.callLater(PROBE_TIMEOUT_S, self._time_out)
@@ -521,6 +564,7 @@
                 0,
                 lambda *response: self._report(alive=True),
                 self._exchange_failed,
+                on_head=self._on_head,
             )
         )
 
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -22,7 +22,6 @@
     CallUpstream,
     DropConnections,
     Outbox,
-    ProbeUpstream,
     Record,
     Send,
 )
@@ -391,7 +390,7 @@
             self._start_queued(startable, now)
             self._preempt(startable, now)
             if self.health_tracker.may_probe(startable.upstream, now):
-                self._probe(startable)
+                self.local_upstreams.probe(startable)
         self._finished.trim(now)
 
     def _observe(self, job: Job, kind: SampleKind, now: timedelta) -> None:
@@ -510,6 +509,8 @@
                     'upstream': upstream.upstream,
                     'state': upstream.state.value,
                     'running': len(upstream.running),
+                    'limit_per_s': upstream.rate_limit_per_s,
+                    'retry': message.retry,
                     'waited_ms': in_ms(now - job.arrived),
                     'left_ms': remaining_ms,
                 },
@@ -586,7 +587,7 @@
             return
         upstream.crashed_at = now
         # The probe shows, before the next request, if the process has ended.
-        self._probe(upstream)
+        self.local_upstreams.probe(upstream)
         affected = [job, *upstream.running.values()]
         upstream.possible_crash = PossibleCrash(
             tuple(each.fingerprint for each in affected),
@@ -638,12 +639,6 @@
         upstream.queue.discard(first)
         self._start(upstream, first, now)
 
-    def _probe(self, upstream: Upstream) -> None:
-        path = self.local_upstreams.health_path(upstream.service)
-        self._outbox.emit(
-            ProbeUpstream(upstream.upstream, upstream.address, path)
-        )
-
     def _release(self, job: Job, upstream: Upstream) -> None:
         if job.call is None:
             return
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -130,6 +130,20 @@
     failure: Failure
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamStated:
+    """What an upstream states about itself in the headers of a response.
+
+    ``rate_limit_per_s`` is the rate of requests that it takes from the whole
+    fleet, None if it names no limit. One that is ``leaving`` takes no new
+    requests.
+    """
+
+    upstream: UpstreamId
+    rate_limit_per_s: float | None = None
+    leaving: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Probed:
     """A probe ended; ``refused`` means that no process listens."""
@@ -219,6 +233,7 @@
     | PeerMessage
     | UpstreamAnswered
     | UpstreamFailed
+    | UpstreamStated
     | Probed
     | Announced
     | LogRead
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -134,6 +134,11 @@
     boot: int = 0
     sequence: int = 0
     isolation_queue: deque[Job] = field(default_factory=deque)
+    #: Requests per second that it takes from the whole fleet, by its newest
+    #: response; None if it names no limit.
+    rate_limit_per_s: float | None = None
+    #: Whether it has stated in a response that it is leaving.
+    leaving: bool = False
 
     preemptions: RetryBudget = field(
         default_factory=lambda: RetryBudget(PREEMPTED_WORK_SHARE)
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -4,7 +4,10 @@
 internally are in ``headers``.
 """
 
-from typing import Final
+import logging
+import math
+from collections.abc import Callable
+from typing import Any, Final
 
 from .. import headers
 from ..connections import UpstreamCalls
@@ -15,11 +18,15 @@
     Event,
     UpstreamAnswered,
     UpstreamFailed,
+    UpstreamStated,
 )
+from ..ids import UpstreamId
 from ..listeners import CallerListener, Exchange
 from ..messages import Headers
 from ..outcomes import Failure, Outcome, Step
 
+logger = logging.getLogger(__name__)
+
 #: Request id, set by the caller and repeated in the upstream's response.
 REQUEST_ID: Final = b'request-id'
 #: Remaining time of the request, in milliseconds.
@@ -32,6 +39,11 @@
 RESPONSE_SEAL: Final = b'response-seal'
 #: Present if the upstream has not run the request.
 NOT_EXECUTED: Final = b'not-executed'
+#: Requests per second, a decimal number, that the upstream takes from the
+#: whole fleet; missing if it names no limit.
+SERVER_LIMIT: Final = b'server-limit'
+#: ``1`` if the upstream is leaving and takes no new requests.
+SERVER_LEAVING: Final = b'server-leaving'
 
 _MISDIRECTED: Final = 421
 _BAD_GATEWAY: Final = 502
@@ -94,6 +106,11 @@
     pool_idle_limit_s = 4
     accepts_close_delimited = True
 
+    def __init__(self, reactor: Any, submit: Callable[[Event], None]) -> None:
+        """Build a client that passes results to ``submit``."""
+        super().__init__(reactor, submit)
+        self._limited: set[UpstreamId] = set()
+
     def headers_of(self, effect: CallUpstream) -> Headers:
         """Return the request headers for the upstream."""
         translated = [
@@ -124,6 +141,33 @@
         echoed = headers.get(response_headers, REQUEST_ID) or b''
         return echoed != effect.tag.encode('latin-1')
 
+    def statement_of(
+        self, upstream: UpstreamId, status: int, response_headers: Headers
+    ) -> UpstreamStated | None:
+        """Return the rate limit and the state that a response names.
+
+        None for a response of another instance, with an invalid limit, or if
+        there is neither a limit nor one that has ended.
+        """
+        if status == _MISDIRECTED:
+            return None
+        leaving = headers.get(response_headers, SERVER_LEAVING) == b'1'
+        limit_per_s: float | None = None
+        content = headers.get(response_headers, SERVER_LIMIT)
+        if content is not None:
+            limit_per_s = _decode_limit_per_s(content)
+            if limit_per_s is None:
+                logger.warning('invalid limit of %s: %r', upstream, content)
+                return (
+                    UpstreamStated(upstream, leaving=True) if leaving else None
+                )
+            self._limited.add(upstream)
+        elif upstream in self._limited:
+            self._limited.remove(upstream)
+        elif not leaving:
+            return None
+        return UpstreamStated(upstream, limit_per_s, leaving)
+
     def ended(
         self,
         effect: CallUpstream,
@@ -199,6 +243,17 @@
     return Respond(effect.exchange, status, response_headers, effect.body)
 
 
+def _decode_limit_per_s(content: bytes) -> float | None:
+    """Return a rate in requests per second; None if it is invalid."""
+    try:
+        limit_per_s = float(content)
+    except ValueError:
+        return None
+    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+        return None
+    return limit_per_s
+
+
 def _failed(
     effect: CallUpstream, fault: CallFault, detail: str, sent: bool
 ) -> UpstreamFailed:
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -39,6 +39,7 @@
     Tick,
     UpstreamAnswered,
     UpstreamFailed,
+    UpstreamStated,
 )
 from .gossip import Directed
 from .ids import (
@@ -398,6 +399,13 @@
     daemon.egress.failed(event, now)
 
 
+@handle.register
+def _upstream_stated(
+    event: UpstreamStated, daemon: Daemon, now: timedelta
+) -> None:
+    daemon.egress.local_upstreams.stated(event)
+
+
 @handle.register
 def _probed(event: Probed, daemon: Daemon, now: timedelta) -> None:
     daemon.egress.probed(event, now)
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -7,8 +7,14 @@
 from .bundles import RETRIES_PCT, Service
 from .clocks import ZERO
 from .detectors import ErrorRates
-from .effects import HEALTH_PATH, DropConnections, Outbox, Record
-from .events import Announced
+from .effects import (
+    HEALTH_PATH,
+    DropConnections,
+    Outbox,
+    ProbeUpstream,
+    Record,
+)
+from .events import Announced, UpstreamStated
 from .ids import ServiceName, UpstreamId
 from .jobs import Upstream
 from .messages import UpstreamHealth, UpstreamRecord, UpstreamState
@@ -138,6 +144,29 @@
         known = self._services.get(service)
         return known.health_path if known else HEALTH_PATH
 
+    def probe(self, upstream: Upstream) -> None:
+        """Ask an upstream whether its process is alive."""
+        path = self.health_path(upstream.service)
+        self._outbox.emit(
+            ProbeUpstream(upstream.upstream, upstream.address, path)
+        )
+
+    def stated(self, event: UpstreamStated) -> None:
+        """Log what an upstream states about itself in a response."""
+        upstream = self.by_id.get(event.upstream)
+        if upstream is None:
+            return
+        if event.rate_limit_per_s != upstream.rate_limit_per_s:
+            limits = {
+                'limit_per_s': event.rate_limit_per_s,
+                'previous_per_s': upstream.rate_limit_per_s,
+            }
+            self._record('upstream-limit', upstream, limits)
+            upstream.rate_limit_per_s = event.rate_limit_per_s
+        if event.leaving and not upstream.leaving:
+            upstream.leaving = True
+            self._record('upstream-leaving', upstream, {})
+
     def announce(self, event: Announced, now: timedelta) -> Upstream | None:
         """Renew a lease; return the upstream if it may take work now."""
         draining = event.state is UpstreamState.draining
@@ -187,7 +216,8 @@
             self._report_health(change)
             if upstream.state is not change.state:
                 upstream.state = change.state
-                self._log_state(upstream, change.reason)
+                reason = {'reason': change.reason}
+                self._record('upstream-state', upstream, reason)
 
     def _report_health(self, change: StateChange) -> None:
         if not self.separate_health:
@@ -242,15 +272,12 @@
             upstream.queue.limit = service.queue_limit
             upstream.queue.limit_bytes = service.queue_limit_bytes
 
-    def _log_state(self, upstream: Upstream, reason: str) -> None:
-        self._outbox.emit(
-            Record(
-                'upstream-state',
-                {
-                    'upstream': upstream.upstream,
-                    'service': upstream.service,
-                    'state': upstream.state.value,
-                    'reason': reason,
-                },
-            )
-        )
+    def _record(
+        self, name: str, upstream: Upstream, fields: Mapping[str, object]
+    ) -> None:
+        known = {
+            'upstream': upstream.upstream,
+            'service': upstream.service,
+            'state': upstream.state.value,
+        }
+        self._outbox.emit(Record(name, {**known, **fields}))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -31,6 +31,7 @@
     StreamOpened,
     UpstreamAnswered,
     UpstreamFailed,
+    UpstreamStated,
 )
 from greengagemux.ids import (
     CallId,
@@ -309,6 +310,9 @@
     )
 
 
+UPSTREAM = UpstreamId('i-1')
+
+
 def _calls() -> exchanges.PlatformCalls:
     return exchanges.PlatformCalls(None, lambda event: None)
 
@@ -329,6 +333,57 @@
     }
 
 
+@pytest.mark.parametrize(
+    ('status', 'received', 'limit_per_s', 'leaving'),
+    [
+        (200, [(b'Server-Limit', b'4.5')], 4.5, False),
+        (503, [(b'server-limit', b'0'), (b'Not-Executed', b'1')], 0, False),
+        (500, [(b'Server-Leaving', b'1')], None, True),
+        (
+            200,
+            [(b'Server-Limit', b'-1'), (b'Server-Leaving', b'1')],
+            None,
+            True,
+        ),
+    ],
+)
+def test_statements_of_an_upstream_are_translated(
+    status: int,
+    received: list[tuple[bytes, bytes]],
+    limit_per_s: float | None,
+    leaving: bool,
+) -> None:
+    """A limit or a departure must be known from any response."""
+    assert _calls().statement_of(UPSTREAM, status, tuple(received)) == (
+        UpstreamStated(UPSTREAM, limit_per_s, leaving)
+    )
+
+
+@pytest.mark.parametrize('content', [b'', b'x', b'nan', b'inf', b'-0.5'])
+def test_invalid_limit_changes_nothing(content: bytes) -> None:
+    """An unreadable limit must neither end nor replace the last one."""
+    calls = _calls()
+    calls.statement_of(UPSTREAM, 200, ((b'Server-Limit', b'2'),))
+    invalid = ((b'Server-Limit', content),)
+    assert calls.statement_of(UPSTREAM, 200, invalid) is None
+
+
+def test_end_of_a_limit_is_told_once() -> None:
+    """A limit must end with the first response that names none.
+
+    A response of another instance says nothing.
+    """
+    calls = _calls()
+    assert calls.statement_of(UPSTREAM, 200, ()) is None
+    limited = ((b'Server-Limit', b'2'),)
+    assert calls.statement_of(UPSTREAM, 421, limited) is None
+    calls.statement_of(UPSTREAM, 200, limited)
+    assert calls.statement_of(UPSTREAM, 421, ()) is None
+    ended = UpstreamStated(UPSTREAM)
+    assert calls.statement_of(UPSTREAM, 200, ()) == ended
+    assert calls.statement_of(UPSTREAM, 200, ()) is None
+
+
 ECHO = (b'Request-Id', b'r-1')
 SEAL = (b'Response-Seal', b's')
 
