Keep the rate limits that upstreams name, summed over all daemons

Callers saw nothing of it; upstreams that had named a limit (Server-Limit) got up to 67 requests in 4 s at a limit of one a second.

Cause: no decision used the limit. Slots and latency bound how many requests an upstream runs at a time, not how many it gets in a time. Class: a statement of a peer that is passed on and not acted on.

The egress is the only path to its upstream, so its counter is the sum. An ingress learns limit and wait with each answer and refusal, passes a closed upstream over, lets a request wait where its turn comes first, and rejects at once what cannot be served. The dispatch carries the limit for an egress that has just started.

--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -9,6 +9,7 @@
 from .effects import Outbox, Record, Send
 from .ids import CallerName, RequestId, UpstreamId
 from .egress import Egress
+from .limitedupstreams import TOLERATED_WAIT, LimitedUpstreams
 from .messages import Cancel, Dispatch, Inquire, MemberRecord, UpstreamState
 from .paths import Path, Paths
 from .regionlinks import LinkBudget
@@ -29,8 +30,10 @@
         outbox: Outbox,
         baselines: Baselines,
         link: LinkBudget,
+        limited: LimitedUpstreams,
     ) -> None:
         """Start without dispatches."""
+        self._limited = limited
         self._own = own
         self._egress = egress
         self._paths = paths
@@ -119,6 +122,10 @@
         expected_ms = expected.service_ms
         attempt = Attempt(request, candidate, selected.forced, now, expected_ms)
         attempt.queue_ms = _queue_ms(candidate)
+        attempt.waits = selected.waits
+        if selected.waits:
+            attempt.queue_ms += self._limited.wait_ms(candidate, now)
+        self._limited.sent(candidate, now)
         if candidate.nearness is Nearness.other_region:
             attempt.link_bytes = self._link.charge(
                 pending.route.name, len(pending.body)
@@ -154,6 +161,8 @@
             retry=pending.retried,
             movable=pending.movable,
             target_ms=_target_ms(pending, now),
+            limit_wait_ms=_limit_wait_ms(pending, selected, now),
+            rate_limit_per_s=self._limited.limit_per_s(candidate),
         )
 
     def _record_placement(
@@ -175,6 +184,7 @@
                     'state_age_ms': in_ms(now - candidate.state_updated_at),
                     'placed': candidate.placed(),
                     'forced': attempt.forced,
+                    'waits': attempt.waits,
                     'left_ms': in_ms(pending.deadline - now),
                 },
                 detail=True,
@@ -213,6 +223,14 @@
     return queued * candidate.service_ms / max(1, candidate.slots)
 
 
+def _limit_wait_ms(
+    pending: PendingRequest, selected: Selection, now: timedelta
+) -> int:
+    if not selected.waits:
+        return int(in_ms(TOLERATED_WAIT))
+    return max(0, int(in_ms(pending.deadline - now)))
+
+
 def _target_ms(pending: PendingRequest, now: timedelta) -> int:
     target_ms = pending.route.target_ms
     if not target_ms:
--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -6,11 +6,13 @@
 
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
+from random import Random
 
 from .admissions import RANK
-from .selection import Candidate, Nearness, UsableView
+from .selection import Candidate, Nearness, UsableView, age_loads
 from .clocks import ZERO
 from .ids import DaemonId, ServiceName, UpstreamId
+from .limitedupstreams import LimitedUpstreams
 from .messages import (
     HealthUpdate,
     Load,
@@ -26,6 +28,8 @@
 #: is ejected.
 UNKNOWN_FLOOR_PCT = 100
 
+#: Loads that were not reported again within this interval are halved.
+AGE_INTERVAL = timedelta(seconds=1)
 #: Time since the last report of its state after which a sick upstream in
 #: another data centre is put on probation. A gray episode lasts seconds.
 PROBATION_AFTER = timedelta(seconds=2)
@@ -36,13 +40,16 @@
 class Candidates:
     """Candidates of all services, updated from members, paths and loads."""
 
-    def __init__(self, own: MemberRecord, paths: Paths) -> None:
+    def __init__(self, own: MemberRecord, paths: Paths, rng: Random) -> None:
         """Start with no service known."""
+        #: Upstreams with a rate limit.
+        self.limited = LimitedUpstreams(rng)
         self.views: dict[ServiceName, UsableView] = {}
         self._own = own
         self._paths = paths
         #: Whether health travels in health updates instead of member records.
         self.separate_health = False
+        self._aged_at = ZERO
         self._queued_ahead: dict[UpstreamId, tuple[int, ...]] = {}
         self._queue_priority: dict[ServiceName, Priority] = {}
 
@@ -91,6 +98,15 @@
         view = self.view(candidate.service)
         view.update(candidate.upstream, state, severity)
 
+    def age(self, now: timedelta) -> None:
+        """Forget old loads and health states; call it at each tick."""
+        if now - self._aged_at < AGE_INTERVAL:
+            return
+        self._aged_at = now
+        for view in self.views.values():
+            age_loads(view.candidates.values())
+        self.age_health(now)
+
     def age_health(self, now: timedelta) -> None:
         """Move upstreams with an old bad state towards ``serving``.
 
@@ -122,10 +138,19 @@
             view.update(candidate.upstream, UpstreamState.serving, 0)
 
     def report(
-        self, candidate: Candidate, load: Load, now: timedelta = ZERO
+        self,
+        candidate: Candidate,
+        load: Load,
+        now: timedelta = ZERO,
+        *,
+        limit_refused: bool = False,
     ) -> None:
-        """Apply the load that came with an answer or a refusal."""
+        """Apply the load that came with an answer or a refusal.
+
+        ``limit_refused`` marks a refusal because of the rate limit.
+        """
         candidate.report(load)
+        self.limited.report(candidate, load, now, refused=limit_refused)
         if self.separate_health and load.state is not candidate.state:
             self._set_health(candidate, load.state, candidate.severity)
         candidate.state_updated_at = now
@@ -244,6 +269,7 @@
                 and candidate.upstream not in listed
             ]
             for upstream in stale:
+                self.limited.forget(view.candidates[upstream])
                 view.drop(upstream)
                 self._queued_ahead.pop(upstream, None)
             dropped.update(stale)
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -20,12 +20,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Respond:
-    """Write a complete response to a caller."""
+    """Write a complete response to a caller.
+
+    ``retry_after_ms`` is the expected wait until a retry, not rounded to
+    seconds as in the headers; 0 if it is unknown.
+    """
 
     exchange: ExchangeId
     status: int
     headers: Headers
     body: bytes
+    retry_after_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -48,7 +48,8 @@
     cost_ms_of,
     response_fault,
     can_still_finish,
-    has_slot,
+    exceeds_rate_limit,
+    may_start,
     interruptible,
     update_service_time,
     update_wait_factor,
@@ -208,6 +209,9 @@
             reason = Reason.draining if draining else Reason.sick
             self._refuse(origin, stream, reason, upstream)
             return
+        if not upstream.heard and message.rate_limit_per_s is not None:
+            # This process has started while the limit was in force.
+            upstream.limit_rate(message.rate_limit_per_s, now)
         job = new_job(origin, stream, message, now)
         poison_status = self._poison_requests.check(job.fingerprint, now)
         if poison_status is PoisonStatus.blocked:
@@ -322,7 +326,7 @@
             length=len(event.body),
             digest=xxhash.xxh3_64_intdigest(event.body),
             service_ms=service_ms,
-            load=load_of(upstream),
+            load=load_of(upstream, now),
         )
         self._end(job, answer, now)
         self._start_queued(upstream, now)
@@ -354,7 +358,7 @@
             reason=reason,
             outcome=outcome,
             detail=str(event.failure),
-            load=load_of(upstream),
+            load=load_of(upstream, now),
         )
         self._end(job, refusal, now)
         self._start_queued(upstream, now)
@@ -450,7 +454,7 @@
             or job.call is None
         ):
             return
-        if not upstream.retries.spend():
+        if not upstream.takes_request(now) or not upstream.retries.spend():
             return
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
@@ -469,22 +473,29 @@
         if job.dispatch.movable and upstream.queue.ahead(job.priority):
             self._refuse(job.origin, job.stream, Reason.busy, upstream)
             return
+        ahead = upstream.queue.ahead(job.priority)
+        if exceeds_rate_limit(upstream, job, ahead, now):
+            self._refuse(job.origin, job.stream, Reason.rate_limited, upstream)
+            return
         self._jobs[job.origin] = job
         if job.isolated:
             upstream.isolation_queue.append(job)
             self._start_queued(upstream, now)
             return
-        if not upstream.queue and has_slot(upstream):
+        if not upstream.queue and may_start(upstream, now):
             self._start(upstream, job, now)
             return
-        job.ahead_ms = ahead_ms_of(upstream, job)
-        wait_ms = job.ahead_ms * upstream.wait_factors[job.priority]
+        expected_ms = ahead_ms_of(upstream, job)
+        if upstream.rate_limit is None:
+            # Waiting for a rate limit says nothing about that for a slot.
+            job.ahead_ms = expected_ms
+        wait_ms = expected_ms * upstream.wait_factors[job.priority]
         needed_ms = wait_ms + cost_ms_of(upstream, job)
         if needed_ms > completion_limit_ms_of(upstream, job, now):
-            self._end(job, overload_refusal(job, upstream), now)
+            self._end(job, overload_refusal(job, upstream, now), now)
             return
         for refused in upstream.queue.offer(job):
-            self._end(refused, overload_refusal(refused, upstream), now)
+            self._end(refused, overload_refusal(refused, upstream, now), now)
 
     def _start(self, upstream: Upstream, job: Job, now: timedelta) -> None:
         call = CallId(self._next_call)
@@ -493,6 +504,7 @@
         job.started = now
         upstream.running[call] = job
         upstream.preemptions.earn()
+        upstream.count_request(now)
         self._calls[call] = job
         self._poison_requests.started(job.fingerprint)
         message = job.dispatch
@@ -546,7 +558,7 @@
         # The request that has just ended may have changed the state.
         self._refuse_not_admitted(upstream, now)
         self._defer_overdue(upstream, now)
-        while upstream.queue and has_slot(upstream):
+        while upstream.queue and may_start(upstream, now):
             job = upstream.queue.take()
             if job is None:
                 return
@@ -566,9 +578,9 @@
         the crash shows which request caused it.
         """
         job = upstream.isolation_queue[0]
-        if upstream.running or self._poison_requests.is_running(
-            job.fingerprint
-        ):
+        if upstream.running or not upstream.takes_request(now):
+            return
+        if self._poison_requests.is_running(job.fingerprint):
             return
         upstream.isolation_queue.popleft()
         poison_status = self._poison_requests.check(job.fingerprint, now)
@@ -616,6 +628,8 @@
         first = upstream.queue.oldest(Priority.waiting)
         if first is None or not self.local_upstreams.preempts(upstream.service):
             return
+        if not upstream.takes_request(now):
+            return
         running = filter(interruptible, reversed(upstream.running.values()))
         job = next(running, None)
         if job is None or job.call is None:
@@ -672,7 +686,7 @@
             request=origin.request,
             reason=reason,
             outcome=Outcome.not_run,
-            load=load_of(upstream) if upstream else None,
+            load=load_of(upstream, self._outbox.now) if upstream else None,
         )
         if stream is None:
             self.local_replies.append(refusal)
@@ -715,20 +729,27 @@
             )
             if not kept:
                 upstream.queue.discard(job)
-                self._end(job, overload_refusal(job, upstream), now)
+                self._end(job, overload_refusal(job, upstream, now), now)
 
     def _refuse_late_queued(self, upstream: Upstream, now: timedelta) -> None:
         """Refuse queued requests that cannot finish before their deadline.
 
         Their callers learn early that they have not run.
         """
+        ahead = 0
         for job in tuple(upstream.queue):
-            if job.deadline - ms(cost_ms_of(upstream, job)) <= now:
+            if exceeds_rate_limit(upstream, job, ahead, now):
+                upstream.queue.discard(job)
+                refusal = not_run_refusal(job, Reason.rate_limited)
+                self._end(job, refusal, now)
+            elif job.deadline - ms(cost_ms_of(upstream, job)) <= now:
                 # Without this sample, later requests would be queued on the
                 # same short estimate.
                 update_wait_factor(upstream, job, now)
                 upstream.queue.discard(job)
                 self._end(job, not_run_refusal(job, Reason.deadline), now)
+            else:
+                ahead += 1
 
     def _health_admits(self, upstream: Upstream, message: Dispatch) -> bool:
         """Return whether the health of an upstream allows a request now."""
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -19,14 +19,8 @@
 from .baselines import Baselines
 from .bundles import ATTEMPT_LIMIT, HEDGE_PCT, Bundle, Caller, Route
 from .candidates import Candidates
-from .selection import (
-    Nearness,
-    Selection,
-    UsableSet,
-    UsableView,
-    age_loads,
-    choose,
-)
+from .placements import Placements
+from .selection import Selection, UsableView
 from .clocks import in_ms, ms
 from .effects import Outbox, Record, Send
 from .events import CallerDisconnected, CallerRequest
@@ -81,8 +75,6 @@
 HEDGE_QUEUE_FACTOR = 3
 #: Age at which a request is hedged if no service time is expected.
 HEDGE_UNKNOWN_AFTER = timedelta(seconds=1)
-#: Loads that were not reported again within this interval are halved.
-AGE_INTERVAL = timedelta(seconds=1)
 #: Default multiple of the expected service time after which an idempotent
 #: request is hedged.
 HEDGE_FACTOR = HEDGE_PCT / 100
@@ -111,10 +103,9 @@
         self._egress = egress
         self._paths = paths
         self._outbox = outbox
-        self._rng = rng
         self._keyed = keyed
         self._accounts = Accounts()
-        self.candidates = Candidates(own, paths)
+        self.candidates = Candidates(own, paths, rng)
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._baselines = Baselines()
         self._throttles = Throttles(rng)
@@ -122,11 +113,17 @@
         self._splits = Splits(rng)
         self._pending: dict[ExchangeId, PendingRequest] = {}
         self._attempts = Attempts(
-            own, egress, paths, outbox, self._baselines, self._link
+            own,
+            egress,
+            paths,
+            outbox,
+            self._baselines,
+            self._link,
+            self.candidates.limited,
         )
+        self._placements = Placements(self.candidates, self._link, rng)
         self._origins: dict[Origin, PendingRequest] = {}
         self._forwarded_count = 0
-        self._aged_at = timedelta()
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
 
     @property
@@ -329,7 +326,7 @@
 
     def tick(self, now: timedelta) -> None:
         """Answer requests whose deadline has passed and hedge slow ones."""
-        self._age_loads(now)
+        self.candidates.age(now)
         while self._deadlines and self._deadlines[0][0] <= now:
             exchange = heapq.heappop(self._deadlines)[1]
             pending = self._pending.get(exchange)
@@ -357,14 +354,6 @@
                     Refusal(RequestId(0), Reason.draining, Outcome.unknown),
                 )
 
-    def _age_loads(self, now: timedelta) -> None:
-        if now - self._aged_at < AGE_INTERVAL:
-            return
-        self._aged_at = now
-        for view in self.views.values():
-            age_loads(view.candidates.values())
-        self.candidates.age_health(now)
-
     def _refuse(
         self, event: CallerRequest, reason: Reason, key: Hashable = None
     ) -> None:
@@ -420,19 +409,13 @@
         if permit is not None and not self._keyed.may_run(permit, now):
             self._lose_ownership(pending)
             return
-        view = self.candidates.view_of(pending.route.service, pending.priority)
-        remote = self._link.allows(pending.priority, now)
-        selected = choose(
-            view.current(),
-            self._rng,
-            pending.excluded,
-            # A retry is not used as a probation request.
-            idempotent=pending.idempotent and not pending.retries,
-            remote=remote,
-            spill=view.spill,
-        )
+        placement = self._placements.place(pending, now)
+        selected = placement.selected
+        if placement.rate_limited:
+            self._end_failed(pending, Reason.rate_limited)
+            return
         if selected is None:
-            if not remote and has_other_region(view.current()):
+            if placement.far_only:
                 pending.last_reason = Reason.region_link
             self._no_candidate(pending, now)
             return
@@ -534,7 +517,15 @@
         self._attempts.drop(pending, attempt)
         self._outbox.emit(_attempt_ended_record(pending, attempt, message))
         if message.load is not None:
-            self.candidates.report(attempt.candidate, message.load, now)
+            self.candidates.report(
+                attempt.candidate,
+                message.load,
+                now,
+                limit_refused=message.reason is Reason.rate_limited,
+            )
+        if message.reason is Reason.rate_limited:
+            self._limit_refused(pending, attempt, now)
+            return
         if message.reason is Reason.busy:
             self._move(pending, now)
             return
@@ -551,6 +542,24 @@
             return
         self._attempt_failed(pending, message.reason, now)
 
+    def _limit_refused(
+        self, pending: PendingRequest, attempt: Attempt, now: timedelta
+    ) -> None:
+        """Dispatch a request elsewhere that exceeds a rate limit."""
+        pending.last_reason = Reason.rate_limited
+        pending.limit_refusals += 1
+        if attempt.waits:
+            pending.reroutes += 1
+        else:
+            # It may still wait there if no other upstream is left.
+            pending.excluded.discard(attempt.candidate.upstream)
+        if pending.attempts:
+            return
+        if pending.reroutes >= OVERLOADED_LIMIT:
+            self._end_failed(pending, Reason.rate_limited)
+            return
+        self._place(pending, now)
+
     def _redispatch_retry(
         self, pending: PendingRequest, now: timedelta
     ) -> None:
@@ -601,6 +610,7 @@
         final = final or message.reason is Reason.deadline
         if message.reason is Reason.overloaded:
             limit = OVERLOADED_LIMIT
+            pending.overloaded = True
             self._throttles.refused(throttle_key(pending), now)
         else:
             self._throttles.accepted(throttle_key(pending), now)
@@ -703,6 +713,11 @@
         outcome = Outcome.not_run
         if pending.may_have_run:
             outcome = Outcome.unknown
+        retry_after_ms = self._throttles.retry_after_ms(throttle_key(pending))
+        if reason is Reason.rate_limited:
+            retry_after_ms = self.candidates.limited.retry_after_ms(
+                pending.route.service, self._outbox.now
+            )
         self._outbox.emit(
             Record(
                 'request-failed',
@@ -719,7 +734,7 @@
                 RequestId(0),
                 reason,
                 outcome,
-                self._throttles.retry_after_ms(throttle_key(pending)),
+                retry_after_ms,
             ),
         )
 
@@ -804,12 +819,6 @@
     return pending.route.service, pending.caller.name, pending.priority
 
 
-def has_other_region(usable_set: UsableSet) -> bool:
-    """Return whether an upstream in another region is usable."""
-    tiers = usable_set.tiers
-    return bool(tiers) and tiers[-1][0].nearness is Nearness.other_region
-
-
 def _deadline_ms(event: CallerRequest, route: Route) -> int:
     requested = headers.get(event.headers, headers.DEADLINE.lower())
     if requested is None or not requested.isdigit():
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -1,5 +1,6 @@
 """Requests at the egress, and the upstreams that run them."""
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -26,6 +27,7 @@
     UpstreamState,
 )
 from .outcomes import Outcome, Reason
+from .ratelimits import START_MARGIN, RateLimit
 from .retries import RetryBudget
 
 #: Service time assumed before the first response of an upstream.
@@ -134,9 +136,10 @@
     boot: int = 0
     sequence: int = 0
     isolation_queue: deque[Job] = field(default_factory=deque)
-    #: Requests per second that it takes from the whole fleet, by its newest
-    #: response; None if it names no limit.
-    rate_limit_per_s: float | None = None
+    #: None while it names no limit.
+    rate_limit: RateLimit | None = None
+    #: Whether a response of it has arrived since this process started.
+    heard: bool = False
     #: Whether it has stated in a response that it is leaving.
     leaving: bool = False
 
@@ -151,12 +154,41 @@
             return True
         return any(job.isolated for job in self.running.values())
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Requests per second that it takes from the whole fleet."""
+        return self.rate_limit.limit_per_s if self.rate_limit else None
+
+    def limit_rate(self, limit_per_s: float | None, now: timedelta) -> None:
+        """Set or remove the limit; running requests count as taken."""
+        if limit_per_s is None:
+            self.rate_limit = None
+        elif self.rate_limit is None:
+            self.rate_limit = RateLimit(limit_per_s, len(self.running), now)
+        else:
+            self.rate_limit.change(limit_per_s, now)
+
+    def takes_request(self, now: timedelta) -> bool:
+        """Return whether its rate limit allows a request now."""
+        return self.rate_limit is None or self.rate_limit.admits(now)
+
+    def count_request(self, now: timedelta) -> None:
+        """Count a request or probe that is sent to it."""
+        if self.rate_limit is not None:
+            self.rate_limit.spend(now)
+
+    def limit_wait(self, ahead: int, now: timedelta) -> timedelta:
+        """Return how long a request behind ``ahead`` others waits for it."""
+        if self.rate_limit is None:
+            return ZERO
+        return self.rate_limit.wait(ahead, now)
+
     def accepts_work(self, now: timedelta) -> bool:
         """Return whether its lease allows new work."""
         return self.confirmed and self.expires > now
 
 
-def load_of(upstream: Upstream) -> Load:
+def load_of(upstream: Upstream, now: timedelta) -> Load:
     """Return the load that is reported with answers and refusals."""
     return Load(
         in_flight=len(upstream.running),
@@ -165,6 +197,10 @@
         service_ms=upstream.service_ms,
         state=upstream.state,
         ahead=tuple(map(upstream.queue.ahead, Priority)),
+        rate_limit_per_s=upstream.rate_limit_per_s,
+        limit_wait_ms=math.ceil(
+            in_ms(upstream.limit_wait(len(upstream.queue), now))
+        ),
     )
 
 
@@ -196,9 +232,9 @@
     return True
 
 
-def has_slot(upstream: Upstream) -> bool:
+def may_start(upstream: Upstream, now: timedelta) -> bool:
     """Return whether a request may start now."""
-    if upstream.isolating:
+    if upstream.isolating or not upstream.takes_request(now):
         return False
     return len(upstream.running) < upstream.slots
 
@@ -304,12 +340,28 @@
     )
 
 
-def overload_refusal(job: Job, upstream: Upstream) -> Refusal:
+def exceeds_rate_limit(
+    upstream: Upstream, job: Job, ahead: int, now: timedelta
+) -> bool:
+    """Return whether the rate limit lets a request start too late.
+
+    ``ahead`` requests are queued before it.
+    """
+    wait = upstream.limit_wait(ahead, now)
+    if not wait:
+        return False
+    if now + wait > job.arrived + ms(job.dispatch.limit_wait_ms):
+        return True
+    needed = wait + START_MARGIN + ms(cost_ms_of(upstream, job))
+    return now + needed > job.deadline
+
+
+def overload_refusal(job: Job, upstream: Upstream, now: timedelta) -> Refusal:
     """Return the refusal of a request because of overload."""
     return Refusal(
         request=job.origin.request,
         reason=Reason.overloaded,
         outcome=Outcome.not_run,
         retry_after_ms=RETRY_AFTER_MS,
-        load=load_of(upstream),
+        load=load_of(upstream, now),
     )
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -57,7 +57,9 @@
 
     ``service_ms`` is the moving mean of its service times. ``ahead`` holds, for
     each priority class from the most urgent, how many queued requests would
-    run before a new one of that class.
+    run before a new one of that class. ``rate_limit_per_s`` is the rate of
+    requests that it takes from the whole fleet, None without a limit; a new
+    request would have to wait ``limit_wait_ms`` for it.
     """
 
     in_flight: int
@@ -66,6 +68,8 @@
     service_ms: float
     state: UpstreamState
     ahead: tuple[int, ...] = ()
+    rate_limit_per_s: float | None = None
+    limit_wait_ms: int = 0
 
 
 class UpstreamRecord(Struct, frozen=True, array_like=True):
@@ -160,7 +164,10 @@
     priority class. ``peer_errors`` is the current share of errors of other
     upstreams. ``host`` is the virtual host that the caller named, ``tag`` the
     identity that it gave the request. ``target_ms`` is the remaining time
-    within the route's target latency; 0 for none.
+    within the route's target latency; 0 for none. A request that would wait
+    for the rate limit of the upstream for more than ``limit_wait_ms`` is
+    refused. ``rate_limit_per_s`` is that limit as the sender knows it, for an egress
+    that has not heard from the upstream yet.
     """
 
     request: RequestId
@@ -187,6 +194,8 @@
     host: bytes = b''
     tag: str = ''
     target_ms: int = 0
+    limit_wait_ms: int = 0
+    rate_limit_per_s: float | None = None
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- a/greengagemux/outcomes.py
+++ b/greengagemux/outcomes.py
@@ -40,6 +40,7 @@
     region_link = 'region-link'
     busy = 'busy'
     retry_budget = 'retry-budget'
+    rate_limited = 'rate-limited'
 
 
 class Step(Enum):
--- /dev/null
+++ b/greengagemux/placements.py
@@ -0,0 +1,124 @@
+"""Selection of an upstream for one attempt of a request."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from .candidates import Candidates
+from .ids import UpstreamId
+from .regionlinks import LinkBudget
+from .requests import PendingRequest
+from .selection import (
+    Candidate,
+    Nearness,
+    Selection,
+    UsableSet,
+    accepts,
+    choose,
+)
+
+#: Refusals because of a rate limit after which a request waits for one, unless
+#: an upstream without a limit is left.
+LIMIT_REFUSALS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class _Bounds:
+    """Which upstreams one request may use."""
+
+    pending: PendingRequest
+    usable_set: UsableSet
+    remote: bool
+
+    def admits(self, candidate: Candidate) -> bool:
+        if candidate not in self.usable_set.allowed:
+            return False
+        if not self.remote and candidate.nearness is Nearness.other_region:
+            return False
+        return accepts(candidate, self.pending.excluded, self.pending.may_probe)
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Result of a selection.
+
+    Without a selected upstream, ``rate_limited`` tells that all that are left
+    take the request too late, and ``far_only`` that only the budget of the
+    link between regions stood against one.
+    """
+
+    selected: Selection | None
+    rate_limited: bool = False
+    far_only: bool = False
+
+
+class Placements:
+    """Selects upstreams by health, load, distance and rate limit."""
+
+    def __init__(
+        self, candidates: Candidates, link: LinkBudget, rng: Random
+    ) -> None:
+        """Select from ``candidates`` within the budget of ``link``."""
+        self._candidates = candidates
+        self._link = link
+        self._rng = rng
+
+    def place(self, pending: PendingRequest, now: timedelta) -> Placement:
+        """Select an upstream that the request has not been sent to.
+
+        One that is within its rate limit goes first. Without one, or after a
+        refusal because of overload, the request waits where its turn comes
+        first.
+        """
+        service = pending.route.service
+        view = self._candidates.view_of(service, pending.priority)
+        usable_set = view.current()
+        remote = self._link.allows(pending.priority, now)
+        closed = self._candidates.limited.closed(
+            service, now, every=pending.limit_refusals >= LIMIT_REFUSALS
+        )
+        bounds = _Bounds(pending, usable_set, remote)
+        if pending.overloaded:
+            selected = self._wait_for_limit(bounds, closed, now)
+            if selected is not None:
+                return Placement(selected)
+        selected = choose(
+            usable_set,
+            self._rng,
+            pending.excluded | closed if closed else pending.excluded,
+            idempotent=pending.may_probe,
+            remote=remote,
+            spill=view.spill,
+        )
+        if selected is not None:
+            return Placement(selected)
+        selected = self._wait_for_limit(bounds, closed, now)
+        if selected is not None:
+            return Placement(selected)
+        return Placement(
+            None,
+            rate_limited=bool(closed) and not pending.attempts,
+            far_only=not remote and has_other_region(usable_set),
+        )
+
+    def _wait_for_limit(
+        self, bounds: _Bounds, closed: set[UpstreamId], now: timedelta
+    ) -> Selection | None:
+        pending = bounds.pending
+        if not closed or pending.attempts:
+            return None
+        view = self._candidates.view(pending.route.service)
+        limited = [view.candidates[upstream] for upstream in closed]
+        candidate = self._candidates.limited.soonest(
+            filter(bounds.admits, limited), pending.deadline, now
+        )
+        if candidate is None:
+            return None
+        forced = candidate.upstream in bounds.usable_set.forced
+        return Selection(candidate, forced, waits=True)
+
+
+def has_other_region(usable_set: UsableSet) -> bool:
+    """Return whether an upstream in another region is usable."""
+    tiers = usable_set.tiers
+    return bool(tiers) and tiers[-1][0].nearness is Nearness.other_region
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -6,8 +6,7 @@
 
 import logging
 import math
-from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 from .. import headers
 from ..connections import UpstreamCalls
@@ -23,7 +22,7 @@
 from ..ids import UpstreamId
 from ..listeners import CallerListener, Exchange
 from ..messages import Headers
-from ..outcomes import Failure, Outcome, Step
+from ..outcomes import Failure, Outcome, Reason, Step
 
 logger = logging.getLogger(__name__)
 
@@ -45,6 +44,7 @@
 #: ``1`` if the upstream is leaving and takes no new requests.
 SERVER_LEAVING: Final = b'server-leaving'
 
+_MS_PER_S: Final = 1000
 _MISDIRECTED: Final = 421
 _BAD_GATEWAY: Final = 502
 _UNAVAILABLE: Final = 503
@@ -106,11 +106,6 @@
     pool_idle_limit_s = 4
     accepts_close_delimited = True
 
-    def __init__(self, reactor: Any, submit: Callable[[Event], None]) -> None:
-        """Build a client that passes results to ``submit``."""
-        super().__init__(reactor, submit)
-        self._limited: set[UpstreamId] = set()
-
     def headers_of(self, effect: CallUpstream) -> Headers:
         """Return the request headers for the upstream."""
         translated = [
@@ -146,26 +141,18 @@
     ) -> UpstreamStated | None:
         """Return the rate limit and the state that a response names.
 
-        None for a response of another instance, with an invalid limit, or if
-        there is neither a limit nor one that has ended.
+        None for a response of another instance or with an invalid limit.
         """
         if status == _MISDIRECTED:
             return None
         leaving = headers.get(response_headers, SERVER_LEAVING) == b'1'
-        limit_per_s: float | None = None
         content = headers.get(response_headers, SERVER_LIMIT)
-        if content is not None:
-            limit_per_s = _decode_limit_per_s(content)
-            if limit_per_s is None:
-                logger.warning('invalid limit of %s: %r', upstream, content)
-                return (
-                    UpstreamStated(upstream, leaving=True) if leaving else None
-                )
-            self._limited.add(upstream)
-        elif upstream in self._limited:
-            self._limited.remove(upstream)
-        elif not leaving:
-            return None
+        if content is None:
+            return UpstreamStated(upstream, None, leaving)
+        limit_per_s = _decode_limit_per_s(content)
+        if limit_per_s is None:
+            logger.warning('invalid limit of %s: %r', upstream, content)
+            return UpstreamStated(upstream, None, leaving) if leaving else None
         return UpstreamStated(upstream, limit_per_s, leaving)
 
     def ended(
@@ -237,12 +224,24 @@
     if outcome == Outcome.not_run.value.encode():
         if status not in _FAULTY_REQUEST_STATUSES:
             status = _UNAVAILABLE
-            response_headers = (*response_headers, (RETRY_AFTER, RETRY_AFTER_S))
+            retry_after = (RETRY_AFTER, _retry_after_s(effect))
+            response_headers = (*response_headers, retry_after)
     elif status in _NOT_RUN_STATUSES or status < _FIRST_SERVER_ERROR:
         status = _BAD_GATEWAY
     return Respond(effect.exchange, status, response_headers, effect.body)
 
 
+def _retry_after_s(effect: Respond) -> bytes:
+    """Return ``Retry-After`` in seconds with fractions.
+
+    Only the wait for a rate limit is known exactly.
+    """
+    reason = headers.get(effect.headers, headers.REASON.lower())
+    if reason != Reason.rate_limited.value.encode():
+        return RETRY_AFTER_S
+    return b'%.3f' % (effect.retry_after_ms / _MS_PER_S)
+
+
 def _decode_limit_per_s(content: bytes) -> float | None:
     """Return a rate in requests per second; None if it is invalid."""
     try:
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -73,6 +73,8 @@
     incarnation: Incarnation = Incarnation(0)
     lost: bool = False
     queue_ms: float = 0
+    #: Whether the egress queues it for the rate limit of the upstream.
+    waits: bool = False
     link_bytes: float = 0
 
     @property
@@ -115,6 +117,10 @@
     #: Upstreams that were called for it and may have run it.
     runs: int = 0
     moves: int = 0
+    #: Refusals because of a rate limit.
+    limit_refusals: int = 0
+    #: Whether an upstream refused it because of overload.
+    overloaded: bool = False
     may_have_run: bool = False
     called: bool = False
     last_reason: Reason = Reason.no_upstream
@@ -146,6 +152,11 @@
         """Whether an upstream may have been called for it before."""
         return self.may_have_run or self.called or bool(self.retries)
 
+    @property
+    def may_probe(self) -> bool:
+        """Whether it may go to an upstream on probation; a retry may not."""
+        return self.idempotent and not self.retries
+
     @property
     def idempotent(self) -> bool:
         """Whether the request may run more than once."""
@@ -172,10 +183,9 @@
     ``Retry-After`` is set only for statuses 429 and 503.
     """
     status = status_of(outcome, reason)
+    header_ms = 0
     if status in _RETRY_STATUSES:
-        retry_after_ms = max(retry_after_ms, RETRY_AFTER_MS)
-    else:
-        retry_after_ms = 0
+        header_ms = max(retry_after_ms, RETRY_AFTER_MS)
     content = {
         'outcome': outcome.value,
         'reason': reason.value,
@@ -184,8 +194,9 @@
     return Respond(
         exchange,
         status,
-        headers.refusal_headers(outcome, reason, retry_after_ms),
+        headers.refusal_headers(outcome, reason, header_ms),
         json.dumps(content).encode(),
+        retry_after_ms,
     )
 
 
--- a/greengagemux/selection.py
+++ b/greengagemux/selection.py
@@ -107,10 +107,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Selection:
-    """A selected upstream; ``forced`` if only the floor allows it."""
+    """A selected upstream; ``forced`` if only the floor allows it.
+
+    With ``waits`` the request is queued there for the rate limit.
+    """
 
     candidate: Candidate
     forced: bool
+    waits: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -354,7 +358,7 @@
     drawn = tier[int(rng.random() * len(tier))]
     if rng.random() >= DRAW_WEIGHTS[drawn.state]:
         return None
-    return drawn if _accepts(drawn, excluded, idempotent) else None
+    return drawn if accepts(drawn, excluded, idempotent) else None
 
 
 def _needs_samples(candidate: Candidate) -> bool:
@@ -372,15 +376,16 @@
 ) -> Candidate | None:
     # Reached when every draw was rejected, for instance because most
     # candidates are excluded.
-    remaining = [each for each in tier if _accepts(each, excluded, idempotent)]
+    remaining = [each for each in tier if accepts(each, excluded, idempotent)]
     return min(remaining, key=_cost, default=None)
 
 
-def _accepts(
+def accepts(
     candidate: Candidate,
     excluded: Collection[UpstreamId],
     idempotent: bool,
 ) -> bool:
+    """Return whether a request may be sent to a usable upstream."""
     if candidate.upstream in excluded:
         return False
     return idempotent or candidate.state is not UpstreamState.probation
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -146,23 +146,25 @@
 
     def probe(self, upstream: Upstream) -> None:
         """Ask an upstream whether its process is alive."""
+        upstream.count_request(self._outbox.now)
         path = self.health_path(upstream.service)
         self._outbox.emit(
             ProbeUpstream(upstream.upstream, upstream.address, path)
         )
 
-    def stated(self, event: UpstreamStated) -> None:
-        """Log what an upstream states about itself in a response."""
+    def stated(self, event: UpstreamStated, now: timedelta) -> None:
+        """Apply what an upstream states about itself in a response."""
         upstream = self.by_id.get(event.upstream)
         if upstream is None:
             return
+        upstream.heard = True
         if event.rate_limit_per_s != upstream.rate_limit_per_s:
             limits = {
                 'limit_per_s': event.rate_limit_per_s,
                 'previous_per_s': upstream.rate_limit_per_s,
             }
             self._record('upstream-limit', upstream, limits)
-            upstream.rate_limit_per_s = event.rate_limit_per_s
+            upstream.limit_rate(event.rate_limit_per_s, now)
         if event.leaving and not upstream.leaving:
             upstream.leaving = True
             self._record('upstream-leaving', upstream, {})
