Send nothing more to an upstream that states in a response that it leaves

Requests reached an upstream for as long as its announcements said ready, although each of its responses said that it was leaving (Server-Leaving). An announcement may be late or cut off; a daemon that is cut off from its peers kept on sending as well.

Cause and class: as for the rate limits, a statement that is passed on and not acted on.

The egress drains the upstream at once, in whatever response the statement comes, and its announcements can't revive that boot. Ingress daemons remember the boot from the answer (Load) and from the record, because a new process of the egress knows only the announcements.

--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -28,6 +28,8 @@
 #: is ejected.
 UNKNOWN_FLOOR_PCT = 100
 
+#: Leaving upstreams that are remembered; the oldest are forgotten first.
+LEAVING_LIMIT = 10_000
 #: Loads that were not reported again within this interval are halved.
 AGE_INTERVAL = timedelta(seconds=1)
 #: Time since the last report of its state after which a sick upstream in
@@ -50,6 +52,8 @@
         #: Whether health travels in health updates instead of member records.
         self.separate_health = False
         self._aged_at = ZERO
+        #: Newest boot of each upstream that stated that it is leaving.
+        self._leaving_boots: dict[UpstreamId, int] = {}
         self._queued_ahead: dict[UpstreamId, tuple[int, ...]] = {}
         self._queue_priority: dict[ServiceName, Priority] = {}
 
@@ -150,6 +154,9 @@
         ``limit_refused`` marks a refusal because of the rate limit.
         """
         candidate.report(load)
+        if load.leaving_boot is not None:
+            self._remember_leaving(candidate.upstream, load.leaving_boot)
+            self._drain_if_leaving(candidate)
         self.limited.report(candidate, load, now, refused=limit_refused)
         if self.separate_health and load.state is not candidate.state:
             self._set_health(candidate, load.state, candidate.severity)
@@ -159,6 +166,27 @@
         if priority is not None:
             self._set_queued(candidate, priority)
 
+    def _remember_leaving(self, upstream: UpstreamId, boot: int) -> None:
+        newest = max(boot, self._leaving_boots.pop(upstream, boot))
+        self._leaving_boots[upstream] = newest
+        if len(self._leaving_boots) > LEAVING_LIMIT:
+            self._leaving_boots.pop(next(iter(self._leaving_boots)))
+
+    def _drain_if_leaving(self, candidate: Candidate) -> None:
+        if candidate.boot <= self._leaving_boots[candidate.upstream]:
+            candidate.announced = UpstreamState.draining
+            view = self.view(candidate.service)
+            view.update(candidate.upstream, UpstreamState.draining, 0)
+
+    def _is_leaving(self, record: UpstreamRecord) -> bool:
+        """Return whether this boot has stated that it is leaving.
+
+        A new process of its egress may not know that.
+        """
+        if record.leaving:
+            self._remember_leaving(record.upstream, record.boot)
+        return record.boot <= self._leaving_boots.get(record.upstream, -1)
+
     def members_changed(
         self,
         members: Mapping[DaemonId, MemberRecord],
@@ -232,10 +260,13 @@
     ) -> None:
         # Requests to a daemon that is leaving would be interrupted, so its
         # upstreams count as draining.
-        state = UpstreamState.draining if record.leaving else each.state
+        state = each.state
+        if record.leaving or self._is_leaving(each):
+            state = UpstreamState.draining
         view = self.view(each.service)
         known = view.candidates.get(each.upstream)
         if known is not None and known.daemon == record.daemon:
+            known.boot = each.boot
             if self.separate_health and known.announced is state:
                 # Health does not travel in the record.
                 return
@@ -252,6 +283,7 @@
                 severity=each.severity,
                 announced=state,
                 nearness=self._nearness(record),
+                boot=each.boot,
                 address=record.peer_address,
                 reachable=reachable,
             )
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -32,6 +32,7 @@
     Probed,
     UpstreamAnswered,
     UpstreamFailed,
+    UpstreamStated,
 )
 from .headers import DEADLINE, REQUEST_ID
 from .ids import (
@@ -363,6 +364,12 @@
         self._end(job, refusal, now)
         self._start_queued(upstream, now)
 
+    def stated(self, event: UpstreamStated, now: timedelta) -> None:
+        """Apply what an upstream states about itself in a response."""
+        upstream = self.local_upstreams.stated(event, now)
+        if upstream is not None and upstream.leaving:
+            self._refuse_queued(upstream, Reason.draining, now)
+
     def probed(self, event: Probed, now: timedelta) -> None:
         """Apply the result of a probe of an upstream."""
         if event.refused:
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -201,6 +201,7 @@
         limit_wait_ms=math.ceil(
             in_ms(upstream.limit_wait(len(upstream.queue), now))
         ),
+        leaving_boot=upstream.boot if upstream.leaving else None,
     )
 
 
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -59,7 +59,8 @@
     each priority class from the most urgent, how many queued requests would
     run before a new one of that class. ``rate_limit_per_s`` is the rate of
     requests that it takes from the whole fleet, None without a limit; a new
-    request would have to wait ``limit_wait_ms`` for it.
+    request would have to wait ``limit_wait_ms`` for it. ``leaving_boot`` is its
+    boot if it has stated that it is leaving, otherwise None.
     """
 
     in_flight: int
@@ -70,12 +71,15 @@
     ahead: tuple[int, ...] = ()
     rate_limit_per_s: float | None = None
     limit_wait_ms: int = 0
+    leaving_boot: int | None = None
 
 
 class UpstreamRecord(Struct, frozen=True, array_like=True):
     """State of an upstream as its daemon announces it.
 
-    ``severity`` orders sick upstreams: a higher one is worse.
+    ``severity`` orders sick upstreams: a higher one is worse. ``boot`` grows
+    with each start of the upstream. One that has stated that it is ``leaving``
+    takes no requests any more in this boot.
     """
 
     upstream: UpstreamId
@@ -83,6 +87,8 @@
     slots: int
     state: UpstreamState
     severity: int = 0
+    boot: int = 0
+    leaving: bool = False
 
 
 class MemberRecord(Struct, frozen=True, array_like=True):
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -403,7 +403,7 @@
 def _upstream_stated(
     event: UpstreamStated, daemon: Daemon, now: timedelta
 ) -> None:
-    daemon.egress.local_upstreams.stated(event, now)
+    daemon.egress.stated(event, now)
 
 
 @handle.register
--- a/greengagemux/selection.py
+++ b/greengagemux/selection.py
@@ -72,6 +72,8 @@
     reported: bool = False
     #: State in the member record; health may travel separately.
     announced: UpstreamState = UpstreamState.serving
+    #: Grows with each start of the upstream.
+    boot: int = 0
     #: Peer address of its daemon.
     address: str = ''
     #: When its state was last reported.
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -91,6 +91,8 @@
                 severity=0
                 if self.separate_health
                 else self._health_tracker.severity(each.upstream),
+                boot=each.boot,
+                leaving=each.leaving,
             )
             for each in self.by_id.values()
         )
@@ -152,11 +154,14 @@
             ProbeUpstream(upstream.upstream, upstream.address, path)
         )
 
-    def stated(self, event: UpstreamStated, now: timedelta) -> None:
-        """Apply what an upstream states about itself in a response."""
+    def stated(self, event: UpstreamStated, now: timedelta) -> Upstream | None:
+        """Apply what an upstream states about itself in a response.
+
+        Returns the upstream, None for an unknown one.
+        """
         upstream = self.by_id.get(event.upstream)
         if upstream is None:
-            return
+            return None
         upstream.heard = True
         if event.rate_limit_per_s != upstream.rate_limit_per_s:
             limits = {
@@ -168,6 +173,9 @@
         if event.leaving and not upstream.leaving:
             upstream.leaving = True
             self._record('upstream-leaving', upstream, {})
+            self.drain(upstream, now)
+            self.changed = True
+        return upstream
 
     def announce(self, event: Announced, now: timedelta) -> Upstream | None:
         """Renew a lease; return the upstream if it may take work now."""
@@ -185,8 +193,10 @@
         known.expires = now + self._lease
         known.confirmed = True
         slots = known.slots if event.last else event.slots
-        if known.announced is not event.state or known.slots != slots:
-            known.announced = event.state
+        # Announcements may be late; responses are not.
+        state = UpstreamState.draining if known.leaving else event.state
+        if known.announced is not state or known.slots != slots:
+            known.announced = state
             known.slots = slots
             self.announce_state(known, now)
         return known
