Let the soak and the stand-ins state limits and departures

The soak of planned stops ran only upstreams that state nothing, so it could not find requests above a limit or for an upstream that leaves.

--- a/greengagemux_standins/platformupstreams.py
+++ b/greengagemux_standins/platformupstreams.py
@@ -63,10 +63,16 @@
         #: Request line and headers of each request.
         self.received: list[_Received] = []
         self.runs: list[Run] = []
+        #: Requests per second that it takes from all daemons, as each response
+        #: states; None without a limit.
+        self.rate_limit_per_s: float | None = None
+        #: Whether each response states that it is leaving.
+        self.leaving = False
         self._network = network
         self._draw = draw
         self._server = servers.HttpServer(network, self._respond)
         self._sequence = 0
+        self._boot = 1
         self._announcing: LoopingCall | None = None
 
     @property
@@ -90,6 +96,12 @@
             self._announcing.stop()
         return self._server.stop()
 
+    def restart(self) -> None:
+        """Begin a new boot under the same id."""
+        self._boot += 1
+        self._sequence = 0
+        self.leaving = False
+
     def announcement(self, phase: str = 'ready') -> bytes:
         """Return the next announcement as an encoded request."""
         self._sequence += 1
@@ -100,7 +112,7 @@
                 'slots': SLOTS,
                 'phase': phase,
                 'sequence': self._sequence,
-                'born': 1,
+                'born': self._boot,
             }
         )
         return (
@@ -111,8 +123,17 @@
     def _announce(self, pool: Pool) -> None:
         pool.ask(Exchange(self.announcement(), False, _ignore))
 
+    def _state(self, request: servers.Request) -> None:
+        headers = request.responseHeaders
+        if self.rate_limit_per_s is not None:
+            limit = b'%.1f' % self.rate_limit_per_s
+            headers.setRawHeaders(b'Server-Limit', [limit])
+        if self.leaving:
+            headers.setRawHeaders(b'Server-Leaving', [b'1'])
+
     def _respond(self, request: servers.Request) -> None:
         if request.uri == _HEALTH_TARGET:
+            self._state(request)
             request.responseHeaders.setRawHeaders(
                 b'Instance-Id', [self.upstream.encode()]
             )
@@ -128,6 +149,7 @@
             b'Request-Id', [headers['request-id'].encode()]
         )
         if 'full' in target:
+            self._state(request)
             request.responseHeaders.setRawHeaders(b'Not-Executed', [b'1'])
             servers.reply(request, servers.UNAVAILABLE, b'')
             return
@@ -159,6 +181,7 @@
         expired: bool,
     ) -> None:
         request.responseHeaders.setRawHeaders(b'Response-Seal', [_SEAL])
+        self._state(request)
         if expired:
             servers.reply(request, servers.GATEWAY_TIMEOUT, b'')
             return
--- a/greengagemux_standins/stopsoaks.py
+++ b/greengagemux_standins/stopsoaks.py
@@ -23,6 +23,12 @@
 from .processes import Processes
 from .soakchecks import Verdict
 from .soakfaults import Fault
+from .statements import (
+    Statement,
+    StatementJudge,
+    carry_out,
+    plan_statements,
+)
 from .stopcallers import Call, Caller, pause
 from .stopchecks import KILL, PAUSE, SOAK, STOP, Judge, Wait
 from .uses import processor_wait_s
@@ -86,7 +92,9 @@
     seed: int
     steps: Sequence[Step]
     callers: list[Caller]
+    planned: Sequence[Statement] = ()
     faults: list[Fault] = field(default_factory=list)
+    statements: list[Statement] = field(default_factory=list)
     waits: list[Wait] = field(default_factory=list)
     broken: dict[str, list[str]] = field(
         default_factory=lambda: defaultdict(list)
@@ -99,7 +107,12 @@
         sampling.start(_SAMPLE_S)
         await _together(map(self._until_ready, self.fleet.upstreams))
         load = _together([caller.run() for caller in self.callers])
-        await _together(map(self._carry_out, self.steps))
+        await _together(
+            (
+                *map(self._carry_out, self.steps),
+                *map(self._state, self.planned),
+            )
+        )
         await pause(self.network, SETTLE_S)
         for caller in self.callers:
             caller.finish()
@@ -128,8 +141,16 @@
         verdict.broken.update(self.broken)
         for caller in self.callers:
             verdict.broken['surplus'] += caller.surplus
+        judge = StatementJudge(self.calls, self.runs, self.faults)
+        for statement in self.statements:
+            verdict.broken[statement.kind] += judge.broken(statement)
         return verdict
 
+    async def _state(self, planned: Statement) -> None:
+        upstream = self.fleet.upstreams[f'd{planned.upstream}']
+        stated = await carry_out(self.network, upstream, planned)
+        self.statements.append(stated)
+
     async def _carry_out(self, step: Step) -> None:
         await pause(self.network, step.at_s)
         if step.daemon in self._disturbed:
@@ -359,7 +380,12 @@
         for place in range(options['callers'])
     ]
     steps = plan_steps(seed, daemons, options['groups'], options['rough_share'])
-    return StopSoak(fleet, network, seed, steps, callers)
+    planned = plan_statements(
+        seed,
+        [upstream.upstream for upstream in fleet.upstreams.values()],
+        steps[-1].at_s + SETTLE_S,
+    )
+    return StopSoak(fleet, network, seed, steps, callers, planned)
 
 
 def _write(run_dir: Path, soak: StopSoak, report: str) -> None:
@@ -369,6 +395,7 @@
         ('calls', soak.calls),
         ('runs', soak.runs),
         ('faults', soak.faults),
+        ('statements', soak.statements),
         ('waits', soak.waits),
     ):
         lines = '\n'.join(str(each) for each in found)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -181,3 +182,33 @@
     daemon.announce('draining')
     assert b' 503 ' in daemon.request('GET', '/list/1')
     assert not daemon.upstream.received
+
+
+def test_limit_of_the_upstream_rejects_at_once(daemon: _Daemon) -> None:
+    """Requests above ``Server-Limit`` must not wait for their deadline.
+
+    ``Retry-After`` must name a fraction of a second.
+    """
+    daemon.wait_ready()
+    daemon.announce('ready')
+    daemon.upstream.rate_limit_per_s = 0.5
+    responses = [daemon.request('POST', f'/post/{at}') for at in range(12)]
+    ran = [each for each in responses if b' 200 ' in each]
+    rejected = [each for each in responses if b' 503 ' in each]
+    assert len(ran) + len(rejected) == len(responses)
+    assert len(daemon.upstream.runs) == len(ran)
+    assert len(ran) <= 3
+    assert re.search(rb'Retry-After: [0-9]\.[0-9]{3}\r', rejected[0])
+
+
+@pytest.mark.parametrize('path', ['/list/1', '/list/full'])
+def test_leaving_upstream_gets_no_work(daemon: _Daemon, path: str) -> None:
+    """``Server-Leaving`` must count in each response, also in a refusal."""
+    daemon.wait_ready()
+    daemon.announce('ready')
+    daemon.upstream.leaving = True
+    daemon.request('GET', path)
+    daemon.announce('ready')
+    received = len(daemon.upstream.received)
+    assert b' 503 ' in daemon.request('GET', '/list/2')
+    assert len(daemon.upstream.received) == received
