Read the newest records after the log has come back from a copy

After a restore of the store (Store-Era) a change that was acknowledged at once was not in force at any daemon, for as long as no other change came: routes that it added got 404.

Cause: a cursor is an offset of one history of the log, and was used in the next one. The store that had lost two records and got two again ended where the cursor stood, so the read waited there. Class: a position kept without the history that it belongs to.

No read failed and no version was refused after the return, so neither hung connections nor the check of versions is the cause.

Reads, and the offsets that they give, carry how often the log was restored. If that has changed, the newest record of each key is read instead, also if a page of that read is of another history than the one before it.

--- a/greengagemux/approvals.py
+++ b/greengagemux/approvals.py
@@ -82,6 +82,8 @@
         self._payload = b''
         self._offset = LogOffset(0)
         self._following = LogOffset(0)
+        #: Restores of the log when it gave ``_following``.
+        self._restores: int | None = None
         self._reading = False
         self._read_due = ZERO
         self._backoff = INITIAL_RETRY_DELAY
@@ -121,7 +123,9 @@
         self._reading = True
         # A log that has just failed may accept a long poll and not respond.
         wait = READ_WAIT if self._log_failed_since is None else ZERO
-        self._outbox.emit(ReadLog(STREAM, self._following, wait))
+        self._outbox.emit(
+            ReadLog(STREAM, self._following, wait, self._restores)
+        )
 
     def advance(self) -> None:
         """Do nothing: records are opened at once."""
@@ -146,6 +150,14 @@
         self._backoff = INITIAL_RETRY_DELAY
         self._read_due = now
         self._following = event.following
+        if self._restores is not None and event.restores != self._restores:
+            self._record_event(
+                'log-restored',
+                restores=event.restores,
+                previous=self._restores,
+                following=event.following,
+            )
+        self._restores = event.restores
         for record in event.records:
             self._process_record(record.offset, record.payload, 'log', live)
 
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -116,11 +116,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLog:
-    """Read a log stream from ``start``; wait up to ``wait`` for records."""
+    """Read a log stream from ``start``; wait up to ``wait`` for records.
+
+    ``restores`` is that of the read which gave this offset. If the log has
+    gone back since, the newest records are read instead.
+    """
 
     stream: str
     start: LogOffset
     wait: timedelta
+    restores: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -186,22 +186,30 @@
     """Result of a read of a log stream.
 
     ``first`` is the oldest offset that the log retains, ``following`` the
-    offset at which the next read starts.
+    offset at which the next read starts. ``restores`` tells how often the log
+    has come back from an older copy, None if unknown; an offset holds only
+    until the next time.
     """
 
     stream: str
     first: LogOffset
     following: LogOffset
     records: tuple[LogRecord, ...]
+    restores: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class LogAppended:
-    """An append was acknowledged."""
+    """An append was acknowledged.
+
+    The record is lost if the log comes back from a copy later, with more
+    ``restores``.
+    """
 
     stream: str
     offset: LogOffset
     payload: bytes
+    restores: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/logclients.py
+++ b/greengagemux/logclients.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from io import BytesIO
 from typing import Annotated, Any, Final
@@ -87,6 +88,14 @@
 _receipts: Final = msgspec.json.Decoder(_Receipt)
 
 
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Body of a response, and how often the log was restored until then."""
+
+    body: bytes
+    restores: int | None = None
+
+
 class LogClient:
     """Carries out reads and appends and submits their results as events."""
 
@@ -153,7 +162,7 @@
         wait_ms = int(effect.wait / _MILLISECOND)
         query = f'from={effect.start}&limit={limit}&wait_ms={wait_ms}'
         try:
-            body = await self._call(
+            reply = await self._call(
                 b'GET',
                 f'{self._address(effect.stream)}?{query}',
                 None,
@@ -164,16 +173,16 @@
             self._record_limits[effect.stream] = 1
             raise
         self._record_limits.pop(effect.stream, None)
-        return _check_page(effect, _pages.decode(body))
+        return _check_page(effect, _pages.decode(reply.body))
 
     async def _append_record(self, effect: AppendLog) -> LogAppended:
-        body = await self._call(
+        reply = await self._call(
             b'POST',
             self._address(effect.stream),
             effect.payload,
             RESPONSE_TIMEOUT,
         )
-        offset = LogOffset(_receipts.decode(body).offset)
+        offset = LogOffset(_receipts.decode(reply.body).offset)
         return LogAppended(effect.stream, offset, effect.payload)
 
     async def _call(
@@ -182,7 +191,7 @@
         address: str,
         payload: bytes | None,
         limit: timedelta,
-    ) -> bytes:
+    ) -> Reply:
         call = Deferred.fromCoroutine(self._exchange(method, address, payload))
         # The time limit covers the body too. Cancelling closes the connection,
         # so that a late response cannot be taken for one to a later request.
@@ -194,7 +203,7 @@
         method: bytes,
         address: str,
         payload: bytes | None,
-    ) -> bytes:
+    ) -> Reply:
         producer = None if payload is None else _producer(BytesIO(payload))
         headers = Headers({b'content-type': [b'application/octet-stream']})
         response = await self._agent.request(
@@ -206,7 +215,10 @@
         body = await _read_body(response)
         if response.code not in {_OK, _CREATED}:
             raise StatusError(response.code)
-        return body
+        return Reply(body, self._restores_of(response))
+
+    def _restores_of(self, response: Any) -> int | None:
+        """Return how often the log was restored; None if it doesn't tell."""
 
     def _address(self, stream: str) -> str:
         name = quote(stream, safe='')
--- a/greengagemux/platform/servers.py
+++ b/greengagemux/platform/servers.py
@@ -1,7 +1,7 @@
 """HTTP endpoints for the platform: readiness, metrics and announcements."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from io import BytesIO
 from typing import Any, Final
 
@@ -76,6 +76,8 @@
         handler = self.channel.factory.handler
         status, body = handler(command, path, self.content.getvalue())
         self.setResponseCode(status)
+        for name, content in self.channel.factory.headers().items():
+            self.responseHeaders.setRawHeaders(name, [content])
         self.responseHeaders.setRawHeaders(
             b'Content-Type', [self.channel.factory.content_type]
         )
@@ -106,11 +108,16 @@
         reactor: Any,
         handler: Handler,
         content_type: bytes = b'application/json',
+        headers: Callable[[], Mapping[bytes, bytes]] = dict,
     ) -> None:
-        """Respond to each request with the result of ``handler``."""
+        """Respond to each request with the result of ``handler``.
+
+        ``headers`` returns further headers of each response.
+        """
         super().__init__(reactor=reactor, timeout=IDLE_LIMIT_S)
         self.content_type = content_type
         self.handler = handler
+        self.headers = headers
 
     def buildProtocol(self, addr: IAddress | None) -> Any:
         """Accept a connection."""
--- a/greengagemux/platform/stores.py
+++ b/greengagemux/platform/stores.py
@@ -1,10 +1,11 @@
 """Client of the platform's metadata store, which serves as the daemon's log."""
 
 from base64 import b64decode
+from dataclasses import replace
 from datetime import timedelta
 from struct import Struct
 from types import MappingProxyType
-from typing import Final
+from typing import Any, Final
 from urllib.parse import quote
 
 import msgspec
@@ -29,6 +30,9 @@
 #: restarted may never respond on its old connections.
 READ_MARGIN: Final = timedelta(seconds=1.5)
 
+#: How often the store has come back from a copy, in each response.
+STORE_ERA: Final = b'Store-Era'
+
 _GONE: Final = 410
 _LENGTH: Final = Struct('>I')
 #: Header of a read response: end of the partition, first retained offset.
@@ -68,7 +72,7 @@
         wait_ms = int(effect.wait.total_seconds() * 1000)
         query = f'topic={topic}&part=0&from={effect.start}&wait_ms={wait_ms}'
         try:
-            body = await self._call(
+            reply = await self._call(
                 b'GET',
                 f'{self._url}/api/log-read?{query}',
                 None,
@@ -77,26 +81,36 @@
         except StatusError as error:
             if error.status != _GONE:
                 raise
-            # Records from this offset on have been compacted away, but the
-            # newest record of each key is still there.
+            # Records from this offset on have been compacted away or lost,
+            # but the newest record of each key is still there.
+            return await self._newest(effect, topic)
+        if reply.restores != effect.restores:
+            # The offset is one of the history that the store has lost.
             return await self._newest(effect, topic)
-        return _decode_read(effect, body)
+        return replace(
+            _decode_read(effect, reply.body), restores=reply.restores
+        )
 
     async def _newest(self, effect: ReadLog, topic: str) -> LogRead:
         records: list[LogRecord] = []
         end = 0
         after = ''
+        restores: int | None = None
         while True:
             query = f'topic={topic}&part=0'
             if after:
                 query = f'{query}&after={quote(after, safe="")}'
-            body = await self._call(
+            reply = await self._call(
                 b'GET',
                 f'{self._url}/api/log-newest?{query}',
                 None,
                 RESPONSE_TIMEOUT,
             )
-            page = _page_decoder.decode(body)
+            if after and reply.restores != restores:
+                # The pages before this one are of another history.
+                return await self._newest(effect, topic)
+            restores = reply.restores
+            page = _page_decoder.decode(reply.body)
             end = end or page.end
             records += _newest_records(effect.stream, page.items)
             if not page.more or not page.items:
@@ -107,6 +121,7 @@
             first=LogOffset(0),
             following=LogOffset(end),
             records=tuple(records),
+            restores=restores,
         )
 
     async def _append_record(self, effect: AppendLog) -> LogAppended:
@@ -114,14 +129,20 @@
         content = bytes((len(key),)) + key + effect.payload
         record = _LENGTH.pack(len(content)) + content
         topic = TOPICS[effect.stream]
-        body = await self._call(
+        reply = await self._call(
             b'POST',
             f'{self._url}/api/log-append?topic={topic}&part=0',
             record,
             RESPONSE_TIMEOUT,
         )
-        offset = LogOffset(_receipt_decoder.decode(body).offset)
-        return LogAppended(effect.stream, offset, effect.payload)
+        offset = LogOffset(_receipt_decoder.decode(reply.body).offset)
+        return LogAppended(
+            effect.stream, offset, effect.payload, reply.restores
+        )
+
+    def _restores_of(self, response: Any) -> int | None:
+        eras = response.headers.getRawHeaders(STORE_ERA) or []
+        return int(eras[0]) if eras and eras[0].isdigit() else None
 
 
 def _newest_records(stream: str, items: tuple[_Item, ...]) -> list[LogRecord]:
--- a/greengagemux_standins/platformfleets.py
+++ b/greengagemux_standins/platformfleets.py
@@ -1,7 +1,7 @@
 """Daemons of ``greengagemux.platform`` as processes, and their store."""
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 from pathlib import Path
 from typing import Any, Final
@@ -14,7 +14,7 @@
 
 from .platformupstreams import PlatformUpstream
 from .processes import Processes
-from .servers import LOOPBACK, OK
+from .servers import LOOPBACK, NOT_FOUND, OK
 from .stores import Store
 
 #: Ports of a daemon, in the order of their numbers.
@@ -28,12 +28,24 @@
 _ZONES: Final = ('a', 'b')
 
 
+def version_prefix(version: int) -> str:
+    """Return a prefix that only one version of the configuration has."""
+    return f'/version-{version}/'
+
+
 def configuration(version: int) -> bytes:
-    """Return a configuration with one route for reads and one for writes."""
-    prefixes = {'idempotent': READ_PREFIX, 'non_idempotent': WRITE_PREFIX}
+    """Return a configuration with routes for reads and writes.
+
+    One more route for reads shows that this version is in force.
+    """
+    prefixes = (
+        ('read', 'idempotent', READ_PREFIX),
+        ('write', 'non_idempotent', WRITE_PREFIX),
+        ('version', 'idempotent', version_prefix(version)),
+    )
     routes = [
         {
-            'name': kind,
+            'name': name,
             'hostname': HOST,
             'path_prefix': prefix,
             'kind': kind,
@@ -41,7 +53,7 @@
             'timeout_ms': 3000,
             'max_attempts': 3,
         }
-        for kind, prefix in prefixes.items()
+        for name, kind, prefix in prefixes
     ]
     return json.dumps(
         {
@@ -105,7 +117,9 @@
     def start(self) -> None:
         """Listen and start all processes; raises ``CannotListenError``."""
         self._store_port = self._network.listenTCP(
-            0, Server(self._network, self.store), interface=LOOPBACK
+            0,
+            Server(self._network, self.store, headers=self.store.headers),
+            interface=LOOPBACK,
         )
         store = f'{LOOPBACK}:{self._store_port.getHost().port}'
         for place, (name, upstream) in enumerate(self.upstreams.items()):
@@ -131,15 +145,12 @@
 
     def ready(self, name: str) -> Deferred[bool]:
         """Ask a daemon whether it accepts callers."""
-        ready: Deferred[bool] = Deferred()
-        pool = Pool(f'{LOOPBACK}:{self.ports(name)["ready"]}', self._network)
-        exchange = Exchange(
-            b'GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n',
-            is_head=False,
-            callback=partial(_tell, ready),
+        return self._ask(
+            name,
+            'ready',
+            'GET /api/readyz HTTP/1.1\r\nHost: x\r\n',
+            lambda status: status == OK,
         )
-        pool.ask(exchange)
-        return ready
 
     def ports(self, name: str) -> dict[str, int]:
         """Return the ports of a daemon by name."""
@@ -152,6 +163,31 @@
         self._version += 1
         self.store.append('keyed.op', 'config', configuration(self._version))
 
+    def restore(self, copied: Mapping[str, int]) -> None:
+        """Bring the store back from a copy.
+
+        The operator writes its newest configuration again, and new ones until
+        the store has as many records as before.
+        """
+        topic = 'keyed.op'
+        before = self.store.copy()[topic]
+        self.store.restore(copied)
+        newest = configuration(self._version)
+        end = self.store.append(topic, 'config', newest) + 1
+        for _ in range(end, before):
+            self.change()
+
+    def serves_newest(self, name: str) -> Deferred[bool]:
+        """Ask a daemon for a route of the newest configuration."""
+        target = f'{version_prefix(self._version)}{name}'
+        return self._ask(
+            name,
+            'outbound',
+            f'GET {target} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'Request-Id: newest-{name}\r\nDeadline-Ms: 1000\r\n',
+            lambda status: status != NOT_FOUND,
+        )
+
     def stop(self) -> None:
         """Stop all processes and close the stand-ins."""
         self.processes.stop(self.upstreams)
@@ -159,9 +195,27 @@
         for upstream in self.upstreams.values():
             upstream.stop()
 
+    def _ask(
+        self, name: str, port: str, head: str, accepts: Callable[[int], bool]
+    ) -> Deferred[bool]:
+        """Send one request; a lost connection counts as not accepted."""
+        answered: Deferred[bool] = Deferred()
+        pool = Pool(f'{LOOPBACK}:{self.ports(name)[port]}', self._network)
+        exchange = Exchange(
+            f'{head}Connection: close\r\n\r\n'.encode(),
+            is_head=False,
+            callback=partial(_tell, answered, accepts),
+        )
+        pool.ask(exchange)
+        return answered
+
     def _settings_path(self, name: str) -> Path:
         return self._run_dir.resolve() / f'{name}.conf'
 
 
-def _tell(ready: Deferred[bool], answer: Answer | Lost) -> None:
-    ready.callback(isinstance(answer, Answer) and answer.status == OK)
+def _tell(
+    answered: Deferred[bool],
+    accepts: Callable[[int], bool],
+    answer: Answer | Lost,
+) -> None:
+    answered.callback(isinstance(answer, Answer) and accepts(answer.status))
--- a/greengagemux_standins/stores.py
+++ b/greengagemux_standins/stores.py
@@ -2,6 +2,7 @@
 
 import json
 from base64 import b64encode
+from collections.abc import Mapping
 from struct import Struct
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
@@ -21,6 +22,8 @@
         """Create a store without records that is available."""
         self.up = True
         self.calls = 0
+        #: How often it came back from a copy; stated in each response.
+        self.era = 0
         self._records: dict[str, list[bytes]] = {}
         #: First retained offset of each topic.
         self._first: dict[str, int] = {}
@@ -43,6 +46,20 @@
         """
         self._first[topic] = len(self._records.get(topic, ()))
 
+    def copy(self) -> Mapping[str, int]:
+        """Return a copy: how many records each topic has."""
+        return {topic: len(kept) for topic, kept in self._records.items()}
+
+    def restore(self, copied: Mapping[str, int]) -> None:
+        """Come back from a copy; later records are lost."""
+        self.era += 1
+        for topic, records in self._records.items():
+            del records[copied.get(topic, 0) :]
+
+    def headers(self) -> dict[bytes, bytes]:
+        """Return the headers of each response."""
+        return {b'Store-Era': b'%d' % self.era}
+
     def __call__(
         self, method: bytes, path: bytes, body: bytes
     ) -> tuple[int, bytes]:
@@ -72,7 +89,7 @@
         records = self._records.get(query['topic'], [])
         first = self._first.get(query['topic'], 0)
         start = int(query['from'])
-        if start < first:
+        if start < first or start > len(records):
             return _GONE, json.dumps({'first': first}).encode()
         chunks = [_HEAD.pack(len(records), first)]
         chunks += [_LENGTH.pack(len(each)) + each for each in records[start:]]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -568,6 +568,16 @@
     assert feed.effects(ReadLog)[0].wait == ZERO
 
 
+def test_cursor_carries_the_history_of_its_offset(tmp_path: Path) -> None:
+    """The client must know whether the log went back since the last read."""
+    feed = _Feed(tmp_path)
+    event = LogRead(approvals.STREAM, LogOffset(0), LogOffset(4), (), 2)
+    feed.feed.log_event(event, {}, ZERO)
+    feed.feed.tick({}, ms(50))
+    read = feed.effects(ReadLog)[0]
+    assert (read.start, read.restores) == (4, 2)
+
+
 def test_peer_brings_a_newer_bundle(tmp_path: Path) -> None:
     """A daemon that can't reach the log must get new bundles from peers."""
     feed = _Feed(tmp_path)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -22,12 +23,16 @@
 from greengagemux.platform.settings import PATH_VARIABLE
 from greengagemux_standins.platformfleets import (
     PORT_NAMES,
+    configuration,
     configured_store,
     settings_text,
+    version_prefix,
 )
 from greengagemux_standins.platformupstreams import PlatformUpstream
 
 HOST = '127.0.0.1'
+#: Time in which a change of the configuration must be in force.
+PROPAGATION_S = 2
 
 
 class _Daemon:
@@ -36,7 +41,9 @@
     def __init__(self, folder: Path) -> None:
         self.store = configured_store()
         self._port = reactor.listenTCP(
-            0, Server(reactor, self.store), interface=HOST
+            0,
+            Server(reactor, self.store, headers=self.store.headers),
+            interface=HOST,
         )
         self.upstream = PlatformUpstream(reactor, 'i-1')
         self.upstream.start()
@@ -212,3 +219,26 @@
     received = len(daemon.upstream.received)
     assert b' 503 ' in daemon.request('GET', '/list/2')
     assert len(daemon.upstream.received) == received
+
+
+def test_change_after_a_restore_of_the_store_is_served(
+    daemon: _Daemon,
+) -> None:
+    """A change must not be skipped because its offset was given out before."""
+    topic = 'keyed.op'
+    daemon.wait_ready()
+    daemon.announce('ready')
+    copied = daemon.store.copy()
+    for version in (2, 3):
+        daemon.store.append(topic, 'config', configuration(version))
+    path = f'{version_prefix(3)}1'
+    while b' 200 ' not in daemon.request('GET', path):
+        turn(5)
+    daemon.store.restore(copied)
+    for version in (3, 4):
+        daemon.store.append(topic, 'config', configuration(version))
+    path = f'{version_prefix(4)}1'
+    until_s = time.monotonic() + PROPAGATION_S
+    while b' 200 ' not in daemon.request('GET', path):
+        assert time.monotonic() < until_s
+        turn(5)
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         self.store = Store()
-        server = Server(reactor, self.store)
+        server = Server(reactor, self.store, headers=self.store.headers)
         self.port = reactor.listenTCP(0, server, interface='127.0.0.1')
         url = f'http://127.0.0.1:{self.port.getHost().port}'
         self.events: list[Event] = []
@@ -34,9 +34,12 @@
             build_agent(reactor), reactor, url, self.events.append
         )
 
-    def read(self, stream: str, start: int) -> Event:
+    def read(
+        self, stream: str, start: int, restores: int | None = None
+    ) -> Event:
         """Read a stream and return the event."""
-        self.client.read(ReadLog(stream, LogOffset(start), ZERO))
+        effect = ReadLog(stream, LogOffset(start), ZERO, restores)
+        self.client.read(effect)
         return self._next()
 
     def append(self, stream: str, payload: bytes, key: str) -> Event:
@@ -102,3 +105,44 @@
     failed = edge.append(discoveries.STREAM, b'x', 'k')
     assert isinstance(failed, LogFailed)
     assert failed.payload == b'x'
+
+
+def test_cursor_does_not_outlive_a_restore(edge: _StoreSetup) -> None:
+    """Offsets are given out again, so a cursor would skip other records."""
+    edge.store.append(BUNDLE_STREAM, 'config', b'one')
+    copied = edge.store.copy()
+    for payload in (b'two', b'three'):
+        edge.store.append(BUNDLE_STREAM, 'config', payload)
+    first = edge.read(approvals.STREAM, 0)
+    assert isinstance(first, LogRead)
+    edge.store.restore(copied)
+    edge.store.append(BUNDLE_STREAM, 'config', b'three')
+    edge.store.append(BUNDLE_STREAM, 'config', b'four')
+    second = edge.read(approvals.STREAM, first.following, first.restores)
+    assert isinstance(second, LogRead)
+    assert [each.payload for each in second.records] == [b'four']
+    assert second.restores == 1
+    third = edge.read(approvals.STREAM, second.following, second.restores)
+    assert isinstance(third, LogRead)
+    assert not third.records
+
+
+def test_read_beyond_the_end_of_a_restored_store(edge: _StoreSetup) -> None:
+    """A store that is shorter than the cursor must be read from its newest."""
+    edge.store.append(BUNDLE_STREAM, 'config', b'one')
+    copied = edge.store.copy()
+    for payload in (b'two', b'three'):
+        edge.store.append(BUNDLE_STREAM, 'config', payload)
+    edge.store.restore(copied)
+    found = edge.read(approvals.STREAM, 3)
+    assert isinstance(found, LogRead)
+    assert [each.payload for each in found.records] == [b'one']
+    assert found.following == 1
+
+
+def test_acknowledgement_names_the_history(edge: _StoreSetup) -> None:
+    """Whether a written record may be lost depends on when it was written."""
+    edge.store.restore({})
+    written = edge.append(discoveries.STREAM, b'x', 'k')
+    assert isinstance(written, LogAppended)
+    assert written.restores == 1
