Offer the configuration in force to each peer that connects

A daemon that starts after the store has come back from a copy found an older configuration there and kept it until the operator wrote again, although its peers had the newer one in force: it asked a peer only if the store gave none.

--- a/greengagemux/approvals.py
+++ b/greengagemux/approvals.py
@@ -109,7 +109,13 @@
         return self._bundle
 
     def connected(self, stream: StreamId) -> None:
-        """Do nothing: peers are asked only if the log does not respond."""
+        """Offer the bundle in force to a peer on a new stream.
+
+        The log may have lost it, and a daemon that starts then finds only an
+        older one there.
+        """
+        if self._bundle is not None:
+            self._outbox.emit(Send(stream, self._build_offer(self._bundle)))
 
     def tick(
         self, live: Mapping[DaemonId, MemberRecord], now: timedelta
@@ -272,10 +278,13 @@
             if record.region == self._own.region and daemon not in near
         ]
         others = self._rng.sample(others, min(OFFER_PEERS, len(others)))
-        digest = xxhash.xxh3_64_digest(self._payload)
-        offer = BundleOffer(self._offset, self._bundle.version, digest)
+        offer = self._build_offer(self._bundle)
         for daemon in (*near, *others):
             self._paths.send(daemon, offer)
 
+    def _build_offer(self, bundle: Bundle) -> BundleOffer:
+        digest = xxhash.xxh3_64_digest(self._payload)
+        return BundleOffer(self._offset, bundle.version, digest)
+
     def _record_event(self, name: str, **fields: object) -> None:
         self._outbox.emit(Record(name, fields))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -579,6 +579,30 @@
     assert (read.start, read.restores) == (4, 2)
 
 
+def test_restarted_daemon_gets_a_bundle_that_the_log_lost(
+    tmp_path: Path,
+) -> None:
+    """A log that went back must not keep an older bundle in force.
+
+    Each end of a new stream offers the bundle that it has in force.
+    """
+    feed = _Feed(tmp_path)
+    feed.read('r12')
+    feed.outbox.drain()
+    feed.feed.connected(StreamId(4))
+    offer = feed.effects(Send)[0]
+    assert offer.stream == 4
+    assert offer.message.version == 12
+    other = _Feed(tmp_path)
+    other.feed.connected(StreamId(5))
+    assert not other.effects(Send)
+    other.read('r9')
+    other.feed.receive(offer.message, StreamId(5), {}, ZERO)
+    other.outbox.drain()
+    other.feed.tick({}, ms(400))
+    assert isinstance(other.effects(Send)[0].message, BundleFetch)
+
+
 def test_peer_brings_a_newer_bundle(tmp_path: Path) -> None:
     """A daemon that can't reach the log must get new bundles from peers."""
     feed = _Feed(tmp_path)
