Let the soak bring the store back from copies

Two restores a run lose changes of the configuration; the operator writes its newest one again and others until the store is as long as before. Each daemon that was not disturbed must serve the newest one 4 s later.

--- a/greengagemux_standins/statements.py
+++ b/greengagemux_standins/statements.py
@@ -98,7 +98,9 @@
         self._calls: Mapping[str, Call] = {call.request: call for call in calls}
         self._runs: dict[str, list[Run]] = defaultdict(list)
         for run in runs:
-            self._runs[run.upstream].append(run)
+            # The soak's own checks are no requests of a caller.
+            if run.request in self._calls:
+                self._runs[run.upstream].append(run)
         self._faults: dict[str, list[Fault]] = defaultdict(list)
         for fault in faults:
             self._faults[fault.target].append(fault)
--- a/greengagemux_standins/stopsoaks.py
+++ b/greengagemux_standins/stopsoaks.py
@@ -37,10 +37,15 @@
 READY_LIMIT_S: Final = 20
 #: Time between the first stops of two groups of series.
 GROUP_S: Final = 9
+#: Time after a restore of the store until its newest configuration must be in
+#: force: 3 s until daemons count as in touch, and 1 s of margin.
+IN_FORCE_S: Final = 4
 #: Time after the last stop until the load ends.
 SETTLE_S: Final = 3
 
 _SERIES: Final = 3
+_LOST_CHANGES: Final = 2
+_RESTORES: Final = 2
 _MEDIAN_SERVICE_S: Final = 0.15
 _SIGMA: Final = 0.8
 _BROKEN_OFF_SHARE: Final = 0.005
@@ -60,6 +65,26 @@
     length_s: float
 
 
+class Restore(NamedTuple):
+    """An outage of the store that loses what it got in ``lost_s``.
+
+    ``copied_s`` is the time from the end of the one before to the copy.
+    """
+
+    copied_s: float
+    lost_s: float
+    down_s: float
+
+
+def plan_restores(seed: int) -> list[Restore]:
+    """Return the restores of a run."""
+    rng = random.Random(f'{seed} restores')
+    return [
+        Restore(rng.uniform(0, 1), rng.uniform(0.5, 2), rng.uniform(0.1, 1))
+        for _ in range(_RESTORES)
+    ]
+
+
 def plan_steps(
     seed: int, daemons: Sequence[str], groups: int, rough_share: float
 ) -> list[Step]:
@@ -93,6 +118,7 @@
     steps: Sequence[Step]
     callers: list[Caller]
     planned: Sequence[Statement] = ()
+    restores: Sequence[Restore] = ()
     faults: list[Fault] = field(default_factory=list)
     statements: list[Statement] = field(default_factory=list)
     waits: list[Wait] = field(default_factory=list)
@@ -100,6 +126,8 @@
         default_factory=lambda: defaultdict(list)
     )
     _disturbed: set[str] = field(default_factory=set)
+    #: Whether changes after a restore of the store must come into force.
+    _restored: bool = False
 
     async def run(self) -> None:
         """Send load and carry out the plan."""
@@ -111,6 +139,7 @@
             (
                 *map(self._carry_out, self.steps),
                 *map(self._state, self.planned),
+                self._restore_store(),
             )
         )
         await pause(self.network, SETTLE_S)
@@ -151,13 +180,47 @@
         stated = await carry_out(self.network, upstream, planned)
         self.statements.append(stated)
 
+    async def _restore_store(self) -> None:
+        """Bring the store back from copies, and change the configuration.
+
+        The changes follow before the daemons have read the store again, and no
+        others until they must be in force.
+        """
+        for planned in self.restores:
+            await pause(self.network, planned.copied_s)  # noqa: WPS476
+            copied = self.fleet.store.copy()
+            for _ in range(_LOST_CHANGES):
+                self.fleet.change()
+            await pause(self.network, planned.lost_s)  # noqa: WPS476
+            self.fleet.store.up = False
+            await pause(self.network, planned.down_s)  # noqa: WPS476
+            self._restored = True
+            self.fleet.restore(copied)
+            self.fleet.store.up = True
+            await self._check_restore()  # noqa: WPS476
+            self._restored = False
+
+    async def _check_restore(self) -> None:
+        """Check each daemon that was in touch with the store all the while."""
+        calm = set(self.fleet.upstreams) - self._disturbed
+        since_s = self.network.seconds()
+        await pause(self.network, IN_FORCE_S)
+        calm -= self._disturbed
+        calm -= {each.target for each in self.faults if each.until_s > since_s}
+        await _together(map(self._check_version, calm))
+
+    async def _check_version(self, daemon: str) -> None:
+        if not await self.fleet.serves_newest(daemon):
+            self.broken['old-configuration'].append(daemon)
+
     async def _carry_out(self, step: Step) -> None:
         await pause(self.network, step.at_s)
         if step.daemon in self._disturbed:
             return
         self._disturbed.add(step.daemon)
         since_s = self.network.seconds()
-        self.fleet.change()
+        if not self._restored:
+            self.fleet.change()
         if step.kind == PAUSE:
             self.fleet.processes.pause(step.daemon)
             await pause(self.network, step.length_s)
@@ -380,12 +443,17 @@
         for place in range(options['callers'])
     ]
     steps = plan_steps(seed, daemons, options['groups'], options['rough_share'])
-    planned = plan_statements(
+    length_s = steps[-1].at_s + SETTLE_S
+    names = [upstream.upstream for upstream in fleet.upstreams.values()]
+    return StopSoak(
+        fleet,
+        network,
         seed,
-        [upstream.upstream for upstream in fleet.upstreams.values()],
-        steps[-1].at_s + SETTLE_S,
+        steps,
+        callers,
+        plan_statements(seed, names, length_s),
+        plan_restores(seed),
     )
-    return StopSoak(fleet, network, seed, steps, callers, planned)
 
 
 def _write(run_dir: Path, soak: StopSoak, report: str) -> None:
--- a/tests/test_stopsoaks.py
+++ b/tests/test_stopsoaks.py
@@ -11,7 +11,7 @@
 from greengagemux_standins.soakfaults import Fault
 from greengagemux_standins.stopcallers import Call, End
 from greengagemux_standins.stopchecks import KILL, STOP, Judge, Wait
-from greengagemux_standins.stopsoaks import plan_steps
+from greengagemux_standins.stopsoaks import plan_restores, plan_steps
 
 CI_SEED = 1
 SOAK_LIMIT_S = 60
@@ -107,6 +107,15 @@
     assert len(first) == 12
 
 
+def test_restores_follow_from_the_seed() -> None:
+    """A restore that loses nothing shows nothing."""
+    planned = plan_restores(1)
+    assert planned == plan_restores(1)
+    assert planned != plan_restores(2)
+    assert len(planned) == 2
+    assert all(each.lost_s and each.down_s for each in planned)
+
+
 def test_requests_survive_restarts_that_overlap(tmp_path: Path) -> None:
     """A request that ran must be answered when its daemons are stopped."""
     command = ['-m', 'greengagemux_standins', 'stop-soak']
