Don't keep the limit of an upstream that is gone

A load that arrives after its upstream was dropped put the upstream back among the limited ones, without a candidate: placing a request would then have failed with a KeyError, and the entry stayed for good.

--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -157,7 +157,9 @@
         if load.leaving_boot is not None:
             self._remember_leaving(candidate.upstream, load.leaving_boot)
             self._drain_if_leaving(candidate)
-        self.limited.report(candidate, load, now, refused=limit_refused)
+        view = self.view(candidate.service)
+        if candidate.upstream in view.candidates:
+            self.limited.report(candidate, load, now, refused=limit_refused)
         if self.separate_health and load.state is not candidate.state:
             self._set_health(candidate, load.state, candidate.severity)
         candidate.state_updated_at = now
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -367,3 +367,21 @@
         peer_address='127.0.0.1:1',
         upstreams=(upstream,),
     )
+
+
+def test_late_load_of_a_dropped_upstream_is_no_candidate() -> None:
+    """An answer may arrive after its upstream is gone.
+
+    Its limit must not stay among those from which a request is placed.
+    """
+    own = _member('a', 'centre-a')
+    candidates = Candidates(own, Paths(Outbox(), Random(1)), Random(1))
+    candidates.members_changed({own.daemon: own}, [own.daemon], ZERO)
+    service = ServiceName('s')
+    known = candidates.view(service).candidates[UpstreamId('u')]
+    load = Load(0, 0, 2, 10, known.state, rate_limit_per_s=1, limit_wait_ms=900)
+    candidates.report(known, load, ZERO)
+    assert candidates.limited.closed(service, ZERO, every=True)
+    candidates.members_changed({}, [own.daemon], ZERO)
+    candidates.report(known, load, ZERO)
+    assert not candidates.limited.closed(service, ZERO, every=True)
