Let a restarted egress resume a limit without a burst

Each new process of an egress that learns a limit from a dispatch began with a second's worth of requests saved up; restarts in series exceeded the limit.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -210,9 +210,10 @@
             reason = Reason.draining if draining else Reason.sick
             self._refuse(origin, stream, reason, upstream)
             return
-        if not upstream.heard and message.rate_limit_per_s is not None:
-            # This process has started while the limit was in force.
-            upstream.limit_rate(message.rate_limit_per_s, now)
+        limit_per_s = message.rate_limit_per_s
+        unknown = not upstream.heard and upstream.rate_limit is None
+        if unknown and limit_per_s is not None:
+            upstream.resume_limit(limit_per_s, now)
         job = new_job(origin, stream, message, now)
         poison_status = self._poison_requests.check(job.fingerprint, now)
         if poison_status is PoisonStatus.blocked:
--- a/greengagemux/ratelimits.py
+++ b/greengagemux/ratelimits.py
@@ -38,6 +38,14 @@
         self.limit_per_s = limit_per_s
         self._tokens = min(self._tokens, self._capacity)
 
+    def resume(self, now: timedelta) -> None:
+        """Keep at most one request saved up.
+
+        What an earlier process of the egress has sent is unknown.
+        """
+        self._earn(now)
+        self._tokens = min(self._tokens, 1)
+
     def admits(self, now: timedelta) -> bool:
         """Return whether the upstream takes a request now."""
         self._earn(now)
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -114,6 +114,23 @@
     assert _excess(upstream, 1, since) <= 0
 
 
+def test_restarts_in_series_save_up_nothing() -> None:
+    """Each new process must not send a burst of its own."""
+    fleet = started(4, data_centres=1)
+    upstream = _limited(fleet, 'd2', 10)
+    for each in fleet.upstreams:
+        each.service_ms = 20
+    _ask(fleet, STABLE_MS / 1000, 400)
+    since = fleet.now
+    asked_by = ('d0', 'd1', 'd3')
+    for _ in range(6):
+        fleet.kill('d2')
+        _ask(fleet, 0.1, 400, names=asked_by)
+        fleet.nodes['d2'].start()
+        _ask(fleet, 0.8, 400, names=asked_by)
+    assert _excess(upstream, 10, since) <= 0
+
+
 def test_hedges_and_retries_count() -> None:
     """Repeats of reads must not exceed the limit."""
     fleet = started(4, data_centres=1)
