Start each counter of a rate limit with one request

A process of an egress that learned the limit from a response began with a second's worth of requests saved up, and ingress daemons forgot the limit of an upstream while its egress was away, so their dispatches did not carry it.

The test now also has a limit of 1 and a longer service time.

--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -303,7 +303,7 @@
                 and candidate.upstream not in listed
             ]
             for upstream in stale:
-                self.limited.forget(view.candidates[upstream])
+                self.limited.drop(view.candidates[upstream])
                 view.drop(upstream)
                 self._queued_ahead.pop(upstream, None)
             dropped.update(stale)
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -213,7 +213,8 @@
         limit_per_s = message.rate_limit_per_s
         unknown = not upstream.heard and upstream.rate_limit is None
         if unknown and limit_per_s is not None:
-            upstream.resume_limit(limit_per_s, now)
+            # This process has started while the limit was in force.
+            upstream.limit_rate(limit_per_s, now)
         job = new_job(origin, stream, message, now)
         poison_status = self._poison_requests.check(job.fingerprint, now)
         if poison_status is PoisonStatus.blocked:
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -168,11 +168,6 @@
         else:
             self.rate_limit.change(limit_per_s, now)
 
-    def resume_limit(self, limit_per_s: float, now: timedelta) -> None:
-        """Set a limit that was in force before this process started."""
-        self.rate_limit = RateLimit(limit_per_s, len(self.running), now)
-        self.rate_limit.resume(now)
-
     def takes_request(self, now: timedelta) -> bool:
         """Return whether its rate limit allows a request now."""
         return self.rate_limit is None or self.rate_limit.admits(now)
--- a/greengagemux/limitedupstreams.py
+++ b/greengagemux/limitedupstreams.py
@@ -31,6 +31,8 @@
 #: Callers that were rejected together come back over this multiple of the wait.
 RETRY_SPREAD: Final = 1.5
 MIN_RETRY_AFTER_MS: Final = 50
+#: Limits of dropped upstreams that are kept; the oldest are forgotten first.
+DROPPED_LIMIT: Final = 1000
 
 
 @dataclass(slots=True)
@@ -57,13 +59,16 @@
         """Start with no upstream limited."""
         self._rng = rng
         self._services: dict[ServiceName, dict[UpstreamId, _Limited]] = {}
+        #: Limits of upstreams that are no candidates at present.
+        self._dropped: dict[UpstreamId, float] = {}
 
     def report(
         self, candidate: Candidate, load: Load, now: timedelta, *, refused: bool
     ) -> None:
         """Apply the limit that came with an answer or a refusal."""
+        self._dropped.pop(candidate.upstream, None)
         if load.rate_limit_per_s is None:
-            self.forget(candidate)
+            self._remove(candidate)
             return
         service = self._services.setdefault(candidate.service, {})
         limited = service.get(candidate.upstream)
@@ -91,17 +96,24 @@
             due = now + limited.interval
             limited.opens_at = max(limited.opens_at, due)
 
-    def forget(self, candidate: Candidate) -> None:
-        """Remove an upstream that names no limit or has left."""
-        service = self._services.get(candidate.service, {})
-        service.pop(candidate.upstream, None)
-        if not service:
-            self._services.pop(candidate.service, None)
+    def drop(self, candidate: Candidate) -> None:
+        """Note that an upstream is no candidate any more.
+
+        Its limit is kept: it may only seem gone because its egress restarts.
+        """
+        limited = self._remove(candidate)
+        if limited is None:
+            return
+        self._dropped[candidate.upstream] = limited.limit_per_s
+        if len(self._dropped) > DROPPED_LIMIT:
+            self._dropped.pop(next(iter(self._dropped)))
 
     def limit_per_s(self, candidate: Candidate) -> float | None:
-        """Return the limit that an upstream names, None without one."""
+        """Return the limit that an upstream named last, None without one."""
         limited = self._find(candidate)
-        return limited.limit_per_s if limited else None
+        if limited is None:
+            return self._dropped.get(candidate.upstream)
+        return limited.limit_per_s
 
     def wait_ms(self, candidate: Candidate, now: timedelta) -> float:
         """Return the time in ms until an upstream takes a new request."""
@@ -151,6 +163,13 @@
         soonest_ms = max(min(waits, default=0), MIN_RETRY_AFTER_MS)
         return int(soonest_ms * self._rng.uniform(1, RETRY_SPREAD))
 
+    def _remove(self, candidate: Candidate) -> _Limited | None:
+        service = self._services.get(candidate.service, {})
+        limited = service.pop(candidate.upstream, None)
+        if not service:
+            self._services.pop(candidate.service, None)
+        return limited
+
     def _find(self, candidate: Candidate) -> _Limited | None:
         service = self._services.get(candidate.service, {})
         return service.get(candidate.upstream)
--- a/greengagemux/ratelimits.py
+++ b/greengagemux/ratelimits.py
@@ -27,9 +27,13 @@
     """
 
     def __init__(self, limit_per_s: float, spent: int, now: timedelta) -> None:
-        """Start full, less the ``spent`` requests that are under way."""
+        """Start with one request, less the ``spent`` ones that are under way.
+
+        What was sent before is unknown, also to a process that has just
+        started, so nothing is saved up yet.
+        """
         self.limit_per_s = limit_per_s
-        self._tokens = self._capacity - spent
+        self._tokens = float(1 - spent)
         self._counted_at = now
 
     def change(self, limit_per_s: float, now: timedelta) -> None:
@@ -38,14 +42,6 @@
         self.limit_per_s = limit_per_s
         self._tokens = min(self._tokens, self._capacity)
 
-    def resume(self, now: timedelta) -> None:
-        """Keep at most one request saved up.
-
-        What an earlier process of the egress has sent is unknown.
-        """
-        self._earn(now)
-        self._tokens = min(self._tokens, 1)
-
     def admits(self, now: timedelta) -> bool:
         """Return whether the upstream takes a request now."""
         self._earn(now)
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -114,12 +114,16 @@
     assert _excess(upstream, 1, since) <= 0
 
 
-def test_restarts_in_series_save_up_nothing() -> None:
+@pytest.mark.parametrize('limit_per_s', [1, 10])
+@pytest.mark.parametrize('service_ms', [20, 200])
+def test_restarts_in_series_save_up_nothing(
+    limit_per_s: float, service_ms: float
+) -> None:
     """Each new process must not send a burst of its own."""
     fleet = started(4, data_centres=1)
-    upstream = _limited(fleet, 'd2', 10)
+    upstream = _limited(fleet, 'd2', limit_per_s)
     for each in fleet.upstreams:
-        each.service_ms = 20
+        each.service_ms = service_ms
     _ask(fleet, STABLE_MS / 1000, 400)
     since = fleet.now
     asked_by = ('d0', 'd1', 'd3')
@@ -128,7 +132,7 @@
         _ask(fleet, 0.1, 400, names=asked_by)
         fleet.nodes['d2'].start()
         _ask(fleet, 0.8, 400, names=asked_by)
-    assert _excess(upstream, 10, since) <= 0
+    assert _excess(upstream, limit_per_s, since) <= 0
 
 
 def test_hedges_and_retries_count() -> None:
