--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -15,9 +15,11 @@
     Probed,
     UpstreamAnswered,
     UpstreamFailed,
+    UpstreamStated,
 )
 from greengagemux.ids import CallId, UpstreamId
 from greengagemux.messages import Headers
+from greengagemux.platform.exchanges import PlatformCalls
 
 _OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _LIMIT = 1000
@@ -351,3 +353,29 @@
     connection.send(_OK.replace(b'OK\r\n', b'OK\r\nKeep-Alive: timeout=1\r\n'))
     upstream.ended()
     run_reactor_until(lambda: _is_closed(connection))
+
+
+@pytest.mark.parametrize(
+    ('wire', 'fault'),
+    [
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n%s\r\nok', 'truncated'),
+        (b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n%s\r\n', 'shed'),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%s\r\nok', 'malformed'),
+    ],
+)
+def test_statement_in_a_failed_response_counts(
+    upstream: _Upstream, wire: bytes, fault: str
+) -> None:
+    """A departure or a limit must not be lost with a response that fails."""
+    upstream.calls = PlatformCalls(reactor, upstream.events.append)
+    upstream.call()
+    connection = upstream.accept()
+    upstream.read(connection)
+    stated = b'Server-Leaving: 1\r\nServer-Limit: 1.5\r\n'
+    connection.sendall(wire % stated)
+    connection.close()
+    run_reactor_until(lambda: len(upstream.events) == 2)
+    statement, failed = upstream.events
+    assert statement == UpstreamStated(UpstreamId(''), 1.5, leaving=True)
+    assert isinstance(failed, UpstreamFailed)
+    assert failed.fault is CallFault(fault)
