--- a/greengagemux/ratelimits.py
+++ b/greengagemux/ratelimits.py
@@ -17,6 +17,7 @@
 #: Queued requests start at ticks, so later than the limit allows.
 START_MARGIN: Final = timedelta(milliseconds=150)
 
+#: One token, less the rounding errors of earned fractions.
 _ONE: Final = 1 - 1e-9
 
 
