Log the fingerprints of requests and what becomes of a suspected crash

Dispatches and ended calls name the fingerprint and the fault; crash-suspected, crash-unconfirmed, suspects-learned and request-blocked are new. No decision is changed. tests/test_episodes.py, test_poisonrequests.py and test_fleet.py pass.

--- a/greengagemux/crashes.py
+++ b/greengagemux/crashes.py
@@ -8,6 +8,7 @@
 from .poisonrequests import PoisonRequests
 from .effects import Outbox, Record, Send
 from .ids import DaemonId, Region, ServiceName, StreamId
+from .jobs import Job, PossibleCrash, Upstream
 from .messages import MemberRecord, Suspects
 from .paths import Paths
 
@@ -101,6 +102,7 @@
         """Merge the report of a peer and forward what was new."""
         changed = self.poison_requests.merge(message, now)
         if changed.entries:
+            self._record_learned(changed, now)
             self._gossip(changed)
 
     def connected(self, stream: StreamId, now: timedelta) -> None:
@@ -109,6 +111,15 @@
         if known.entries:
             self._outbox.emit(Send(stream, known))
 
+    def _record_learned(self, changed: Suspects, now: timedelta) -> None:
+        known = {
+            f'{entry.fingerprint:016x}': self.poison_requests.check(
+                entry.fingerprint, now
+            ).value
+            for entry in changed.entries
+        }
+        self._outbox.emit(Record('suspects-learned', {'requests': known}))
+
     def _gossip(self, report: Suspects) -> None:
         peers = [
             daemon for daemon in self._peers if self._paths.connected(daemon)
@@ -116,3 +127,23 @@
         count = min(GOSSIP_PEERS, len(peers))
         for daemon in self._rng.sample(peers, count):
             self._paths.send(daemon, report)
+
+
+def crash_record(name: str, upstream: Upstream, crash: PossibleCrash) -> Record:
+    """Return the log record of a suspected crash."""
+    fields = {
+        'upstream': upstream.upstream,
+        'in_flight': [f'{each:016x}' for each in crash.fingerprints],
+    }
+    return Record(name, fields)
+
+
+def blocked_record(job: Job) -> Record:
+    """Return the log record of a request that is refused as blocked."""
+    fields = {
+        'request': job.identity.decode(),
+        'tag': job.dispatch.tag,
+        'upstream': job.dispatch.upstream,
+        'fingerprint': f'{job.fingerprint:016x}',
+    }
+    return Record('request-blocked', fields, detail=True)
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -15,7 +15,12 @@
 from .answers import RECORD_MARGIN, WRITE_GRACE, FinishedJobs, Origin
 from .clocks import ZERO, in_ms, ms
 from .poisonrequests import PoisonStatus, fingerprint
-from .crashes import CRASH_WINDOW, CrashReports
+from .crashes import (
+    CRASH_WINDOW,
+    CrashReports,
+    blocked_record,
+    crash_record,
+)
 from .detectors import Sample, SampleKind
 from .effects import (
     AbortCall,
@@ -233,6 +238,7 @@
         )
         poison_status = self._poison_requests.check(job.fingerprint, now)
         if poison_status is PoisonStatus.blocked:
+            self._outbox.emit(blocked_record(job))
             self._refuse(origin, stream, Reason.crashes_upstreams, upstream)
             return
         job.isolated = poison_status is PoisonStatus.suspect
@@ -362,8 +368,7 @@
         self._poison_requests.finished(job.fingerprint, answered=False, now=now)
         kind = _FAULT_SAMPLES.get(event.fault)
         if kind is not None:
-            shed = event.fault is CallFault.shed
-            self._observe(job, kind, now, shed=shed)
+            self._observe(job, kind, now, fault=event.fault)
         if event.fault is CallFault.refused:
             self._report_crash(upstream, now)
             self.local_upstreams.apply(
@@ -430,8 +435,9 @@
         kind: SampleKind,
         now: timedelta,
         *,
-        shed: bool = False,
+        fault: CallFault | None = None,
     ) -> None:
+        shed = fault is CallFault.shed
         self._outbox.emit(
             Record(
                 'call-ended',
@@ -440,6 +446,8 @@
                     'tag': job.dispatch.tag,
                     'upstream': job.dispatch.upstream,
                     'kind': kind.value,
+                    'fault': fault.value if fault else '',
+                    'fingerprint': f'{job.fingerprint:016x}',
                     'service_ms': in_ms(now - job.started),
                 },
                 detail=True,
@@ -582,6 +590,8 @@
                     'running': len(upstream.running),
                     'limit_per_s': upstream.rate_limit_per_s,
                     'retry': message.retry,
+                    'fingerprint': f'{job.fingerprint:016x}',
+                    'isolated': job.isolated,
                     'waited_ms': in_ms(now - job.arrived),
                     'left_ms': remaining_ms,
                 },
@@ -646,6 +656,7 @@
         upstream.isolation_queue.popleft()
         poison_status = self._poison_requests.check(job.fingerprint, now)
         if poison_status is PoisonStatus.blocked:
+            self._outbox.emit(blocked_record(job))
             self._end(job, not_run_refusal(job, Reason.crashes_upstreams), now)
             self._start_queued(upstream, now)
         else:
@@ -667,6 +678,9 @@
             tuple(each.stream for each in affected),
             now + CRASH_CONFIRMATION_WINDOW,
         )
+        self._outbox.emit(
+            crash_record('crash-suspected', upstream, upstream.possible_crash)
+        )
         if not self.local_upstreams.separate_health:
             self._report_crash(upstream, now)
 
@@ -674,7 +688,12 @@
         """Report the requests that were in flight when an upstream crashed."""
         crash = upstream.possible_crash
         upstream.possible_crash = None
-        if crash is None or now >= crash.until:
+        if crash is None:
+            return
+        if now >= crash.until:
+            self._outbox.emit(
+                crash_record('crash-unconfirmed', upstream, crash)
+            )
             return
         self._crashes.crashed(
             upstream.service, crash.fingerprints, crash.streams, now
