--- a/greengagemux_standins/platformfleets.py
+++ b/greengagemux_standins/platformfleets.py
@@ -1,7 +1,7 @@
 """Daemons of ``greengagemux.platform`` as processes, and their store."""
 
 import json
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any, Final
@@ -25,7 +25,9 @@
 READ_PREFIX: Final = '/list/'
 WRITE_PREFIX: Final = '/post/'
 
-_ZONES: Final = ('a', 'b')
+#: Data centres and their regions.
+_ZONES: Final = (('a', 'r'), ('b', 'r'))
+TWO_REGIONS: Final = (('a', 'r'), ('b', 's'))
 
 
 def version_prefix(version: int) -> str:
@@ -72,14 +74,19 @@
 
 
 def settings_text(
-    name: str, zone: str, ports: Mapping[str, int], upstream: str, store: str
+    name: str,
+    zone: str,
+    ports: Mapping[str, int],
+    upstream: str,
+    store: str,
+    region: str = 'r',
 ) -> str:
     """Return the settings of a daemon; ``upstream`` and ``store`` listen."""
     admin = ports['admin']
     lines = [
         f'node_name={name}',
         f'zone={zone}',
-        'region=r',
+        f'region={region}',
         'service=orders',
         f'ip={LOOPBACK}',
         f'port_range={admin},{admin}',
@@ -94,7 +101,7 @@
 
 
 class PlatformFleet:
-    """Daemons in two zones, each beside one upstream of this process."""
+    """Daemons in some data centres, each beside one upstream of this process."""
 
     def __init__(
         self,
@@ -103,8 +110,13 @@
         run_dir: Path,
         base_port: int,
         upstreams: Iterable[PlatformUpstream],
+        zones: Sequence[tuple[str, str]] = _ZONES,
     ) -> None:
-        """Prepare; nothing listens yet."""
+        """Prepare; nothing listens yet.
+
+        ``zones`` are the data centres with their regions, taken in turn.
+        """
+        self._zones = zones
         self.processes = processes
         self.store = configured_store()
         self.upstreams = {f'd{each.upstream}': each for each in upstreams}
@@ -124,12 +136,9 @@
         store = f'{LOOPBACK}:{self._store_port.getHost().port}'
         for place, (name, upstream) in enumerate(self.upstreams.items()):
             upstream.start()
+            zone, region = self._zones[place % len(self._zones)]
             text = settings_text(
-                name,
-                _ZONES[place % len(_ZONES)],
-                self.ports(name),
-                upstream.address,
-                store,
+                name, zone, self.ports(name), upstream.address, store, region
             )
             self._settings_path(name).write_text(text)
             self.start_daemon(name)
--- a/greengagemux_standins/platformupstreams.py
+++ b/greengagemux_standins/platformupstreams.py
@@ -17,6 +17,10 @@
 #: Interval of announcements (``heartbeat_ms`` of the platform).
 ANNOUNCE_INTERVAL_S: Final = 1.5
 SLOTS: Final = 3
+#: Time from the start of a crashing request to the end of the process.
+CRASH_DELAY_S: Final = 0.05
+#: Time until a crashed process runs again, under another id.
+RESTART_DELAY_S: Final = 1.0
 
 _SEAL: Final = b'seal'
 _HEALTH_TARGET: Final = b'/healthz'
@@ -89,6 +93,10 @@
         self.rate_limit_per_s: float | None = None
         #: Whether each response states that it is leaving.
         self.leaving = False
+        #: A request whose target contains this ends the process.
+        self.crash_word = ''
+        #: Targets of the requests that have ended it.
+        self.crashed_by: list[str] = []
         self._network = network
         self._draw = draw
         self._server = servers.HttpServer(network, self._respond)
@@ -121,6 +129,18 @@
             self._announcing.stop()
         return self._server.stop()
 
+    def crash(self, target: str) -> None:
+        """End the process and start it again after a delay.
+
+        The kernel closes the connections of a process that has ended; they are
+        not reset unless they hold unread input.
+        """
+        if not self._server.listening:
+            return
+        self.crashed_by.append(target)
+        self._server.end()
+        self._network.callLater(RESTART_DELAY_S, self._start_again)
+
     def restart(self) -> None:
         """Begin a new boot under the same id."""
         self._boot += 1
@@ -145,7 +165,17 @@
             f'Content-Length: {len(body)}\r\n\r\n{body}'
         ).encode()
 
+    def _start_again(self) -> None:
+        if self._announcing is None or not self._announcing.running:
+            return
+        self._boot += 1
+        self._sequence = 0
+        self.upstream = f'{self.upstream.partition(".")[0]}.{self._boot}'
+        self._server.start()
+
     def _announce(self, pool: Pool) -> None:
+        if not self._server.listening:
+            return
         pool.ask(Exchange(self.announcement(), False, _ignore))
 
     def _state(self, request: servers.Request) -> None:
@@ -192,6 +222,9 @@
             self._network.seconds(),
         )
         self.runs.append(run)
+        if self.crash_word and self.crash_word in target:
+            self._network.callLater(CRASH_DELAY_S, self.crash, target)
+            return
         limit_s = int(headers['deadline-ms']) / _MS_PER_SECOND
         call = self._network.callLater(
             min(work.service_s, limit_s),
--- a/greengagemux_standins/servers.py
+++ b/greengagemux_standins/servers.py
@@ -200,6 +200,15 @@
         self.reset()
         return stopped
 
+    def end(self) -> None:
+        """Close the listener and all connections, as the end of a process."""
+        listener = self._listener
+        self._listener = None
+        if listener is not None:
+            listener.stopListening()
+        for channel in tuple(self._site.channels):
+            cast('Any', channel).transport.loseConnection()
+
     def silence(self) -> int:
         """Make all open connections silent and return their number."""
         for channel in self._site.channels:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -243,6 +243,24 @@
     assert not upstream.events
 
 
+@pytest.mark.known_red
+@pytest.mark.parametrize('wire', [b'', b'HTTP/1.1 200 OK\r\nContent-Le'])
+def test_connection_closed_before_the_head_ends_counts_as_reset(
+    upstream: _Upstream, wire: bytes
+) -> None:
+    """The end of an upstream process must not look like a bad response."""
+    upstream.calls = _Tagged(reactor, upstream.events.append)
+    upstream.call()
+    connection = upstream.accept()
+    upstream.read(connection)
+    connection.send(wire)
+    turn()
+    connection.close()
+    ended = upstream.ended()
+    assert isinstance(ended, UpstreamFailed)
+    assert (ended.fault, ended.sent) == (CallFault.reset, True)
+
+
 def test_probe_leaves_no_connection_behind(upstream: _Upstream) -> None:
     """A probe must close its connection, or probes would use up the limit."""
     upstream.calls.probe(ProbeUpstream(UpstreamId('u0'), upstream.address))
