Count the crashes by a request over all regions

A request that had crashed two upstreams of one region was dispatched in the other region until it had crashed two there as well: on the platform crash reports stayed within a region, to save bandwidth between regions while each reset counted as a crash.

Each report goes to two daemons of each other region, which send it to the daemons there. A stream to another region brings all that is known, and is opened for a report if there is none.

--- a/greengagemux/crashes.py
+++ b/greengagemux/crashes.py
@@ -1,6 +1,6 @@
 """Reports crashes of upstreams beside this daemon to other daemons."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from random import Random
 
@@ -14,12 +14,20 @@
 
 #: Resets of calls to one upstream within this time count as one crash.
 CRASH_WINDOW = timedelta(milliseconds=100)
-#: Random peers that get each update, besides the daemons of the service.
+#: Random peers of the region that get each update, besides the daemons beside
+#: the service.
 GOSSIP_PEERS = 3
+#: Daemons of each other region that get a report and pass it on there.
+RELAYS = 2
 
 
 class CrashReports:
-    """Sends suspects to the daemons that could run the request next."""
+    """Sends suspects to the daemons that could run the request next.
+
+    All regions count crashes together, because upstreams of any region may
+    run a request. Links between regions are paid by the byte, so a report
+    crosses each of them for a few daemons only, which pass it on.
+    """
 
     def __init__(
         self,
@@ -33,11 +41,9 @@
         self._paths = paths
         self._outbox = outbox
         self._rng = rng
-        self._peers: Collection[DaemonId] = ()
+        self._region = Region('')
+        self._members: Mapping[DaemonId, MemberRecord] = {}
         self._views: Mapping[ServiceName, UsableView] = {}
-        #: Whether reports go to other regions. Without them each region blocks
-        #: requests by its own crashes, which saves bandwidth between regions.
-        self.across_regions = True
 
     def configure(
         self,
@@ -46,11 +52,8 @@
         views: Mapping[ServiceName, UsableView],
     ) -> None:
         """Apply the current members and the daemons beside each service."""
-        self._peers = [
-            daemon
-            for daemon, record in members.items()
-            if self.across_regions or record.region == region
-        ]
+        self._region = region
+        self._members = members
         self._views = views
 
     def crashed(
@@ -80,30 +83,40 @@
         for stream in set(ingress_streams):
             if stream is not None:
                 self._outbox.emit(Send(stream, report))
-        self.send_report(service, report)
+        self.send_report(service, report, now)
 
-    def send_report(self, service: ServiceName, report: Suspects) -> None:
-        """Send a report to the daemons beside a service and to random peers."""
+    def send_report(
+        self, service: ServiceName, report: Suspects, now: timedelta
+    ) -> None:
+        """Send a report to the daemons beside a service and to other peers."""
         if not report.entries:
             return
         view = self._views.get(service)
-        recipients: set[DaemonId] = set()
         if view is not None:
-            recipients.update(
+            beside = {
                 each.daemon
                 for each in view.candidates.values()
-                if self.across_regions or each.nearness <= Nearness.same_region
-            )
-        for daemon in sorted(recipients):
-            self._paths.send(daemon, report)
+                if each.nearness <= Nearness.same_region
+            }
+            for daemon in sorted(beside):
+                self._paths.send(daemon, report)
         self._gossip(report)
+        self._send_far(report, now)
 
-    def received(self, message: Suspects, now: timedelta) -> None:
+    def received(
+        self, message: Suspects, sender: DaemonId, now: timedelta
+    ) -> None:
         """Merge the report of a peer and forward what was new."""
         changed = self.poison_requests.merge(message, now)
-        if changed.entries:
-            self._record_learned(changed, now)
+        if not changed.entries:
+            return
+        self._record_learned(changed, now)
+        record = self._members.get(sender)
+        if record is None or record.region == self._region:
             self._gossip(changed)
+            return
+        for daemon in self._connected(self._region):
+            self._paths.send(daemon, changed)
 
     def connected(self, stream: StreamId, now: timedelta) -> None:
         """Send all known suspects to a peer on a new stream."""
@@ -121,11 +134,39 @@
         self._outbox.emit(Record('suspects-learned', {'requests': known}))
 
     def _gossip(self, report: Suspects) -> None:
-        peers = [
-            daemon for daemon in self._peers if self._paths.connected(daemon)
+        self._send_some(self._connected(self._region), GOSSIP_PEERS, report)
+
+    def _send_far(self, report: Suspects, now: timedelta) -> None:
+        """Send a report to some daemons of each other region.
+
+        Without a stream to one, a stream is opened, on which ``connected``
+        sends all that is known.
+        """
+        regions = {record.region for record in self._members.values()}
+        for region in sorted(regions - {self._region}):
+            relays = self._connected(region)
+            if relays:
+                self._send_some(relays, RELAYS, report)
+                continue
+            listed = sorted(
+                daemon
+                for daemon, record in self._members.items()
+                if record.region == region
+            )
+            daemon = self._rng.choice(listed)
+            self._paths.want(daemon, self._members[daemon].peer_address, now)
+
+    def _connected(self, region: Region) -> list[DaemonId]:
+        return [
+            daemon
+            for daemon, record in self._members.items()
+            if record.region == region and self._paths.connected(daemon)
         ]
-        count = min(GOSSIP_PEERS, len(peers))
-        for daemon in self._rng.sample(peers, count):
+
+    def _send_some(
+        self, daemons: list[DaemonId], count: int, report: Suspects
+    ) -> None:
+        for daemon in self._rng.sample(daemons, min(count, len(daemons))):
             self._paths.send(daemon, report)
 
 
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -323,6 +323,7 @@
             self._poison_requests.finished(
                 job.fingerprint, answered=True, now=now
             ),
+            now,
         )
         if job.new_connection and job.silent:
             # Kept connections are probably dead: the request was silent on one
--- a/greengagemux/handlers.py
+++ b/greengagemux/handlers.py
@@ -140,7 +140,7 @@
 def _suspects(
     message: Suspects, daemon: 'Daemon', sender: Sender, now: timedelta
 ) -> None:
-    daemon.crashes.received(message, now)
+    daemon.crashes.received(message, sender.daemon, now)
 
 
 @receive.register(HealthUpdate)
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -123,7 +123,6 @@
         self.crashes = CrashReports(
             PoisonRequests(rng), self.paths, self.outbox, rng
         )
-        self.crashes.across_regions = not options.episodes
         self.egress = Egress(
             own.daemon,
             self.outbox,
@@ -360,8 +359,7 @@
         daemon.ingress.path_opened(path, now)
     daemon.send_all(daemon.members.connected(hello.daemon, now), now)
     daemon.distribution.connected(event.stream)
-    if daemon.crashes.across_regions or hello.region == daemon.own.region:
-        daemon.crashes.connected(event.stream, now)
+    daemon.crashes.connected(event.stream, now)
     daemon.keyed.connected(event.stream)
 
 
