Clear a suspect request only by a response of its run

A request that crashes upstreams was cleared, in all daemons, by any complete response, also the 500 of a gray upstream, which has not run it, the 504 of one that has not come to its end, and a response that failed its checks.

Only a response below 500 that passes the checks clears it. test_only_a_response_of_its_run_clears_a_suspect failed before for 500 and 504.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -314,10 +314,14 @@
         upstream = self.upstreams[job.dispatch.upstream]
         service_ms = in_ms(now - job.started)
         self._release(job, upstream)
+        fault = response_fault(event, job)
         self._crashes.send_report(
             upstream.service,
             self._poison_requests.finished(
-                job.fingerprint, answered=True, now=now
+                job.fingerprint,
+                # A gray upstream fails requests that it has not run.
+                answered=not fault and event.status < _HTTP_ERROR,
+                now=now,
             ),
             now,
         )
@@ -325,7 +329,6 @@
             # Kept connections are probably dead: the request was silent on one
             # of them, and a new one worked.
             self._outbox.emit(DropConnections(upstream.address))
-        fault = response_fault(event, job)
         if fault:
             self._observe(job, SampleKind.wrong, now)
             self._end(
--- a/greengagemux/poisonrequests.py
+++ b/greengagemux/poisonrequests.py
@@ -127,7 +127,8 @@
     ) -> Suspects:
         """Record the end of a request and return the update for peers.
 
-        A complete response clears it of all crashes known here.
+        ``answered`` means that it ran to its end, which clears it of all
+        crashes known here.
         """
         still_running = self._running.get(subject, 0) - 1
         self._running.pop(subject, None)
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -14,7 +14,11 @@
 from greengagemux.answers import Origin
 from greengagemux.bundles import Service
 from greengagemux.clocks import ZERO, ms
-from greengagemux.poisonrequests import PoisonRequests
+from greengagemux.poisonrequests import (
+    PoisonRequests,
+    PoisonStatus,
+    fingerprint,
+)
 from greengagemux.crashchecks import HOLD_LIMIT
 from greengagemux.crashes import CrashReports
 from greengagemux.detectors import Sample, SampleKind
@@ -333,6 +337,19 @@
     assert refusal.outcome is Outcome.unknown
 
 
+@pytest.mark.parametrize('status', [500, 504, 200])
+def test_only_a_response_of_its_run_clears_a_suspect(status: int) -> None:
+    """A gray upstream answers 500 without a run, and 504 during one."""
+    harness = _EgressHarness()
+    subject = fingerprint(b'GET', b'/r', b'')
+    harness.poison_requests.crashed([subject], ZERO)
+    harness.dispatch(1)
+    call = harness.calls()[0].call
+    harness.egress.answered(UpstreamAnswered(call, status, (), b''), ms(9))
+    cleared = harness.poison_requests.check(subject, ms(9))
+    assert (cleared is PoisonStatus.clear) == (status == 200)
+
+
 def test_one_crash_counts_once() -> None:
     """Resets that are read after the check must not count as a second crash."""
     harness = _EgressHarness(slots=2)
