Tell requests that crash upstreams apart by caller and host

The fingerprint of a request covered method, path and body. A request of another account or virtual host with the same three was refused with it, and cleared it by its own response, so that it was dispatched again.

The fingerprint covers host and caller account, too. test_same_request_of_another_caller_or_host_is_not_blocked failed before.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -14,7 +14,7 @@
 
 from .answers import RECORD_MARGIN, WRITE_GRACE, FinishedJobs, Origin
 from .clocks import ZERO, in_ms, ms
-from .poisonrequests import PoisonStatus, fingerprint
+from .poisonrequests import PoisonStatus, dispatch_fingerprint
 from .crashchecks import CrashChecks
 from .crashes import CrashReports, blocked_record
 from .detectors import Sample, SampleKind
@@ -242,7 +242,7 @@
 
     def suspects_for(self, message: Dispatch, now: timedelta) -> Suspects:
         """Return the crashes known of a request that another daemon runs."""
-        subject = fingerprint(message.method, message.target, message.body)
+        subject = dispatch_fingerprint(message)
         return self._poison_requests.suspects_for(subject, now)
 
     def accepts(self, origin: Origin, stream: StreamId | None) -> bool:
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -8,7 +8,7 @@
 from .admissions import Queue
 from .answers import Origin
 from .clocks import ZERO, in_ms, ms
-from .poisonrequests import fingerprint
+from .poisonrequests import dispatch_fingerprint
 from .events import (
     UpstreamAnswered,
 )
@@ -247,7 +247,7 @@
         deadline=now + ms(message.remaining_ms),
         priority=message.priority,
         size_bytes=len(message.body) + len(message.target),
-        fingerprint=fingerprint(message.method, message.target, message.body),
+        fingerprint=dispatch_fingerprint(message),
         account=account,
         team=team if fair else '',
         cost_ms=message.expected_ms or usual_ms,
--- a/greengagemux/poisonrequests.py
+++ b/greengagemux/poisonrequests.py
@@ -15,7 +15,7 @@
 import xxhash
 
 from .clocks import MILLISECOND, ZERO, ms
-from .messages import Suspect, Suspects
+from .messages import Dispatch, Suspect, Suspects
 
 #: Time after its newest crash for which a request stays suspect or blocked.
 LIFETIME = timedelta(minutes=10)
@@ -69,15 +69,26 @@
         )
 
 
-def fingerprint(method: bytes, target: bytes, body: bytes) -> int:
+def fingerprint(*parts: bytes) -> int:
     """Return the xxh3-64 of a request; length prefixes delimit its parts."""
     digest = xxhash.xxh3_64()
-    for part in (method, target, body):
+    for part in parts:
         digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
         digest.update(part)
     return int(digest.intdigest())
 
 
+def dispatch_fingerprint(message: Dispatch) -> int:
+    """Return the fingerprint of a request: what it asks, where, and who."""
+    return fingerprint(
+        message.method,
+        message.host,
+        message.target,
+        message.body,
+        message.caller.encode(),
+    )
+
+
 class PoisonRequests:
     """Suspect, blocked and cleared requests known to one daemon."""
 
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -6,6 +6,7 @@
 
 from datetime import timedelta
 from random import Random
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -15,9 +16,9 @@
 from greengagemux.bundles import Service
 from greengagemux.clocks import ZERO, ms
 from greengagemux.poisonrequests import (
+    CRASHES_TO_BLOCK,
     PoisonRequests,
     PoisonStatus,
-    fingerprint,
 )
 from greengagemux.crashchecks import HOLD_LIMIT
 from greengagemux.crashes import CrashReports
@@ -49,16 +50,16 @@
 from greengagemux.egress import Egress
 from greengagemux.messages import (
     Dispatch,
-    Message,
     Priority,
     Refusal,
     UpstreamState,
 )
-from greengagemux.outcomes import Failure, Outcome, Step
+from greengagemux.outcomes import Failure, Outcome, Reason, Step
 from greengagemux.paths import Paths
 
 UPSTREAM = UpstreamId('u')
 SERVICE = ServiceName('s')
+CALLER = CallerName('c')
 GOOD = Sample(SampleKind.success, RouteName('r'), 50)
 BAD = Sample(SampleKind.error, RouteName('r'), 1)
 SHED = Sample(SampleKind.error, RouteName('r'), 1, shed=True)
@@ -237,8 +238,19 @@
         )
         self.egress.announce(event, ZERO)
 
+    @property
+    def running_fingerprint(self) -> int:
+        """Fingerprint of the request that runs."""
+        running = self.egress.upstreams[UPSTREAM].running
+        return next(iter(running.values())).fingerprint
+
     def dispatch(
-        self, number: int, priority: Priority = Priority.waiting
+        self,
+        number: int,
+        priority: Priority = Priority.waiting,
+        *,
+        caller: CallerName = CALLER,
+        host: bytes = b'',
     ) -> None:
         """Dispatch a read to the upstream."""
         message = Dispatch(
@@ -253,8 +265,9 @@
             remaining_ms=1000,
             answer_limit_bytes=100,
             priority=priority,
-            caller=CallerName('c'),
+            caller=caller,
             idempotent=True,
+            host=host,
         )
         origin = Origin(DaemonId('d'), Incarnation(1), RequestId(number))
         self.egress.dispatch(origin, None, message, ZERO)
@@ -281,7 +294,7 @@
     assert len(harness.poison_requests) == 1
 
 
-def _replies(harness: _EgressHarness) -> list[Message]:
+def _replies(harness: _EgressHarness) -> list[Any]:
     replies = list(harness.egress.local_replies)
     harness.egress.local_replies.clear()
     return replies
@@ -337,13 +350,29 @@
     assert refusal.outcome is Outcome.unknown
 
 
+def test_same_request_of_another_caller_or_host_is_not_blocked() -> None:
+    """A request is the same only if its caller and host are the same, too."""
+    harness = _EgressHarness(slots=4)
+    harness.dispatch(1)
+    subject = harness.running_fingerprint
+    for _ in range(CRASHES_TO_BLOCK):
+        harness.poison_requests.crashed([subject], ZERO)
+    assert harness.calls()
+    harness.dispatch(2, caller=CallerName('other'))
+    harness.dispatch(3, host=b'other')
+    assert not _replies(harness)
+    harness.dispatch(4)
+    reasons = [each.reason for each in _replies(harness)]
+    assert reasons == [Reason.crashes_upstreams]
+
+
 @pytest.mark.parametrize('status', [500, 504, 200])
 def test_only_a_response_of_its_run_clears_a_suspect(status: int) -> None:
     """A gray upstream answers 500 without a run, and 504 during one."""
     harness = _EgressHarness()
-    subject = fingerprint(b'GET', b'/r', b'')
-    harness.poison_requests.crashed([subject], ZERO)
     harness.dispatch(1)
+    subject = harness.running_fingerprint
+    harness.poison_requests.crashed([subject], ZERO)
     call = harness.calls()[0].call
     harness.egress.answered(UpstreamAnswered(call, status, (), b''), ms(9))
     cleared = harness.poison_requests.check(subject, ms(9))
