Check queued requests for crashes before they start

A copy of a crashing request that was queued before the crash was reported ran beside other requests, whatever was known by then. A blocked one that waited to run alone kept its upstream from other work until that was idle.

Requests from the queue are checked when their turn comes: a suspect waits to run alone, a blocked one is refused; blocked ones leave the isolation queue first. test_copy_in_the_queue_learns_of_a_crash failed before in both cases.

--- a/greengagemux/crashchecks.py
+++ b/greengagemux/crashchecks.py
@@ -11,11 +11,12 @@
 from datetime import timedelta
 
 from .clocks import ms
-from .crashes import CrashReports, crash_record
+from .crashes import CrashReports, blocked_record, crash_record
 from .effects import CheckListening, Outbox
 from .ids import CallId
 from .jobs import Job, PossibleCrash, Upstream
 from .messages import UpstreamState
+from .poisonrequests import PoisonStatus
 
 #: Resets within this time after a check count as those of the same fault.
 CRASH_WINDOW = timedelta(milliseconds=100)
@@ -77,3 +78,31 @@
         self.reports.crashed(
             upstream.service, crash.fingerprints, crash.streams, now
         )
+
+    def isolate(self, upstream: Upstream, job: Job, now: timedelta) -> bool:
+        """Queue a suspect for isolation; return whether it is one.
+
+        The crash may have been reported after the request was queued.
+        """
+        status = self.reports.poison_requests.check(job.fingerprint, now)
+        if status is PoisonStatus.clear:
+            return False
+        job.isolated = True
+        upstream.isolation_queue.append(job)
+        return True
+
+    def take_blocked(self, upstream: Upstream, now: timedelta) -> list[Job]:
+        """Remove the blocked requests from the isolation queue.
+
+        They must not keep other requests waiting.
+        """
+        blocked = [
+            job
+            for job in upstream.isolation_queue
+            if self.reports.poison_requests.check(job.fingerprint, now)
+            is PoisonStatus.blocked
+        ]
+        for job in blocked:
+            upstream.isolation_queue.remove(job)
+            self.outbox.emit(blocked_record(job))
+        return blocked
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -652,6 +652,9 @@
             if not self._health_admits(upstream, job.dispatch):
                 self._end(job, not_run_refusal(job, Reason.sick), now)
                 continue
+            if self._crash_checks.isolate(upstream, job, now):
+                self._start_isolated(upstream, now)
+                return
             update_wait_factor(upstream, job, now)
             if job.deadline - ms(job.cost_ms) <= now:
                 self._end(job, not_run_refusal(job, Reason.deadline), now)
@@ -664,19 +667,20 @@
         If it crashes the upstream again, no unrelated request is lost, and
         the crash shows which request caused it.
         """
+        for blocked in self._crash_checks.take_blocked(upstream, now):
+            self._end(
+                blocked, not_run_refusal(blocked, Reason.crashes_upstreams), now
+            )
+        if not upstream.isolation_queue:
+            self._start_queued(upstream, now)
+            return
         job = upstream.isolation_queue[0]
         if upstream.running or not upstream.takes_request(now):
             return
         if self._poison_requests.is_running(job.fingerprint):
             return
         upstream.isolation_queue.popleft()
-        poison_status = self._poison_requests.check(job.fingerprint, now)
-        if poison_status is PoisonStatus.blocked:
-            self._outbox.emit(blocked_record(job))
-            self._end(job, not_run_refusal(job, Reason.crashes_upstreams), now)
-            self._start_queued(upstream, now)
-        else:
-            self._start(upstream, job, now)
+        self._start(upstream, job, now)
 
     def _crashed(self, upstream: Upstream, now: timedelta) -> None:
         """Apply that the process of an upstream has ended."""
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -277,6 +277,11 @@
         effects = self.outbox.drain()
         return [each for each in effects if isinstance(each, CallUpstream)]
 
+    def answer(self, call: CallUpstream) -> None:
+        """End a call with a response."""
+        answered = UpstreamAnswered(call.call, 200, (), b'')
+        self.egress.answered(answered, ms(5))
+
     def fail(self, fault: CallFault, *, sent: bool) -> None:
         """End the running call."""
         failure = Failure(Step.call, 'a:1', 'gone')
@@ -350,6 +355,31 @@
     assert refusal.outcome is Outcome.unknown
 
 
+@pytest.mark.parametrize('crashes', [1, CRASHES_TO_BLOCK])
+def test_copy_in_the_queue_learns_of_a_crash(crashes: int) -> None:
+    """A copy queued before a crash is refused, or runs alone."""
+    harness = _EgressHarness(slots=2)
+    queue = harness.egress.upstreams[UPSTREAM].queue
+    queue.limit, queue.limit_bytes = 10, 10_000
+    for number, host in enumerate((b'a', b'b', b'copy'), start=1):
+        harness.dispatch(number, host=host)
+    calls = harness.calls()
+    copy = next(iter(queue)).fingerprint
+    for _ in range(crashes):
+        harness.poison_requests.crashed([copy], ZERO)
+    harness.answer(calls[0])
+    assert not harness.calls()
+    harness.answer(calls[1])
+    started = harness.calls()
+    reasons = [
+        each.reason for each in _replies(harness) if isinstance(each, Refusal)
+    ]
+    if crashes < CRASHES_TO_BLOCK:
+        assert (len(started), reasons) == (1, [])
+    else:
+        assert (len(started), reasons) == (0, [Reason.crashes_upstreams])
+
+
 def test_same_request_of_another_caller_or_host_is_not_blocked() -> None:
     """A request is the same only if its caller and host are the same, too."""
     harness = _EgressHarness(slots=4)
