Refuse a request that crashes upstreams where it enters

A blocked request was sent to an egress daemon to be refused, and an ingress that knew of its crashes relied on each egress to know them, too. What is known not to be served is refused at once, and a copy reaches an upstream only if both daemons have missed the reports. An egress that refuses one sends what it knows ahead of the refusal. test_blocked_request_is_refused_where_it_enters failed before.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -132,7 +132,8 @@
         self.health_tracker = health_tracker
         self._crashes = crashes
         self._crash_checks = CrashChecks(crashes, outbox)
-        self._poison_requests = crashes.poison_requests
+        #: Requests that are known to crash upstreams.
+        self.poison_requests = crashes.poison_requests
         #: The upstreams and their states.
         self.local_upstreams = Upstreams(outbox, health_tracker, lease)
         self._jobs: dict[Origin, Job] = {}
@@ -230,9 +231,12 @@
             usual_ms=upstream.route_ms.get(message.route, 0),
             fair=fair,
         )
-        poison_status = self._poison_requests.check(job.fingerprint, now)
+        poison_status = self.poison_requests.check(job.fingerprint, now)
         if poison_status is PoisonStatus.blocked:
             self._outbox.emit(blocked_record(job))
+            if stream is not None:
+                # With it the ingress refuses the next copy itself.
+                self._outbox.emit(Send(stream, self.suspects_for(message, now)))
             self._refuse(origin, stream, Reason.crashes_upstreams, upstream)
             return
         job.isolated = poison_status is PoisonStatus.suspect
@@ -243,7 +247,7 @@
     def suspects_for(self, message: Dispatch, now: timedelta) -> Suspects:
         """Return the crashes known of a request that another daemon runs."""
         subject = dispatch_fingerprint(message)
-        return self._poison_requests.suspects_for(subject, now)
+        return self.poison_requests.suspects_for(subject, now)
 
     def accepts(self, origin: Origin, stream: StreamId | None) -> bool:
         """Return whether a request is new and its stream not superseded.
@@ -317,7 +321,7 @@
         fault = response_fault(event, job)
         self._crashes.send_report(
             upstream.service,
-            self._poison_requests.finished(
+            self.poison_requests.finished(
                 job.fingerprint,
                 # A gray upstream fails requests that it has not run.
                 answered=not fault and event.status < _HTTP_ERROR,
@@ -368,7 +372,7 @@
             and event.sent
             and self._crash_checks.reset(upstream, job, event.call, now)
         )
-        self._poison_requests.finished(job.fingerprint, answered=False, now=now)
+        self.poison_requests.finished(job.fingerprint, answered=False, now=now)
         kind = _FAULT_SAMPLES.get(event.fault)
         if kind is not None:
             self._observe(job, kind, now, fault=event.fault)
@@ -516,7 +520,7 @@
             return
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
-        self._poison_requests.finished(job.fingerprint, answered=False, now=now)
+        self.poison_requests.finished(job.fingerprint, answered=False, now=now)
         job.new_connection = True
         job.aborted_calls += 1
         self._start(upstream, job, now)
@@ -589,7 +593,7 @@
             upstream.retries.earn()
         upstream.count_request(now)
         self._calls[call] = job
-        self._poison_requests.started(job.fingerprint)
+        self.poison_requests.started(job.fingerprint)
         message = job.dispatch
         remaining_ms = max(1, int(in_ms(job.deadline - now)))
         name = 'read-dispatched'
@@ -677,7 +681,7 @@
         job = upstream.isolation_queue[0]
         if upstream.running or not upstream.takes_request(now):
             return
-        if self._poison_requests.is_running(job.fingerprint):
+        if self.poison_requests.is_running(job.fingerprint):
             return
         upstream.isolation_queue.popleft()
         self._start(upstream, job, now)
@@ -728,7 +732,7 @@
             return
         self._outbox.emit(AbortCall(job.call))
         self._release(job, upstream)
-        self._poison_requests.finished(job.fingerprint, answered=False, now=now)
+        self.poison_requests.finished(job.fingerprint, answered=False, now=now)
         job.aborted_calls += 1
         upstream.queue.put_back(job)
         upstream.queue.discard(first)
@@ -864,7 +868,7 @@
         upstream = self.upstreams[job.dispatch.upstream]
         if job.call is not None:
             self._outbox.emit(AbortCall(job.call))
-            self._poison_requests.finished(
+            self.poison_requests.finished(
                 job.fingerprint, answered=False, now=now
             )
         self._release(job, upstream)
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -45,6 +45,11 @@
 )
 from .outcomes import Outcome, Reason
 from .paths import Path, Paths, PathState
+from .poisonrequests import (
+    PoisonRequests,
+    PoisonStatus,
+    request_fingerprint,
+)
 from .regionlinks import LinkBudget
 from .requests import (
     MOVE_LIMIT,
@@ -211,6 +216,9 @@
         if not self._throttles.admit(key, now):
             self._refuse(event, Reason.overloaded, key)
             return
+        if _is_blocked(self._egress.poison_requests, pending, now):
+            self._refuse(event, Reason.crashes_upstreams, key)
+            return
         self._pending[event.exchange] = pending
         heapq.heappush(self._deadlines, (pending.deadline, event.exchange))
         self._accounts.count(caller, 1)
@@ -853,6 +861,22 @@
     return route.service, route.name, pending.caller.name, pending.priority
 
 
+def _is_blocked(
+    poison_requests: PoisonRequests, pending: PendingRequest, now: timedelta
+) -> bool:
+    """Return whether a request is known to crash upstreams."""
+    if not len(poison_requests):
+        return False
+    subject = request_fingerprint(
+        pending.method,
+        pending.host,
+        pending.target,
+        pending.body,
+        pending.caller.name,
+    )
+    return poison_requests.check(subject, now) is PoisonStatus.blocked
+
+
 def _deadline_ms(event: CallerRequest, route: Route) -> int:
     requested = headers.get(event.headers, headers.DEADLINE.lower())
     if requested is None or not requested.isdigit():
--- a/greengagemux/poisonrequests.py
+++ b/greengagemux/poisonrequests.py
@@ -78,14 +78,21 @@
     return int(digest.intdigest())
 
 
-def dispatch_fingerprint(message: Dispatch) -> int:
+def request_fingerprint(
+    method: bytes, host: bytes, target: bytes, body: bytes, caller: str
+) -> int:
     """Return the fingerprint of a request: what it asks, where, and who."""
-    return fingerprint(
+    return fingerprint(method, host, target, body, caller.encode())
+
+
+def dispatch_fingerprint(message: Dispatch) -> int:
+    """Return the fingerprint of a dispatched request."""
+    return request_fingerprint(
         message.method,
         message.host,
         message.target,
         message.body,
-        message.caller.encode(),
+        message.caller,
     )
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -321,6 +321,35 @@
             assert fleet.outcome(exchange) == 'completed'
 
 
+def _crash_twice(fleet: FakeFleet) -> bytes:
+    """Let a request crash two upstreams; return its path."""
+    for upstream in fleet.upstreams:
+        upstream.crash_prefix = b'poison'
+    path = b'/stock/poison'
+    for turn in range(40):
+        fleet.ask(f'd{turn % 4}', b'warm%d' % turn)
+        fleet.run(5)
+    while sum(each.dead for each in fleet.upstreams) < 2:
+        fleet.ask('d0', b'poison', path)
+        fleet.run(200)
+    return path
+
+
+def test_blocked_request_is_refused_where_it_enters() -> None:
+    """What is known to crash upstreams must not travel to be refused."""
+    fleet = started(4)
+    path = _crash_twice(fleet)
+    fleet.run(500)
+    for name in fleet.nodes:
+        fleet.records[name].clear()
+        exchange = fleet.ask(name, b'poison', path)
+        assert exchange in fleet.answers
+        assert fleet.reason(exchange) == 'crashes-upstreams'
+        assert fleet.outcome(exchange) == 'not-run'
+        names = [record.name for record in fleet.records[name]]
+        assert 'request-placed' not in names
+
+
 def test_restarted_upstream_clears_unrelated_requests() -> None:
     """Guards against blaming a read for a crash that it did not cause.
 
