Send no request to an upstream whose process has ended

Ordinary callers beside the crashing request were told 503: requests that keep the capacity floor were forced on upstreams that had crashed less than 2 s ago, were refused there, and spent a retry each.

The egress refuses it as not run and not called, so it goes elsewhere and spends no retry. test_ended_process_gets_no_forced_request failed before.

--- a/greengagemux/episodes.py
+++ b/greengagemux/episodes.py
@@ -18,6 +18,7 @@
 from .ids import UpstreamId
 from .messages import UpstreamState
 from .healthstates import (
+    CLOSED_TIME,
     PROBE_ROUTE,
     HealthRecord,
     StateChange,
@@ -62,9 +63,6 @@
 #: one costs a failed request.
 PROBATION_GROWTH: Final = 1.5
 PROBATION_AFTER_MAX: Final = timedelta(milliseconds=1600)
-#: The same after the process was found not to listen: its restart takes longer
-#: than ``PROBATION_AFTER``, and until then each request is refused.
-PROBATION_AFTER_CRASH: Final = timedelta(seconds=2)
 #: Refusals in a row from which on an upstream is taken to refuse everything.
 SHED_LIMIT: Final = 8
 #: Concurrent requests to an upstream on probation.
@@ -127,8 +125,11 @@
         failed = Sample(SampleKind.refused, PROBE_ROUTE, 0, fresh=True)
         changes = self.observe(upstream, failed, now)
         record = self._records.get(upstream)
-        if record is not None and record.state is UpstreamState.sick:
-            record.readmit_at = now + PROBATION_AFTER_CRASH
+        if record is None:
+            return changes
+        record.closed_until = now + CLOSED_TIME
+        if record.state is UpstreamState.sick:
+            record.readmit_at = record.closed_until
         return changes
 
     def probation_concurrency(self, record: HealthRecord) -> int:
--- a/greengagemux/healthstates.py
+++ b/greengagemux/healthstates.py
@@ -93,6 +93,9 @@
     }
 )
 _CRASH_SEVERITY = 29
+#: A process that has ended is assumed not to listen for this long, unless it
+#: announces a new start.
+CLOSED_TIME = timedelta(seconds=2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +141,8 @@
     probation_successes: int = 0
     probed_at: timedelta | None = None
     probing: bool = False
+    #: Until then its process counts as ended: nothing listens.
+    closed_until: timedelta | None = None
 
     def effective(self) -> UpstreamState:
         """Return the state to announce."""
@@ -284,7 +289,10 @@
         """Eject an upstream whose process has ended."""
         self._stalls.record_call(now)
         record = self._records.get(upstream)
-        if record is None or record.state is UpstreamState.sick:
+        if record is None:
+            return []
+        record.closed_until = now + CLOSED_TIME
+        if record.state is UpstreamState.sick:
             return []
         record.started = now
         record.eject(_CRASH_SEVERITY, 'the process ended', now)
@@ -295,6 +303,8 @@
         self._stalls.record_call(now)
         changes = []
         for record in self._records.values():
+            if record.closed_until is not None and now >= record.closed_until:
+                record.closed_until = None
             self.confirm_suspect(record, now)
             self.advance(record, now)
             changes += _changes(record)
@@ -359,12 +369,14 @@
 
         ``running`` is the number of requests that the upstream runs now.
         ``forced`` requests are accepted while it is sick or on probation, but
-        not while it drains. On a refusal (``sick``, not run) the ingress
+        not while it drains or its process has ended. On a refusal (``sick``, not run) the ingress
         selects another upstream.
         """
         record = self._records.get(upstream)
         if record is None or record.effective() is UpstreamState.draining:
             return False
+        if record.closed_until is not None:
+            return False
         if record.state is UpstreamState.sick:
             return forced
         if record.state is UpstreamState.probation and not forced:
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -251,6 +251,7 @@
         *,
         caller: CallerName = CALLER,
         host: bytes = b'',
+        forced: bool = False,
     ) -> None:
         """Dispatch a read to the upstream."""
         message = Dispatch(
@@ -268,6 +269,7 @@
             caller=caller,
             idempotent=True,
             host=host,
+            forced=forced,
         )
         origin = Origin(DaemonId('d'), Incarnation(1), RequestId(number))
         self.egress.dispatch(origin, None, message, ZERO)
@@ -355,6 +357,25 @@
     assert refusal.outcome is Outcome.unknown
 
 
+@pytest.mark.parametrize('after_ms', [300, 2100])
+def test_ended_process_gets_no_forced_request(after_ms: float) -> None:
+    """Requests that keep the capacity floor must not meet a closed port.
+
+    They go elsewhere, as not run, until the process may have started again.
+    """
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    harness.fail(CallFault.reset, sent=True)
+    harness.egress.listening_checked(ListeningChecked(UPSTREAM, True), ms(12))
+    _replies(harness)
+    harness.egress.tick(ms(after_ms))
+    harness.dispatch(2, host=b'other', forced=True)
+    admitted = after_ms > 2000
+    assert len(harness.calls()) == admitted
+    reasons = [each.reason for each in _replies(harness)]
+    assert reasons == ([] if admitted else [Reason.sick])
+
+
 @pytest.mark.parametrize('crashes', [1, CRASHES_TO_BLOCK])
 def test_copy_in_the_queue_learns_of_a_crash(crashes: int) -> None:
     """A copy queued before a crash is refused, or runs alone."""
