Let a rerouted request wait for a path that is opening

A read got 503 while the upstreams of another region served: the ingress had no stream to that region yet, tried the near upstreams, which had crashed, and gave up as soon as they had refused it. Only a request that nothing had refused yet waited for a path.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -478,7 +478,8 @@
         """
         candidate = selected.candidate
         self._paths.want(candidate.daemon, candidate.address, now)
-        pending.excluded.add(selected.candidate.upstream)
+        pending.excluded.add(candidate.upstream)
+        pending.unopened.append(candidate)
         self._place(pending, now)
 
     def _no_candidate(self, pending: PendingRequest, now: timedelta) -> None:
@@ -490,9 +491,13 @@
         if pending.movable and pending.moves:
             self._move(pending, now)
             return
-        if not pending.reroutes and not pending.may_have_run:
+        if pending.idempotent or not pending.may_have_run:
             # A path that is still opening may be open before the deadline.
-            pending.excluded.clear()
+            daemons = [each.daemon for each in pending.unopened]
+            pending.forget_unopened()
+            if any(map(self._paths.ready, daemons)):
+                self._place(pending, now)
+                return
             if self.candidates.opening(pending.route.service):
                 return
         self._end_failed(pending, pending.last_reason)
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -122,6 +122,8 @@
     service: Service = Service(ServiceName(''))
     attempts: dict[RequestId, Attempt] = field(default_factory=dict)
     excluded: set[UpstreamId] = field(default_factory=set)
+    #: Those that are excluded because the path to them is opening.
+    unopened: list[Candidate] = field(default_factory=list)
     reroutes: int = 0
     #: Refusals of retries for which an upstream had no budget.
     retry_refusals: int = 0
@@ -179,6 +181,11 @@
         self.excluded -= {candidate.upstream for candidate in self.full}
         self.full.clear()
 
+    def forget_unopened(self) -> None:
+        """Make the upstreams whose path was opening candidates again."""
+        self.excluded -= {candidate.upstream for candidate in self.unopened}
+        self.unopened.clear()
+
     def end_queue_turn(self, candidate: Candidate) -> None:
         """Try others again after a turn in the queue of ``candidate``."""
         self.queue_turns += 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from greengagemux.clocks import ms
 from greengagemux.effects import (
     CallUpstream,
+    CloseStream,
     Effect,
     Exit,
     ReleaseCallers,
@@ -23,6 +24,7 @@
 )
 from greengagemux.ids import (
     CallerName,
+    DaemonId,
     RequestId,
     RouteName,
     ServiceName,
@@ -335,6 +337,25 @@
     return path
 
 
+@pytest.mark.parametrize('path', [b'/stock/1', b'/intake/1'])
+def test_rerouted_request_waits_for_a_path_to_open(path: bytes) -> None:
+    """A request that ran nowhere must not fail while a path is opening."""
+    fleet = started(4)
+    node = fleet.nodes['d0']
+    daemon = node.daemon
+    for ended in ('d0', 'd3'):
+        tracker = fleet.nodes[ended].daemon.egress.health_tracker
+        tracker.crashed(UpstreamId(f'{ended}-u0'), fleet.now)
+    for name in ('d1', 'd2'):
+        stream = daemon.paths.by_daemon[DaemonId(name)].stream
+        assert stream is not None
+        fleet.carry_out(node, CloseStream(stream))
+        daemon.paths.closed(stream, fleet.now)
+    exchange = fleet.ask('d0', b'read', path)
+    fleet.run(300)
+    assert fleet.outcome(exchange) == 'completed'
+
+
 def test_blocked_request_is_refused_where_it_enters() -> None:
     """What is known to crash upstreams must not travel to be refused."""
     fleet = started(4)
