Inquire after requests on a stream that a newer one replaces

Two streams to one peer may open at the same time, for instance when a seed is tried while a path opens. The newer one replaced the older one, which was closed, and nobody asked for the answers that were due on it: the callers waited until a ping timed out or their deadline passed.

The ingress inquires after them on the new stream, as after the loss of a stream. test_request_on_a_replaced_stream_is_answered failed before: no answer after 200 ms for a request of 50 ms.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -324,13 +324,14 @@
     def path_opened(self, path: Path, now: timedelta) -> None:
         """Handle a path that opened.
 
-        Inquires after attempts that were on the lost stream to the same
-        daemon, and dispatches requests that wait for an open path.
+        Inquires after attempts on a stream to the same daemon that was lost
+        or that the new one replaces, and dispatches requests that wait for an
+        open path.
         """
         self.candidates.path_changed(path)
         for pending in tuple(self._pending.values()):
             for attempt in tuple(pending.attempts.values()):
-                if attempt.lost and attempt.daemon == path.daemon:
+                if _was_on_earlier_stream(attempt, path):
                     self._reattach(pending, attempt, path, now)
             if not (pending.attempts or pending.done or pending.forwarded):
                 self._place(pending, now)
@@ -866,6 +867,13 @@
     return route.service, route.name, pending.caller.name, pending.priority
 
 
+def _was_on_earlier_stream(attempt: Attempt, path: Path) -> bool:
+    """Return whether an attempt was sent on an earlier stream of a path."""
+    if attempt.daemon != path.daemon or attempt.stream is None:
+        return False
+    return attempt.lost or attempt.stream != path.stream
+
+
 def _is_blocked(
     poison_requests: PoisonRequests, pending: PendingRequest, now: timedelta
 ) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,6 +12,7 @@
     CloseStream,
     Effect,
     Exit,
+    OpenStream,
     ReleaseCallers,
     Send,
 )
@@ -356,6 +357,19 @@
     assert fleet.outcome(exchange) == 'completed'
 
 
+def test_request_on_a_replaced_stream_is_answered() -> None:
+    """An answer must not be lost with a stream that a newer one replaces."""
+    fleet = started(4)
+    node = fleet.nodes['d0']
+    for upstream in fleet.upstreams:
+        upstream.service_ms = 50
+    exchange, egress = _ask_remote(fleet, b'read', b'/stock/1')
+    fleet.carry_out(node, OpenStream(DaemonId(egress), egress))
+    fleet.run(200)
+    assert fleet.outcome(exchange) == 'completed'
+    assert fleet.runs(fleet.requests[exchange].tag) == 1
+
+
 def test_blocked_request_is_refused_where_it_enters() -> None:
     """What is known to crash upstreams must not travel to be refused."""
     fleet = started(4)
