Carry out each effect of an event for itself

One effect that failed took the rest of its event with it: a stream to an address that cannot be parsed, from an odd entry among the daemons of the store, cost the read of the configuration that stood behind it. The feed waits for each read before it starts the next one, so the daemon stopped following the store; answers to callers could be lost the same way.

A failed effect is logged and counted, and the others are carried out. test_failed_effect_does_not_stop_the_others failed before in its three cases.

--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -210,15 +210,25 @@
 
     def _apply(self, event: Event) -> None:
         started = self._clock.monotonic()
+        effects: list[Effect] = []
         try:
-            for effect in reduce(self.daemon, event, started):
-                self._carry_out(effect)
+            effects = reduce(self.daemon, event, started)
         except Exception:
             # An event whose handling fails must not stop later ones.
             logger.exception('event failed: %s', type(event).__name__)
             self.metrics.count('event_failures_total')
+        for effect in effects:
+            self._try_to_carry_out(effect)
         self._turn_timer.record(self._clock.monotonic() - started)
 
+    def _try_to_carry_out(self, effect: Effect) -> None:
+        try:
+            self._carry_out(effect)
+        except Exception:
+            # The other effects of the event belong to other work.
+            logger.exception('effect failed: %s', type(effect).__name__)
+            self.metrics.count('effect_failures_total')
+
     def _tick(self) -> None:
         self.submit(Tick(self._clock.wall()))
         self._handler.flush(FLUSH_LINES_PER_TICK)
