Reject odd entries of the list of daemons one by one

A key that is no text failed the page that held it.

Each entry is decoded for itself: daemon name and address are checked, and a rejected entry is recorded as before. The pages of the store are decoded with invalid bytes replaced. The addresses in tests/test_discoveries.py are now valid ones, as the entries are checked.

--- a/greengagemux/discoveries.py
+++ b/greengagemux/discoveries.py
@@ -8,6 +8,7 @@
 may have lost addresses.
 """
 
+import re
 from collections.abc import Container, Mapping
 from datetime import timedelta
 from random import Random
@@ -15,6 +16,7 @@
 
 import msgspec
 
+from .addresses import NAME_PATTERN, NAME_RULE, Address
 from .clocks import ZERO
 from .effects import AppendLog, OpenStream, Outbox, ReadLog, Record
 from .events import LogAppended, LogFailed, LogRead
@@ -44,6 +46,7 @@
 READ_AGAIN_AFTER: Final = timedelta(seconds=3)
 
 _UNKNOWN_DAEMON: Final = DaemonId('')
+_NAME: Final = re.compile(NAME_PATTERN)
 
 
 class PeerEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -60,6 +63,22 @@
 )
 
 
+def decode_entry(payload: bytes) -> PeerEntry:
+    """Return the entry in a record of the list.
+
+    Raises ``ValueError`` for one that names no daemon to connect to. Other
+    writers may leave anything in the list.
+    """
+    try:
+        entry = _decoder.decode(payload)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise ValueError(str(error)) from error
+    if _NAME.fullmatch(entry.daemon) is None:
+        raise ValueError(f'the daemon is not {NAME_RULE}')
+    Address.parse(entry.peer_address)
+    return entry
+
+
 class Discovery:
     """Registers the own address in the log and connects to listed peers."""
 
@@ -209,8 +228,8 @@
                 self._peers.pop(DaemonId(record.key), None)
                 continue
             try:
-                peer = _decoder.decode(record.payload)
-            except msgspec.MsgspecError as error:
+                peer = decode_entry(record.payload)
+            except ValueError as error:
                 fields = {'key': record.key, 'error': str(error)}
                 self._outbox.emit(Record('peer-entry-rejected', fields))
                 continue
--- a/greengagemux/platform/stores.py
+++ b/greengagemux/platform/stores.py
@@ -116,7 +116,8 @@
                 # The pages before this one are of another history.
                 return await self._newest(effect, topic)
             restores = reply.restores
-            page = _page_decoder.decode(reply.body)
+            # A key of another writer may not be text.
+            page = _page_decoder.decode(reply.body.decode('utf-8', 'replace'))
             end = end or page.end
             records += _newest_records(effect.stream, page.items)
             if not page.more or not page.items:
--- a/tests/test_discoveries.py
+++ b/tests/test_discoveries.py
@@ -53,6 +53,11 @@
         )
 
 
+def _daemon_at(address: str) -> str:
+    """Return the daemon that listens at an address."""
+    return f'd{int(address.rpartition(":")[2]) - 1}'
+
+
 class Starter:
     """Discovery of one daemon that starts."""
 
@@ -63,7 +68,7 @@
             sequence=1,
             data_centre=DataCentre(f'dc{number % 8}'),
             region=REGIONS[number % 2],
-            peer_address=f'd{number}',
+            peer_address=f'127.0.0.1:{number + 1}',
         )
         self._log = log
         self._outbox = Outbox()
@@ -83,7 +88,7 @@
             elif isinstance(effect, ReadLog):
                 event = self._log.read(effect)
             elif isinstance(effect, OpenStream):
-                self.opened.append(effect.address)
+                self.opened.append(_daemon_at(effect.address))
             if event is not None:
                 self._discovery.log_event(event, members, now)
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -13,9 +13,11 @@
 import sys
 import time
 from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
+from msgspec import msgpack
 from sockets import Client, reactor, turn, run_reactor_until
 from test_streams import _hello, _wire
 
@@ -29,6 +31,7 @@
     version_prefix,
 )
 from greengagemux_standins.platformupstreams import PlatformUpstream
+from greengagemux_standins.stores import Store
 
 HOST = '127.0.0.1'
 #: Time in which a change of the configuration must be in force.
@@ -38,8 +41,8 @@
 class _Daemon:
     """A daemon process with its addresses, store and upstream."""
 
-    def __init__(self, folder: Path) -> None:
-        self.store = configured_store()
+    def __init__(self, folder: Path, store: Store | None = None) -> None:
+        self.store = store or configured_store()
         self._port = reactor.listenTCP(
             0,
             Server(reactor, self.store, headers=self.store.headers),
@@ -71,7 +74,7 @@
                 connection = socket.create_connection((HOST, self.ports[name]))
             except ConnectionRefusedError:
                 turn(5)
-        client = Client(connection).send(wire.encode())
+        client = Client(connection).send(wire.encode('latin-1'))
         run_reactor_until(
             lambda: client.read() or client.received.count(b'\r\n\r\n') > 0
         )
@@ -118,6 +121,40 @@
         turn()
 
 
+#: What other writers may leave among the entries that daemons read.
+_NESTED = b'\x91' * 100_000 + b'\xc0'
+_ODD_PEERS = (
+    _NESTED,
+    msgpack.encode(['x', 'r', [[]]]),
+    msgpack.encode(['x', 'r', 2**63]),
+    msgpack.encode(['x', 'r', '127.0.0.1:70000']),
+    msgpack.encode(['x', 'r', '127.0.0.1:99999999999999999999']),
+    msgpack.encode(['x', 'r', 'nowhere']),
+    msgpack.encode(['x' * 500, 'r', '127.0.0.1:80']),
+    b'\xff\xfe',
+)
+_ODD_CONFIGURATIONS = (
+    b'[' * 100_000 + b']' * 100_000,
+    b'{"version":"r9","routes":[],"services":[],"x":'
+    + b'[' * 100_000
+    + b']' * 100_000
+    + b'}',
+    b'{"version":"r' + b'9' * 30 + b'","routes":[],"services":[]}',
+    b'\xff\xfe',
+)
+_ODD_ANNOUNCEMENTS = (
+    b'[' * 10_000 + b']' * 10_000,
+    b'{"service":"orders","address":"a:1","slots":' + b'9' * 30,
+    b'{"service":"orders","address":"a:1","slots":3,"phase":"ready",'
+    b'"sequence":' + b'9' * 30 + b'}',
+    b'{"service":"orders","address":"a:1","slots":' + b'9' * 30 + b','
+    b'"phase":"ready","sequence":99}',
+    b'{"service":"orders","address":"a:1","slots":3,"phase":"ready",'
+    b'"sequence":99,"born":' + b'9' * 30 + b'}',
+    b'\xff\xfe',
+)
+
+
 def _free_ports(count: int) -> list[int]:
     listeners = [socket.create_server((HOST, 0)) for _ in range(count)]
     ports = [each.getsockname()[1] for each in listeners]
@@ -158,6 +195,79 @@
     assert json.loads(placed[0])['fields']['request'] == 'r-1'
 
 
+def test_odd_entries_of_the_store_break_off_nothing(tmp_path: Path) -> None:
+    """One odd entry must not keep a daemon from reading the others."""
+    store = configured_store()
+    listener = socket.create_server((HOST, 0))
+    listener.setblocking(False)
+    peer = f'{HOST}:{listener.getsockname()[1]}'
+    for number, entry in enumerate(_ODD_PEERS):
+        store.append('keyed.greengagemux-members', f'odd{number}', entry)
+    store.append(
+        'keyed.greengagemux-members',
+        'sound',
+        msgpack.encode(['sound', 'r', peer]),
+    )
+    daemon = _Daemon(tmp_path, store)
+    try:
+        daemon.wait_ready()
+        daemon.announce('ready')
+        for odd in _ODD_CONFIGURATIONS:
+            store.append('keyed.op', 'config', odd)
+        store.append('keyed.op', 'config', configuration(2))
+        until_s = time.monotonic() + PROPAGATION_S
+        while b' 200 ' not in daemon.request('GET', f'{version_prefix(2)}1'):
+            assert time.monotonic() < until_s
+            turn(5)
+        accepted = False
+        until_s = time.monotonic() + PROPAGATION_S
+        while not accepted:
+            assert time.monotonic() < until_s
+            with suppress(BlockingIOError):
+                listener.accept()[0].close()
+                accepted = True
+            turn(5)
+        log = daemon.stop()
+        assert 'event failed' not in log
+        assert daemon.process.returncode == 0
+    finally:
+        listener.close()
+        daemon.close()
+
+
+def test_odd_announcements_break_off_nothing(daemon: _Daemon) -> None:
+    """An odd announcement is refused; the upstream before it stays in use."""
+    daemon.wait_ready()
+    daemon.announce('ready')
+    for odd in _ODD_ANNOUNCEMENTS:
+        response = daemon.ask(
+            'control',
+            f'PUT /api/instances/i-odd HTTP/1.1\r\nHost: x\r\n'
+            f'Content-Length: {len(odd)}\r\n\r\n' + odd.decode('latin-1'),
+        )
+        assert response.startswith(b'HTTP/1.1 400 ')
+    daemon.announce('ready')
+    assert b' 200 ' in daemon.request('GET', '/list/1')
+    log = daemon.stop()
+    assert 'event failed' not in log
+    assert 'Traceback' not in log
+
+
+@pytest.mark.parametrize('digits', ['9' * 30, '9' * 5000])
+def test_odd_deadline_is_that_of_the_route(
+    daemon: _Daemon, digits: str
+) -> None:
+    """A number that is too large must not leave a request without answer."""
+    daemon.wait_ready()
+    daemon.announce('ready')
+    response = daemon.ask(
+        'outbound',
+        'GET /list/1 HTTP/1.1\r\nHost: shop.example\r\n'
+        f'Request-Id: r-1\r\nDeadline-Ms: {digits}\r\n\r\n',
+    )
+    assert response.startswith(b'HTTP/1.1 200 ')
+
+
 def test_peer_that_stays_open_does_not_block_the_stop(daemon: _Daemon) -> None:
     """A stop must end in time though a peer does not end its stream."""
     daemon.wait_ready()
