Reject odd configurations without losing the records behind them

A configuration that was deeply nested raised RecursionError in the reducer; the records behind it in the same read were skipped for good, because the cursor had moved. A version of more than 64 bits came into force and failed each message that offered it; a weight of 400 digits or a timeout beyond the range of a clock failed each request of its route.

Five cases of test_bad_configuration_is_refused, test_bad_services_of_a_route_are_refused and test_long_times_of_a_route_end are new.

--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -1,6 +1,5 @@
 """Decodes the platform's JSON configuration into a bundle."""
 
-import math
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import replace
@@ -49,6 +48,12 @@
 #: The same of the retries that do not depend on the requests. The platform
 #: counts calls that a retried request makes as retries too.
 STEADY_RETRIES_USED: Final = 0.4
+#: Largest version; messages between daemons hold integers of 64 bits.
+VERSION_LIMIT: Final = 2**63 - 1
+#: Largest weight of a weighted service; larger ones overflow when added up.
+WEIGHT_LIMIT: Final = 1e18
+#: Longest time that a caller waits for a response, in milliseconds.
+DEADLINE_LIMIT_MS: Final = 24 * 60 * 60 * 1000
 PERCENT: Final = 100
 #: Priorities by configured rank, 0 first. Larger ranks map to the last one.
 _PRIORITIES: Final = (Priority.waiting, Priority.routine, Priority.internal)
@@ -113,7 +118,7 @@
         """
         try:
             return self._bundle(payload)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             failure = Failure(Step.bundle, 'operator', str(error))
             raise FailureError(failure) from error
 
@@ -175,9 +180,10 @@
     """Return a configuration and its version; ``r12`` is version 12."""
     configuration = _decoder.decode(payload)
     _check_names(configuration)
-    return configuration, BundleVersion(
-        int(configuration.version.removeprefix('r'))
-    )
+    version = int(configuration.version.removeprefix('r'))
+    if not 0 <= version <= VERSION_LIMIT:
+        raise ValueError(f'version is not from r0 to r{VERSION_LIMIT}')
+    return configuration, BundleVersion(version)
 
 
 def _check_names(configuration: _Configuration) -> None:
@@ -225,11 +231,11 @@
 def _weight(route: _Route, backend: _WeightedBackend) -> float:
     weight = backend.weight
     is_number = isinstance(weight, int | float) and not isinstance(weight, bool)
-    if is_number and 0 <= cast(float, weight) < math.inf:
+    if is_number and 0 <= cast(float, weight) <= WEIGHT_LIMIT:
         return cast(float, weight)
     raise ValueError(
         f'route {route.name!r}: weight {weight!r} of service'
-        f' {backend.service!r} is not a number from 0 on'
+        f' {backend.service!r} is not a number from 0 to {WEIGHT_LIMIT:g}'
     )
 
 
@@ -244,10 +250,10 @@
         methods=frozenset(),
         idempotent=route.kind == 'idempotent',
         priority=_PRIORITIES[rank],
-        deadline_ms=route.timeout_ms,
+        deadline_ms=min(route.timeout_ms, DEADLINE_LIMIT_MS),
         body_limit_bytes=limit_bytes,
         attempt_limit=max(1, route.max_attempts),
         host=route.hostname,
         split=split,
-        target_ms=route.target_latency_ms,
+        target_ms=min(route.target_latency_ms, DEADLINE_LIMIT_MS),
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -60,7 +60,10 @@
 from greengagemux.outcomes import Failure, FailureError, Outcome, Reason, Step
 from greengagemux.paths import Paths
 from greengagemux.platform import daemons, exchanges, stores
-from greengagemux.platform.configurations import ConfigurationDecoder
+from greengagemux.platform.configurations import (
+    DEADLINE_LIMIT_MS,
+    ConfigurationDecoder,
+)
 from greengagemux.platform.servers import Announcements, MetricsPage, Readiness
 from greengagemux.platform.settings import PlatformSettings, read_settings
 from greengagemux.reducers import STOP_NOTICE
@@ -202,7 +205,18 @@
 
 
 @pytest.mark.parametrize(
-    'payload', [b'', b'{}', b'{"version":"x","routes":[],"services":[]}']
+    'payload',
+    [
+        b'',
+        b'{}',
+        b'{"version":"x","routes":[],"services":[]}',
+        b'{"version":"r-1","routes":[],"services":[]}',
+        b'{"version":"r%d","routes":[],"services":[]}' % 2**63,
+        b'{"version":"r1","routes":[],"services":[],"x":'
+        + b'[' * 100_000
+        + b']' * 100_000
+        + b'}',
+    ],
 )
 def test_bad_configuration_is_refused(tmp_path: Path, payload: bytes) -> None:
     """A malformed record must raise, so that it is never put in force."""
@@ -221,6 +235,7 @@
         ({'weighted_backends': [('orders', 0)]}, 'weight'),
         ({'weighted_backends': [('orders', True)]}, 'weight'),
         ({'weighted_backends': [('orders', 'x')]}, 'weight'),
+        ({'weighted_backends': [('orders', 10**400)]}, 'weight'),
     ],
 )
 def test_bad_services_of_a_route_are_refused(
@@ -242,6 +257,18 @@
     assert route['name'] in str(error.value.failure)
 
 
+def test_long_times_of_a_route_end(tmp_path: Path) -> None:
+    """Times that are too large for a clock must not fail requests."""
+    times = {'timeout_ms': 10**30, 'target_latency_ms': 10**30}
+    route = {**CONFIGURATION['routes'][0], **times}
+    payload = json.dumps({**CONFIGURATION, 'routes': [route]}).encode()
+    bundle = ConfigurationDecoder(_settings(tmp_path))(payload)
+    limits = {
+        (each.deadline_ms, each.target_ms) for each in bundle.routes.values()
+    }
+    assert limits == {(DEADLINE_LIMIT_MS, DEADLINE_LIMIT_MS)}
+
+
 @pytest.mark.parametrize('key', ['routes', 'services'])
 def test_name_that_comes_twice_is_refused(tmp_path: Path, key: str) -> None:
     """The later of two entries with one name must not replace the earlier."""
