--- a/greengagemux/platform/servers.py
+++ b/greengagemux/platform/servers.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable, Mapping
 from io import BytesIO
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 from twisted.internet.interfaces import IAddress
@@ -23,22 +23,31 @@
 INSTANCES_PATH: Final = b'/api/instances/'
 #: Longest request body; the connection of a longer one is aborted.
 BODY_LIMIT_BYTES: Final = 64 * 1024
+#: Most slots of an upstream.
+SLOTS_LIMIT: Final = 10_000
+#: Longest id of an upstream, in characters.
+ID_LIMIT: Final = 200
 #: Seconds after which an idle connection is closed.
 IDLE_LIMIT_S: Final = 60
 
 
+#: Messages between daemons hold integers of 64 bits.
+_Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=SLOTS_LIMIT)]
+
+
 class _Announcement(msgspec.Struct, frozen=True):
     """Body of ``PUT /api/instances/ID``, sent by an upstream instance."""
 
     service: str
     address: str
-    slots: int
+    slots: _Slots
     #: ``ready`` or ``draining``.
     phase: str
     #: Grows with each announcement since the instance started.
-    sequence: int
+    sequence: _Counter
     #: Start time of the instance, in milliseconds since the Unix epoch.
-    born: int = 0
+    born: _Counter = 0
     #: Remaining warm-up time, during which the instance is slow.
     cold_remaining_ms: float = 0
 
@@ -190,19 +199,20 @@
             return http.OK, b'{}'
         if method != b'PUT':
             return http.NOT_ALLOWED, b'{}'
+        if len(upstream) > ID_LIMIT:
+            return self._reject(upstream[:ID_LIMIT], 'the id is too long')
         try:
             announcement = _decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return self._reject(upstream, str(error))
         states = {
             'ready': UpstreamState.serving,
             'draining': UpstreamState.draining,
         }
         state = states.get(announcement.phase)
-        if state is None or announcement.slots < 1:
+        if state is None:
             return self._reject(
-                upstream,
-                f'unknown phase {announcement.phase!r}, or fewer than 1 slot',
+                upstream, f'unknown phase {announcement.phase!r}'
             )
         if announcement.service != self._settings.service:
             return self._reject(
@@ -237,7 +247,7 @@
             last=True,
         )
 
-    def _reject(self, upstream: UpstreamId, reason: str) -> tuple[int, bytes]:
+    def _reject(self, upstream: str, reason: str) -> tuple[int, bytes]:
         logger.warning(
             'rejected the announcement of upstream %s: %s', upstream, reason
         )
