Ignore numbers of too many digits in headers

A Deadline-Ms of 5,000 digits raised ValueError in the reducer, and the request got no answer; a Keep-Alive of as many cost the response that carried it. Python converts no more than 4,300 digits.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -46,6 +46,8 @@
 #: ``Keep-Alive`` header, so that no request is on its way when the server
 #: closes it.
 KEEP_ALIVE_MARGIN_S: Final = 1
+#: Longer numbers than this in ``Keep-Alive`` set no limit.
+KEEP_ALIVE_DIGITS: Final = 9
 #: Largest status line and headers of a response, and of all informational
 #: responses before it, which could otherwise come without end.
 HEAD_LIMIT_BYTES: Final = 64 * 1024
@@ -710,7 +712,9 @@
     """Return how long a connection may stay idle, by ``Keep-Alive``."""
     for part in content.split(b','):
         name, _, number = part.strip().partition(b'=')
-        if name.lower() == b'timeout' and number.isdigit():
+        if name.lower() != b'timeout' or not number.isdigit():
+            continue
+        if len(number) <= KEEP_ALIVE_DIGITS:
             return max(0, int(number) - KEEP_ALIVE_MARGIN_S)
     return POOL_IDLE_LIMIT_S
 
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -91,6 +91,9 @@
 HEDGE_FACTOR = HEDGE_PCT / 100
 
 
+#: A deadline with more digits is later than that of any route.
+DEADLINE_DIGITS = 18
+
 _HTTP_ERROR = 500
 _NOT_RUN_REASONS = frozenset(
     (Reason.key_conflict, Reason.overloaded, Reason.bad_request)
@@ -894,6 +897,8 @@
     requested = headers.get(event.headers, headers.DEADLINE.lower())
     if requested is None or not requested.isdigit():
         return route.deadline_ms
+    if len(requested) > DEADLINE_DIGITS:
+        return route.deadline_ms
     return max(1, min(route.deadline_ms, int(requested)))
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -405,6 +405,19 @@
     run_reactor_until(lambda: _is_closed(connection))
 
 
+@pytest.mark.parametrize('number', [b'9' * 5000, b'9' * 30, b'x', b''])
+def test_odd_keep_alive_sets_no_limit(
+    upstream: _Upstream, number: bytes
+) -> None:
+    """A number that is too large must not cost the response."""
+    upstream.call()
+    connection = upstream.accept()
+    upstream.read(connection)
+    header = b'OK\r\nKeep-Alive: timeout=' + number + b'\r\n'
+    connection.send(_OK.replace(b'OK\r\n', header))
+    assert isinstance(upstream.ended(), UpstreamAnswered)
+
+
 class _Platform:
     """Calls with the platform's headers to an upstream that the test plays."""
 
