Refuse requests that a planned stop would cut off

Once new requests are no longer accepted, one whose deadline is after the stop limit is refused at once as not run. One that can still end is served. test_late_request_is_served_or_refused_at_once (two daemon processes, reads and writes) failed before for requests that were complete 4 s after SIGTERM: they were cut off 1.5 s later. Requests that are complete after 2.3 s are served before and after.

--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -493,6 +493,8 @@
         # An ingress that hasn't learned of the stop would keep the egress busy
         # until the stop limit, which cuts off the requests that run then.
         daemon.egress.stop(now)
+        # Requests that were received in part are still read to their end.
+        daemon.ingress.ends_at = since + daemon.options.stop_limit
         daemon.outbox.emit(ReleaseCallers(accept=False))
         return
     busy = {
--- a/greengagemux_standins/platformupstreams.py
+++ b/greengagemux_standins/platformupstreams.py
@@ -98,7 +98,8 @@
         #: Targets of the requests that have ended it.
         self.crashed_by: list[str] = []
         self._network = network
-        self._draw = draw
+        #: Returns the cost of the next request.
+        self.draw = draw
         self._server = servers.HttpServer(network, self._respond)
         self._sequence = 0
         self._boot = 1
@@ -203,7 +204,7 @@
         request.responseHeaders.setRawHeaders(
             b'Request-Id', [headers['request-id'].encode()]
         )
-        work = self._draw()
+        work = self.draw()
         if 'full' in target or work.refuses:
             self._state(request)
             request.responseHeaders.setRawHeaders(b'Not-Executed', [b'1'])
