Repeat blocked requests to random peers

Crash reports go to the daemons beside the service and to three random peers, each once.

Once a second each daemon that knows of blocked requests sends them to one random peer of any region; without one nothing is sent. test_daemon_that_missed_the_reports_refuses_the_request failed before: a third upstream crashed. test_restarted_daemons_learn_what_is_blocked held before.

--- a/greengagemux/crashes.py
+++ b/greengagemux/crashes.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from random import Random
 
+from .clocks import ZERO
 from .selection import Nearness, UsableView
 from .poisonrequests import PoisonRequests
 from .effects import Outbox, Record, Send
@@ -15,6 +16,8 @@
 #: Random peers of the region that get each update, besides the daemons beside
 #: the service.
 GOSSIP_PEERS = 3
+#: Interval at which each daemon repeats the blocked requests to a peer.
+REPEAT_INTERVAL = timedelta(seconds=1)
 #: Daemons of each other region that get a report and pass it on there.
 RELAYS = 2
 
@@ -42,6 +45,7 @@
         self._region = Region('')
         self._members: Mapping[DaemonId, MemberRecord] = {}
         self._views: Mapping[ServiceName, UsableView] = {}
+        self._repeat_due = ZERO
 
     def configure(
         self,
@@ -116,6 +120,19 @@
         for daemon in self._connected(self._region):
             self._paths.send(daemon, changed)
 
+    def tick(self, now: timedelta) -> None:
+        """Repeat the blocked requests to a random peer.
+
+        A daemon that was cut off may have missed the reports.
+        """
+        if now < self._repeat_due:
+            return
+        self._repeat_due = now + REPEAT_INTERVAL
+        blocked = self.poison_requests.blocked(now)
+        peers = [each for each in self._members if self._paths.connected(each)]
+        if blocked.entries:
+            self._send_some(peers, 1, blocked)
+
     def connected(self, stream: StreamId, now: timedelta) -> None:
         """Send all known suspects to a peer on a new stream."""
         known = self.poison_requests.snapshot(now)
--- a/greengagemux/poisonrequests.py
+++ b/greengagemux/poisonrequests.py
@@ -30,6 +30,9 @@
 #: it completes at some times and crashes its upstream at others.
 CRASH_LIMIT = 16
 
+#: Most entries of blocked requests in one message that repeats them.
+REPEATED_LIMIT = 64
+
 _CRASH_BITS = 63
 _LENGTH_BYTES = 4
 
@@ -193,6 +196,17 @@
             )
         )
 
+    def blocked(self, now: timedelta) -> Suspects:
+        """Return the entries of the newest blocked requests."""
+        if not self._records:
+            return Suspects(())
+        blocked = [
+            record.to_entry(key, now)
+            for key, record in tuple(self._records.items())
+            if self.check(key, now) is PoisonStatus.blocked
+        ]
+        return Suspects(tuple(blocked[-REPEATED_LIMIT:]))
+
     def suspects_for(self, subject: int, now: timedelta) -> Suspects:
         """Return the entry of one request, if there is one.
 
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -305,6 +305,7 @@
     daemon.egress.tick(now)
     daemon.ingress.tick(now)
     daemon.publish_far_health()
+    daemon.crashes.tick(now)
     daemon.send_all(daemon.members.tick(now), now)
     daemon.distribution.tick(daemon.members.live(), now)
     daemon.keyed.tick(now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from fakes_fleet import FakeFleet, Node, started
+from fakes_fleet import FakeFleet, Node, StreamEnd, started
 
 from greengagemux.clocks import ms
 from greengagemux.effects import (
@@ -34,8 +34,10 @@
 )
 from greengagemux.messages import (
     Dispatch,
+    Message,
     Priority,
     Refusal,
+    Suspects,
     UpstreamHealth,
     UpstreamState,
 )
@@ -385,6 +387,59 @@
         assert 'request-placed' not in names
 
 
+def test_daemon_that_missed_the_reports_refuses_the_request() -> None:
+    """Reports go to random peers, so they may miss a daemon.
+
+    It must learn of a blocked request before it runs one beside itself.
+    """
+    fleet = started(4)
+    missed = fleet.nodes['d3']
+    deliver = fleet._deliver
+
+    def lose(stream_end: StreamEnd, message: Message) -> None:
+        other = stream_end.other
+        if other is None or other.node is not missed:
+            deliver(stream_end, message)
+        elif not isinstance(message, Suspects):
+            deliver(stream_end, message)
+
+    upstream = missed.upstreams['d3-u0']
+    fleet.drain(upstream)
+    fleet.run(1500)
+    fleet._deliver = lose  # type: ignore[method-assign]
+    path = _crash_twice(fleet)
+    fleet.cancel_drain(upstream)
+    fleet.run(1500)
+    fleet._deliver = deliver  # type: ignore[method-assign]
+    fleet.run(3000)
+    fleet.ask('d3', b'poison', path)
+    fleet.run(500)
+    assert not upstream.dead
+    exchange = fleet.ask('d3', b'poison', path)
+    fleet.run(500)
+    assert fleet.reason(exchange) == 'crashes-upstreams'
+    assert sum(each.dead for each in fleet.upstreams) == 2
+
+
+@pytest.mark.parametrize('killed', [1, 3])
+def test_restarted_daemons_learn_what_is_blocked(killed: int) -> None:
+    """A verdict must outlive the daemons that have restarted."""
+    fleet = started(4)
+    path = _crash_twice(fleet)
+    fleet.run(1000)
+    names = list(fleet.nodes)[:killed]
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.nodes[name].start()
+    fleet.run(6000)
+    for name in names:
+        exchange = fleet.ask(name, b'poison', path)
+        fleet.run(500)
+        assert fleet.reason(exchange) == 'crashes-upstreams'
+    assert sum(each.dead for each in fleet.upstreams) == 2
+
+
 def test_restarted_upstream_clears_unrelated_requests() -> None:
     """Guards against blaming a read for a crash that it did not cause.
 
