Take late requests in a planned stop that usually end in time

In the first half of the rest of the stop a request is taken if four times its usual time is left, later only if its deadline passes before the end.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -56,6 +56,7 @@
     Attempt,
     DispatchPermit,
     PendingRequest,
+    StopWindow,
     completion,
     refusal,
 )
@@ -141,8 +142,8 @@
         self._origins: dict[Origin, PendingRequest] = {}
         self._forwarded_count = 0
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
-        #: Late in a planned stop, the time at which the process ends.
-        self.ends_at: timedelta | None = None
+        #: Set once a planned stop has begun and its notice is over.
+        self.stop_window: StopWindow | None = None
 
     @property
     def busy(self) -> bool:
@@ -221,8 +222,9 @@
         if not self._throttles.admit(key, now):
             self._refuse(event, Reason.overloaded, key)
             return
-        if self.ends_at is not None and pending.deadline > self.ends_at:
-            # The end of this process would cut it off while it runs.
+        if self.stop_window is not None and self.stop_window.cuts_off(
+            pending, now
+        ):
             self._refuse(event, Reason.draining, key)
             return
         if _is_blocked(self._egress.poison_requests, pending, now):
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -56,6 +56,7 @@
 from .messages import HealthUpdate, MemberRecord, UpstreamHealth
 from .paths import Paths
 from .handlers import Sender, receive
+from .requests import StopWindow
 from .sources import RETENTION, BundleSource
 from .upstreams import ANNOUNCE_LEASE
 from .healthstates import HealthTracker
@@ -495,7 +496,9 @@
         # until the stop limit, which cuts off the requests that run then.
         daemon.egress.stop(now)
         # Requests that were received in part are still read to their end.
-        daemon.ingress.ends_at = since + daemon.options.stop_limit
+        daemon.ingress.stop_window = StopWindow(
+            now, since + daemon.options.stop_limit
+        )
         daemon.outbox.emit(ReleaseCallers(accept=False))
         return
     busy = {
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -9,6 +9,7 @@
 from .answers import Origin
 from .assignments import Slot
 from .bundles import Caller, Route, Service
+from .clocks import ms
 from .selection import Candidate
 from .effects import Respond
 from .ids import (
@@ -29,6 +30,8 @@
 #: Times that an egress refuses an interactive request instead of queueing it.
 MOVE_LIMIT = 3
 
+#: A request is expected to end within this many times its usual time.
+USUAL_TIMES = 4
 #: Upstreams without a free slot among which a request is queued again after its
 #: turn in a queue; one of them is that of the queue.
 LATER_FULL = 2
@@ -91,6 +94,28 @@
         return self.candidate.daemon
 
 
+@dataclass(frozen=True, slots=True)
+class StopWindow:
+    """The rest of a planned stop, after its notice."""
+
+    begins_at: timedelta
+    #: Time at which the process ends and cuts off what still runs.
+    ends_at: timedelta
+
+    def cuts_off(self, pending: 'PendingRequest', now: timedelta) -> bool:
+        """Return whether a new request could be cut off while it runs.
+
+        In the first half it is taken if its usual time leaves a margin, later
+        only if its deadline passes before the end.
+        """
+        if pending.deadline <= self.ends_at:
+            return False
+        middle = self.begins_at + (self.ends_at - self.begins_at) / 2
+        if now >= middle or not pending.usual_ms:
+            return True
+        return now + ms(USUAL_TIMES * pending.usual_ms) > self.ends_at
+
+
 @dataclass(frozen=True, slots=True)
 class DispatchPermit:
     """Right to run a keyed write during one term of its slot's owner."""
