Reuse the connection attempt of calls in the check of a listener

The check built the endpoint that UpstreamCalls._connect builds for calls and probes; it is passed that one now. A blocked dispatch hashed its request twice. A docstring is reflowed and an import is in its place.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -471,7 +471,10 @@
 
     def check_listening(self, effect: CheckListening) -> None:
         """Open a connection and close it; a refused one means no process."""
-        _ListeningCheck(self._reactor, self._submit, effect).start()
+        connect = partial(
+            self._connect, effect.address, UpstreamConnection.close
+        )
+        _ListeningCheck(self._reactor, self._submit, effect, connect).start()
 
     def abort(self, call: CallId) -> None:
         """Cancel a call by closing its connection."""
@@ -659,24 +662,22 @@
     """
 
     def __init__(
-        self, reactor: Any, submit: Submit, effect: CheckListening
+        self,
+        reactor: Any,
+        submit: Submit,
+        effect: CheckListening,
+        connect: Callable[[], Any],
     ) -> None:
         self._reactor = reactor
         self._submit = submit
         self._effect = effect
+        self._connect = connect
         self._tries_left = LISTENING_TRIES
 
     def start(self) -> None:
         """Attempt a connection."""
         self._tries_left -= 1
-        target = Address.parse(self._effect.address)
-        endpoint: Any = TCP4ClientEndpoint(
-            self._reactor, target.host, target.port, timeout=CONNECT_TIMEOUT_S
-        )
-        connecting = endpoint.connect(
-            _ConnectionFactory(self._reactor, UpstreamConnection.close)
-        )
-        connecting.addCallbacks(self._connected, self._connect_failed)
+        self._connect().addCallbacks(self._connected, self._connect_failed)
 
     def _connected(self, connection: UpstreamConnection) -> None:
         self._reactor.callLater(LISTENING_STAY_S, self._check, connection)
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -236,7 +236,8 @@
             self._outbox.emit(blocked_record(job))
             if stream is not None:
                 # With it the ingress refuses the next copy itself.
-                self._outbox.emit(Send(stream, self.suspects_for(message, now)))
+                known = self.poison_requests.suspects_for(job.fingerprint, now)
+                self._outbox.emit(Send(stream, known))
             self._refuse(origin, stream, Reason.crashes_upstreams, upstream)
             return
         job.isolated = poison_status is PoisonStatus.suspect
--- a/greengagemux/healthstates.py
+++ b/greengagemux/healthstates.py
@@ -369,8 +369,8 @@
 
         ``running`` is the number of requests that the upstream runs now.
         ``forced`` requests are accepted while it is sick or on probation, but
-        not while it drains or its process has ended. On a refusal (``sick``, not run) the ingress
-        selects another upstream.
+        not while it drains or its process has ended. On a refusal (``sick``,
+        not run) the ingress selects another upstream.
         """
         record = self._records.get(upstream)
         if record is None or record.effective() is UpstreamState.draining:
--- a/tests/test_runtimes.py
+++ b/tests/test_runtimes.py
@@ -1,5 +1,7 @@
 """The runtime carries out effects on its own, each one for itself."""
 
+from random import Random
+
 import pytest
 from sockets import reactor
 
@@ -18,7 +20,6 @@
 from greengagemux.messages import MemberRecord
 from greengagemux.reducers import Daemon, DaemonOptions
 from greengagemux.rollouts import Rollout
-from random import Random
 
 
 class _Log:
