--- a/review/kit/fleet.py
+++ b/review/kit/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import shlex
 import shutil
 import signal
@@ -31,6 +32,9 @@
 STABILITY_S = 3.0
 DRAIN_S = 2.0
 _ENV_NAMES = ('PATH', 'HOME', 'LANG')
+#: Below the range from which the kernel takes ports of connections.
+PORT_RANGE = (12000, 30000)
+_given = set()
 
 
 def trouble():
@@ -70,15 +74,21 @@
 
 
 def free_ports(count):
-    """Return free ports; all are held until all are known."""
-    held = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((LOOPBACK, 0))
-        held.append(sock)
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
+    """Return free ports below those that the kernel gives to connections.
+
+    A process that starts again must find its port free.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            ports.append(port)
     return ports
 
 
@@ -234,7 +244,10 @@
         await self.configure()
         for place, service in enumerate(self.services):
             zone, region = self.zones[place % len(self.zones)]
-            upstream = Upstream(f's{place + 1}', service, self.record, self.work_s)
+            upstream = Upstream(
+                f's{place + 1}', service, self.record, self.work_s,
+                port=free_ports(1)[0],
+            )
             await upstream.start()
             daemon = Daemon(
                 self, f'd{place + 1}', zone, region, service, upstream
--- a/review/kit/upstream.py
+++ b/review/kit/upstream.py
@@ -62,13 +62,9 @@
 
     async def crash(self):
         """End the process: its sockets close, its runs end."""
-        if not self.up:
-            return
         self.up = False
         self.record('server-crashed', server=self.name, id=self.ident)
         await self.server.stop()
-        for task in tuple(self._tasks):
-            task.cancel()
 
     def announcement(self, phase=None):
         """Return the body of the next check-in."""
@@ -190,12 +186,13 @@
     def _crash_soon(self, boot):
         if not self.up or boot != self.born:
             return
+        # Another request may be about to end this boot too.
+        self.up = False
         task = asyncio.create_task(self._crash_and_restart())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _crash_and_restart(self):
-        self._tasks.clear()
         await self.crash()
         await asyncio.sleep(self.restart_after_s)
         await self.start()
