Review stand-ins: exit with the verdict at once, ports by process

Cause: in a run of five a case hung in the end of the event loop after its verdict, and of cases that ran side by side one found a port taken. Change: the process exits once all processes it started have ended, at the latest after 117 s; each process takes its ports from a range of its own.

--- a/review/kit/fleet.py
+++ b/review/kit/fleet.py
@@ -10,6 +10,7 @@
 import socket
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 import uuid
@@ -32,9 +33,13 @@
 STABILITY_S = 3.0
 DRAIN_S = 2.0
 _ENV_NAMES = ('PATH', 'HOME', 'LANG')
-#: Below the range from which the kernel takes ports of connections.
-PORT_RANGE = (12000, 30000)
+#: Below the range from which the kernel takes ports of connections; another part
+#: for each process, as cases may run side by side.
+_FIRST_PORT = 12000 + os.getpid() % 18 * 1000
+PORT_RANGE = (_FIRST_PORT, _FIRST_PORT + 1000)
 _given = set()
+#: All processes of this one.
+_started = []
 
 
 def trouble():
@@ -230,6 +235,7 @@
             stdin=self._subprocess.DEVNULL,
         )
         self._processes.append(process)
+        _started.append(process)
         return process
 
     async def reap(self, process):
@@ -366,17 +372,27 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(folder, case, limit_s=110):
-    """Run ``case(record)``, which returns the broken rules as texts."""
+def run_case(folder, case, limit_s=112):
+    """Run ``case(record)``, which returns the broken rules as texts.
+
+    The process exits with the verdict, without waiting for tasks that are left.
+    """
     record = Recorder(Path(folder) / 'record.txt')
     record('case', trouble=int(trouble()))
+    watchdog = threading.Timer(limit_s + 5, _give_up)
+    watchdog.daemon = True
+    watchdog.start()
+    asyncio.run(_judge(record, case, limit_s))
+
+
+async def _judge(record, case, limit_s):
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record), limit_s))
+        broken = await asyncio.wait_for(case(record), limit_s)
     except Exception as error:
         # Whatever goes wrong in the case itself is no verdict.
         record('cannot-run', error=repr(error))
         print(f'cannot run: {error!r}')
-        sys.exit(2)
+        _exit(2)
     for text in broken:
         record('BROKEN', text=text)
         print(f'broken: {text}')
@@ -384,4 +400,19 @@
     record.close()
     if not broken:
         print('the rule held')
-    sys.exit(1 if broken else 0)
+    _exit(1 if broken else 0)
+
+
+def _give_up():
+    print('cannot run: the time is over')
+    _exit(2)
+
+
+def _exit(code):
+    """End all processes that were started, and this one."""
+    for process in _started:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+    sys.stdout.flush()
+    os._exit(code)
