Review stand-ins: one range of ports for each case

Cause: of cases that ran side by side, two still took the same ports; one run of case 2 then couldn't start its fleet. Change: a case holds its range by a bound socket.

--- a/review/kit/fleet.py
+++ b/review/kit/fleet.py
@@ -33,10 +33,24 @@
 STABILITY_S = 3.0
 DRAIN_S = 2.0
 _ENV_NAMES = ('PATH', 'HOME', 'LANG')
-#: Below the range from which the kernel takes ports of connections; another part
-#: for each process, as cases may run side by side.
-_FIRST_PORT = 12000 + os.getpid() % 18 * 1000
-PORT_RANGE = (_FIRST_PORT, _FIRST_PORT + 1000)
+#: Below the range from which the kernel takes ports of connections.
+FIRST_PORTS = range(12000, 30000, 1000)
+
+
+def _claim_ports():
+    """Return a range of ports that no other case uses, and what holds it."""
+    for first in FIRST_PORTS:
+        guard = socket.socket()
+        try:
+            guard.bind((LOOPBACK, first))
+        except OSError:
+            guard.close()
+            continue
+        return (first + 1, first + 1000), guard
+    raise OSError('no free range of ports')
+
+
+PORT_RANGE, _guard = _claim_ports()
 _given = set()
 #: All processes of this one.
 _started = []
