Bound the delay between trials of a sick upstream

Cause: the delay before the next trial was computed as a power of the number of failed trials, which has no bound, before its maximum was taken. From 81 on the product exceeds timedelta.max.

Change: the tracker keeps the delay itself, which grows up to its maximum, and no count.

Result: test_trials_of_an_upstream_that_stays_down_go_on failed before and passes now.

--- a/greengagemux/episodes.py
+++ b/greengagemux/episodes.py
@@ -79,8 +79,8 @@
     updated: timedelta | None = None
     #: Refusals since the last response or failure.
     sheds_in_row: int = 0
-    #: Failures on probation since it last served.
-    failed_trials: int = 0
+    #: Delay from the next ejection to probation.
+    probation_delay: timedelta = PROBATION_AFTER
 
     def age(self, now: timedelta) -> None:
         """Let the probability return to ``GRAY_SHARE`` as time passes."""
@@ -157,7 +157,7 @@
             if belief.gray < PROBATION_PROBABILITY:
                 record.severity = 0
                 record.ejections = 0
-                belief.failed_trials = 0
+                belief.probation_delay = PROBATION_AFTER
                 record.detector.reset()
                 reason = _reason(sample, belief)
                 record.move(UpstreamState.serving, reason, now)
@@ -196,10 +196,11 @@
         now: timedelta,
     ) -> None:
         if record.state is UpstreamState.probation:
-            belief.failed_trials += 1
-        delay = PROBATION_AFTER * PROBATION_GROWTH**belief.failed_trials
+            belief.probation_delay = min(
+                belief.probation_delay * PROBATION_GROWTH, PROBATION_AFTER_MAX
+            )
         record.severity = severity_of(record)
-        record.readmit_at = now + min(delay, PROBATION_AFTER_MAX)
+        record.readmit_at = now + belief.probation_delay
         record.move(UpstreamState.sick, _reason(sample, belief), now)
 
     def _evaluate_time(
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -146,6 +146,18 @@
             health_tracker.observe(UPSTREAM, GOOD, now)
 
 
+def test_trials_of_an_upstream_that_stays_down_go_on() -> None:
+    """Guards against a delay that overflows after many failed trials."""
+    health_tracker = _health_tracker()
+    now = ZERO
+    for _ in range(2000):
+        while _admits(health_tracker, idempotent=True):
+            health_tracker.observe(UPSTREAM, BAD, now)
+        now += ms(2000)
+        health_tracker.tick(now)
+    assert _admits(health_tracker, idempotent=True)
+
+
 def test_error_after_the_usual_time_keeps_upstream_in_service() -> None:
     """A failed call to a dependency must not eject the upstream itself."""
     health_tracker = _health_tracker()
