Bound the count of ejections behind the readmission delay

Found when looking for unbounded powers in the package.

Change: ejections beyond the one that gives the longest delay are not counted.

Result: test_upstream_that_stays_sick_is_readmitted_each_time failed with an OverflowError before and passes now.

--- a/greengagemux/healthstates.py
+++ b/greengagemux/healthstates.py
@@ -53,6 +53,8 @@
 #: upstream that is still sick costs a live request.
 PROBATION_DOUBLINGS = 2
 READMIT_DELAY_MAX = timedelta(minutes=5)
+#: Ejections that are counted; the delay no longer grows after these.
+EJECTIONS_MAX = math.ceil(math.log2(READMIT_DELAY_MAX / READMIT_DELAY))
 #: Time in service after which one earlier ejection no longer counts.
 FLAP_MEMORY = timedelta(minutes=10)
 #: Share of requests that an upstream on probation fails if it is still sick.
@@ -163,6 +165,7 @@
         """Enter the sick state and set the time at which probation begins."""
         if self.state is UpstreamState.probation:
             self.ejections += PROBATION_DOUBLINGS
+        self.ejections = min(self.ejections, EJECTIONS_MAX)
         delay = min(READMIT_DELAY * 2**self.ejections, READMIT_DELAY_MAX)
         self.ejections += 1
         self.severity = severity
--- a/tests/test_healthstates.py
+++ b/tests/test_healthstates.py
@@ -7,7 +7,11 @@
 from greengagemux.detectors import Sample, SampleKind
 from greengagemux.ids import RouteName, ServiceName, UpstreamId
 from greengagemux.messages import UpstreamState
-from greengagemux.healthstates import READMIT_DELAY, HealthTracker
+from greengagemux.healthstates import (
+    READMIT_DELAY,
+    READMIT_DELAY_MAX,
+    HealthTracker,
+)
 
 U1 = UpstreamId('u1')
 SERVICE = ServiceName('ledger')
@@ -46,6 +50,19 @@
     return health_tracker, now
 
 
+def test_upstream_that_stays_sick_is_readmitted_each_time() -> None:
+    """Guards against a delay that overflows after many ejections."""
+    health_tracker, now = _sick_tracker()
+    for _ in range(100):
+        now += READMIT_DELAY_MAX
+        health_tracker.tick(now)
+        assert health_tracker.state(U1) is UpstreamState.probation
+        now = _observe_repeatedly(
+            health_tracker, _sample(SampleKind.wrong), 4, now
+        )
+        assert health_tracker.state(U1) is UpstreamState.sick
+
+
 def test_sick_upstream_returns_through_probation() -> None:
     """Readmission must need the delay and live idempotent requests."""
     health_tracker, now = _sick_tracker()
