Keep calls apart from the entry of a later process of their upstream

Cause: a job looked its upstream up by id. A start under the same id replaced the entry while calls of the earlier process ran; the next start removed it as idle, and each tick raised KeyError for the old calls. The end of such a call also counted for the new process, and so did what its response stated.

Change: a job holds its upstream. An upstream that a later process replaces is removed at once; its calls end by themselves or at their deadline, and count for no other process. A statement names its call.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -164,6 +164,8 @@
             if self.local_upstreams.supersedes(event, old):
                 self._crash_checks.crashed(old, now)
                 self._expire(old, now)
+                # Its calls go on until they end or time out.
+                self.local_upstreams.remove(old)
         upstream = self.local_upstreams.announce(event, now)
         if upstream is None:
             return
@@ -227,8 +229,8 @@
             origin,
             stream,
             message,
+            upstream,
             now,
-            usual_ms=upstream.route_ms.get(message.route, 0),
             fair=fair,
         )
         poison_status = self.poison_requests.check(job.fingerprint, now)
@@ -292,7 +294,7 @@
         if job.refusal is not None:
             self._end(job, job.refusal, now)
         elif job.call is None:
-            withdraw(self.upstreams.get(job.dispatch.upstream), job)
+            withdraw(job)
             # As after the deadline, nobody waits for the result.
             self._end(job, not_run_refusal(job, Reason.deadline), now)
         elif job.dispatch.idempotent:
@@ -316,7 +318,7 @@
         job = self._calls.get(event.call)
         if job is None:
             return
-        upstream = self.upstreams[job.dispatch.upstream]
+        upstream = job.upstream
         service_ms = in_ms(now - job.started)
         self._release(job, upstream)
         fault = response_fault(event, job)
@@ -366,10 +368,12 @@
         job = self._calls.get(event.call)
         if job is None:
             return
-        upstream = self.upstreams[job.dispatch.upstream]
+        upstream = job.upstream
         self._release(job, upstream)
+        current = self.local_upstreams.is_current(upstream)
         holds_refusal = (
-            event.fault is CallFault.reset
+            current
+            and event.fault is CallFault.reset
             and event.sent
             and self._crash_checks.reset(upstream, job, event.call, now)
         )
@@ -377,9 +381,9 @@
         kind = _FAULT_SAMPLES.get(event.fault)
         if kind is not None:
             self._observe(job, kind, now, fault=event.fault)
-        if event.fault is CallFault.refused:
+        if current and event.fault is CallFault.refused:
             self._crashed(upstream, now)
-        elif event.fault is CallFault.replaced:
+        elif current and event.fault is CallFault.replaced:
             self._expire(upstream, now)
         reason = _FAULT_REASONS.get(event.fault, Reason.upstream_failed)
         outcome = Outcome.unknown if event.sent else Outcome.not_run
@@ -399,6 +403,11 @@
 
     def stated(self, event: UpstreamStated, now: timedelta) -> None:
         """Apply what an upstream states about itself in a response."""
+        job = self._calls.get(event.call) if event.call else None
+        if job is not None and not self.local_upstreams.is_current(
+            job.upstream
+        ):
+            return
         upstream = self.local_upstreams.stated(event, now)
         if upstream is not None and upstream.leaving:
             self._refuse_queued(upstream, Reason.draining, now)
@@ -482,10 +491,10 @@
             peer_errors=job.dispatch.peer_errors,
             shed=shed,
         )
-        upstream = job.dispatch.upstream
-        self.local_upstreams.apply(
-            self.health_tracker.observe(upstream, sample, now)
-        )
+        if self.local_upstreams.is_current(job.upstream):
+            self.local_upstreams.apply(
+                self.health_tracker.observe(job.upstream.upstream, sample, now)
+            )
 
     def _check_silence(self, job: Job, now: timedelta) -> None:
         """Record a call without a response in time; retry it once.
@@ -493,7 +502,9 @@
         The retry uses a new connection, because a kept one may be dead while
         new ones work. Only an idempotent request may be called again.
         """
-        upstream = self.upstreams[job.dispatch.upstream]
+        upstream = job.upstream
+        if not self.local_upstreams.is_current(upstream):
+            return
         if job.silent and (job.new_connection or not job.dispatch.idempotent):
             return
         limit_ms = self.health_tracker.silence_limit_ms(
@@ -748,9 +759,7 @@
 
     def _end(self, job: Job, message: Answer | Refusal, now: timedelta) -> None:
         self._jobs.pop(job.origin, None)
-        upstream = self.upstreams.get(job.dispatch.upstream)
-        if upstream is not None:
-            refund_retry(upstream, job)
+        refund_retry(job)
         if job.aborted_calls and isinstance(message, Refusal):
             # The upstream may have run the aborted call.
             message = structs.replace(message, outcome=Outcome.unknown)
@@ -866,7 +875,7 @@
             self._end(isolated, not_run_refusal(isolated, reason), now)
 
     def _abort(self, job: Job, reason: Reason, now: timedelta) -> None:
-        upstream = self.upstreams[job.dispatch.upstream]
+        upstream = job.upstream
         if job.call is not None:
             self._outbox.emit(AbortCall(job.call))
             self.poison_requests.finished(
@@ -885,7 +894,7 @@
             self._end(job, job.refusal, now)
             return
         if job.call is None:
-            withdraw(self.upstreams.get(job.dispatch.upstream), job)
+            withdraw(job)
             self._end(job, not_run_refusal(job, Reason.deadline), now)
             return
         grace = ZERO if job.dispatch.idempotent else WRITE_GRACE
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -136,12 +136,13 @@
 
     ``rate_limit_per_s`` is the rate of requests that it takes from the whole
     fleet, None if it names no limit. One that is ``leaving`` takes no new
-    requests.
+    requests. ``call`` is the call that it responds to, None for a probe.
     """
 
     upstream: UpstreamId
     rate_limit_per_s: float | None = None
     leaving: bool = False
+    call: CallId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -58,6 +58,8 @@
     origin: Origin
     stream: StreamId | None
     dispatch: Dispatch
+    #: Where it is queued or runs. A later process may have the same id.
+    upstream: 'Upstream'
     arrived: timedelta
     deadline: timedelta
     priority: Priority
@@ -227,15 +229,15 @@
     origin: Origin,
     stream: StreamId | None,
     message: Dispatch,
+    upstream: Upstream,
     now: timedelta,
     *,
-    usual_ms: float = 0,
     fair: bool = True,
 ) -> Job:
     """Return the job of a dispatch that just arrived.
 
-    ``usual_ms`` is its expected service time if its ingress knows none.
-    Without ``fair`` all jobs belong to one account.
+    Its expected service time is that of its route at the upstream if its
+    ingress knows none. Without ``fair`` all jobs belong to one account.
     """
     account = message.caller if fair else ''
     team = message.team or f'account {account}'
@@ -243,6 +245,7 @@
         origin=origin,
         stream=stream,
         dispatch=message,
+        upstream=upstream,
         arrived=now,
         deadline=now + ms(message.remaining_ms),
         priority=message.priority,
@@ -250,7 +253,7 @@
         fingerprint=dispatch_fingerprint(message),
         account=account,
         team=team if fair else '',
-        cost_ms=message.expected_ms or usual_ms,
+        cost_ms=message.expected_ms or upstream.route_ms.get(message.route, 0),
     )
 
 
@@ -264,20 +267,18 @@
     return not message.retry or upstream.retries.spend()
 
 
-def refund_retry(upstream: Upstream, job: Job) -> None:
+def refund_retry(job: Job) -> None:
     """Give back the budget of a retry that did not reach its upstream."""
     if job.dispatch.retry and not job.started:
-        upstream.retries.add(1)
+        job.upstream.retries.add(1)
 
 
-def withdraw(upstream: Upstream | None, job: Job) -> None:
+def withdraw(job: Job) -> None:
     """Remove a request that has not started from its queue."""
-    if upstream is None:
-        return
     if job.isolated:
-        upstream.isolation_queue.remove(job)
+        job.upstream.isolation_queue.remove(job)
     else:
-        upstream.queue.discard(job)
+        job.upstream.queue.discard(job)
 
 
 def may_start(upstream: Upstream, now: timedelta) -> bool:
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -165,6 +165,10 @@
             return old.address != event.address or old.boot != event.boot
         return bool(event.boot) and old.address == event.address
 
+    def is_current(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is known and was not replaced."""
+        return self.by_id.get(upstream.upstream) is upstream
+
     def preempts(self, service: ServiceName) -> bool:
         """Return whether interactive requests may preempt internal reads."""
         known = self._services.get(service)
@@ -276,7 +280,12 @@
         )
 
     def remove(self, upstream: Upstream) -> None:
-        """Remove an upstream that has ended and close its connections."""
+        """Remove an upstream that has ended and close its idle connections.
+
+        One that was removed before is ignored.
+        """
+        if not self.is_current(upstream):
+            return
         self.by_id.pop(upstream.upstream)
         self._health_tracker.remove(upstream.upstream)
         self._outbox.emit(DropConnections(upstream.address))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -636,6 +636,8 @@
     connection.close()
     run_reactor_until(lambda: len(upstream.events) == 2)
     statement, failed = upstream.events
-    assert statement == UpstreamStated(UpstreamId(''), 1.5, leaving=True)
+    assert statement == UpstreamStated(
+        UpstreamId(''), 1.5, leaving=True, call=failed.call
+    )
     assert isinstance(failed, UpstreamFailed)
     assert failed.fault is CallFault(fault)
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagemux.answers import Origin
+from greengagemux.answers import WRITE_GRACE, Origin
 from greengagemux.bundles import Service
 from greengagemux.clocks import ZERO, ms
 from greengagemux.poisonrequests import (
@@ -37,6 +37,7 @@
     Probed,
     UpstreamAnswered,
     UpstreamFailed,
+    UpstreamStated,
 )
 from greengagemux.ids import (
     CallerName,
@@ -49,6 +50,7 @@
 )
 from greengagemux.egress import Egress
 from greengagemux.messages import (
+    Answer,
     Dispatch,
     Priority,
     Refusal,
@@ -264,8 +266,9 @@
         caller: CallerName = CALLER,
         host: bytes = b'',
         forced: bool = False,
+        idempotent: bool = True,
     ) -> None:
-        """Dispatch a read to the upstream."""
+        """Dispatch a request, by default a read, to the upstream."""
         message = Dispatch(
             request=RequestId(number),
             upstream=UPSTREAM,
@@ -279,7 +282,7 @@
             answer_limit_bytes=100,
             priority=priority,
             caller=caller,
-            idempotent=True,
+            idempotent=idempotent,
             host=host,
             forced=forced,
         )
@@ -515,6 +518,78 @@
     assert list(harness.egress.upstreams) == [other]
 
 
+def _replace_running_upstream(harness: _EgressHarness) -> UpstreamId:
+    """Announce two later boots while a call runs; return the last id."""
+    newest = UpstreamId('v')
+    for upstream, boot in ((UPSTREAM, 8), (newest, 9)):
+        event = Announced(
+            upstream, SERVICE, 'a:1', 1, UpstreamState.serving, boot=boot
+        )
+        harness.egress.announce(event, ms(boot))
+    return newest
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_call_of_a_replaced_upstream_ends_at_its_deadline(
+    *, idempotent: bool
+) -> None:
+    """Guards against calls that outlive the entry of their upstream.
+
+    Its connection is silent, so nothing else ends the call.
+    """
+    harness = _EgressHarness()
+    harness.dispatch(1, idempotent=idempotent)
+    _replace_running_upstream(harness)
+    for now in (ms(20), ms(500), ms(1001), ms(1001) + WRITE_GRACE):
+        harness.egress.tick(now)
+    refusals = _replies(harness)
+    assert [each.outcome for each in refusals] == [Outcome.unknown]
+    assert not harness.egress.busy
+
+
+@pytest.mark.parametrize('fails', [False, True])
+def test_late_end_of_a_call_of_a_replaced_upstream(*, fails: bool) -> None:
+    """Its caller gets the result; it says nothing about the new process."""
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    newest = _replace_running_upstream(harness)
+    if fails:
+        harness.fail(CallFault.truncated, sent=True)
+    else:
+        harness.answer(harness.calls()[0])
+    replies = _replies(harness)
+    assert [type(each) for each in replies] == [Refusal if fails else Answer]
+    assert not harness.egress.busy
+    assert list(harness.egress.upstreams) == [newest]
+
+
+def test_failure_of_an_earlier_boot_is_not_counted() -> None:
+    """Its process has ended; the next one has the same id."""
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    event = Announced(
+        UPSTREAM, SERVICE, 'a:1', 1, UpstreamState.serving, boot=8
+    )
+    harness.egress.announce(event, ms(8))
+    harness.fail(CallFault.truncated, sent=True)
+    state = harness.egress.health_tracker.state(UPSTREAM)
+    assert state is UpstreamState.serving
+
+
+def test_statement_of_an_earlier_boot_is_ignored() -> None:
+    """The process that leaves is not the one that has the id now."""
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    call = harness.calls()[0].call
+    event = Announced(
+        UPSTREAM, SERVICE, 'a:1', 1, UpstreamState.serving, boot=8
+    )
+    harness.egress.announce(event, ms(8))
+    stated = UpstreamStated(UPSTREAM, leaving=True, call=call)
+    harness.egress.stated(stated, ms(9))
+    assert not harness.egress.upstreams[UPSTREAM].leaving
+
+
 def test_last_announcement_is_final() -> None:
     """A late announcement must not bring back an upstream that has left."""
     harness = _EgressHarness()
