Contain exceptions within the step of an event that raised them

Cause: an exception in the health tracker left a request between its release from the upstream and its end. At its deadline it was searched in a queue that did not hold it, and that ValueError ended each later tick before all steps behind it. Any other exception in a tick would have done the same.

Change: the steps of a tick, of a log event and of settling run one by one; within them each request, call, upstream and record does. An exception is an effect, StepFailed, which the runtime logs (at most once a second for a step) and counts by step. The end of a call is reported to its caller whether or not its accounting raises; a request whose state is broken ends at its deadline as "may have run", and one whose admission raises is answered at once (internal-error). Tests and measurements that call the reducer raise what a step has raised, as before.

--- a/greengagemux/approvals.py
+++ b/greengagemux/approvals.py
@@ -172,7 +172,8 @@
             )
         self._restores = event.restores
         for record in event.records:
-            self._process_record(record.offset, record.payload, 'log', live)
+            with self._outbox.contain('configuration-record'):
+                self._process_record(record.offset, record.payload, 'log', live)
 
     def receive(
         self,
--- a/greengagemux/bundlecosts.py
+++ b/greengagemux/bundlecosts.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from . import bundles
-from .effects import Continue
+from .effects import Continue, raise_failures
 from .events import Advance, Event, LogRead, LogRecord
 from .ids import DaemonId, DataCentre, Incarnation, LogOffset, Region
 from .messages import MemberRecord
@@ -170,6 +170,7 @@
             started = time.perf_counter()
             effects = reduce(self.daemon, waiting.pop(), _STARTED)
             yield time.perf_counter() - started
+            raise_failures(effects)
             if any(isinstance(effect, Continue) for effect in effects):
                 waiting.append(Advance())
 
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -1,7 +1,9 @@
 """Effects: outputs of the reducer, carried out by the runtime."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from types import TracebackType
 from typing import Any, Final
 
 from .ids import (
@@ -151,6 +153,14 @@
     detail: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StepFailed:
+    """Report an exception in one step of an event; the others were run."""
+
+    step: str
+    error: Exception
+
+
 @dataclass(frozen=True, slots=True)
 class Continue:
     """Submit ``Advance`` after the queued events, to go on with long work."""
@@ -184,6 +194,7 @@
     | AppendLog
     | ReadLog
     | Record
+    | StepFailed
     | Continue
     | ReleaseCallers
     | Exit
@@ -205,8 +216,53 @@
         """Add an effect."""
         self._effects.append(effect)
 
+    def contain(self, step: str) -> 'Containment':
+        """Return a context that reports an exception and goes on after it.
+
+        What one step leaves undone must not end the work for other requests
+        and peers. ``step`` is a fixed name, for logs and metrics.
+        """
+        return Containment(self, step)
+
     def drain(self) -> list[Effect]:
         """Return the collected effects and remove them."""
         effects = self._effects
         self._effects = []
         return effects
+
+
+class Containment:
+    """Turns an exception within its ``with`` block into ``StepFailed``."""
+
+    __slots__ = ('_outbox', '_step', 'failed')
+
+    def __init__(self, outbox: Outbox, step: str) -> None:
+        """Report to ``outbox`` under the name ``step``."""
+        self._outbox = outbox
+        self._step = step
+        #: Whether the block has raised an exception.
+        self.failed = False
+
+    def __enter__(self) -> 'Containment':
+        """Begin the step."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool:
+        """Report an exception, if the step has raised one."""
+        if not isinstance(error, Exception):
+            return False
+        self.failed = True
+        self._outbox.emit(StepFailed(self._step, error))
+        return True
+
+
+def raise_failures(effects: Iterable[Effect]) -> None:
+    """Raise the first exception among effects, for tests and measurements."""
+    for effect in effects:
+        if isinstance(effect, StepFailed):
+            raise effect.error
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -322,33 +322,30 @@
         service_ms = in_ms(now - job.started)
         self._release(job, upstream)
         fault = response_fault(event, job)
-        self._crashes.send_report(
-            upstream.service,
-            self.poison_requests.finished(
-                job.fingerprint,
-                # A gray upstream fails requests that it has not run.
-                answered=not fault and event.status < _HTTP_ERROR,
-                now=now,
-            ),
-            now,
-        )
-        if job.new_connection and job.silent:
-            # Kept connections are probably dead: the request was silent on one
-            # of them, and a new one worked.
-            self._outbox.emit(DropConnections(upstream.address))
+        with self._outbox.contain('answer-accounting'):
+            self._crashes.send_report(
+                upstream.service,
+                self.poison_requests.finished(
+                    job.fingerprint,
+                    # A gray upstream fails requests that it has not run.
+                    answered=not fault and event.status < _HTTP_ERROR,
+                    now=now,
+                ),
+                now,
+            )
+            if job.new_connection and job.silent:
+                # Kept connections are probably dead: the request was silent on
+                # one of them, and a new one worked.
+                self._outbox.emit(DropConnections(upstream.address))
+            if not fault and event.status < _HTTP_ERROR:
+                update_service_time(upstream, job.dispatch.route, service_ms)
+            self._observe(job, _sample_kind(fault, event.status), now)
         if fault:
-            self._observe(job, SampleKind.wrong, now)
             self._end(
                 job, unknown_refusal(job, Reason.upstream_failed, fault), now
             )
             self._start_queued(upstream, now)
             return
-        kind = SampleKind.success
-        if event.status >= _HTTP_ERROR:
-            kind = SampleKind.error
-        else:
-            update_service_time(upstream, job.dispatch.route, service_ms)
-        self._observe(job, kind, now)
         answer = Answer(
             request=job.origin.request,
             status=event.status,
@@ -371,20 +368,24 @@
         upstream = job.upstream
         self._release(job, upstream)
         current = self.local_upstreams.is_current(upstream)
-        holds_refusal = (
-            current
-            and event.fault is CallFault.reset
-            and event.sent
-            and self._crash_checks.reset(upstream, job, event.call, now)
-        )
-        self.poison_requests.finished(job.fingerprint, answered=False, now=now)
-        kind = _FAULT_SAMPLES.get(event.fault)
-        if kind is not None:
-            self._observe(job, kind, now, fault=event.fault)
-        if current and event.fault is CallFault.refused:
-            self._crashed(upstream, now)
-        elif current and event.fault is CallFault.replaced:
-            self._expire(upstream, now)
+        holds_refusal = False
+        with self._outbox.contain('failure-accounting'):
+            holds_refusal = (
+                current
+                and event.fault is CallFault.reset
+                and event.sent
+                and self._crash_checks.reset(upstream, job, event.call, now)
+            )
+            self.poison_requests.finished(
+                job.fingerprint, answered=False, now=now
+            )
+            kind = _FAULT_SAMPLES.get(event.fault)
+            if kind is not None:
+                self._observe(job, kind, now, fault=event.fault)
+            if current and event.fault is CallFault.refused:
+                self._crashed(upstream, now)
+            elif current and event.fault is CallFault.replaced:
+                self._expire(upstream, now)
         reason = _FAULT_REASONS.get(event.fault, Reason.upstream_failed)
         outcome = Outcome.unknown if event.sent else Outcome.not_run
         refusal = Refusal(
@@ -436,26 +437,37 @@
 
     def tick(self, now: timedelta) -> None:
         """Expire leases, deadlines and kept answers; start what may run."""
+        contain = self._outbox.contain
         for upstream in tuple(self.upstreams.values()):
             if upstream.expires <= now:
-                self._expire(upstream, now)
-        self.local_upstreams.apply(self.health_tracker.tick(now))
+                with contain('lease'):
+                    self._expire(upstream, now)
+        with contain('health-tick'):
+            self.local_upstreams.apply(self.health_tracker.tick(now))
         self.local_upstreams.add_retries(now)
         for running in tuple(self._calls.values()):
-            self._check_silence(running, now)
+            with contain('silence'):
+                self._check_silence(running, now)
         late = [job for job in self._jobs.values() if job.deadline <= now]
         for job in late:
-            self._end_past_deadline(job, now)
-        for loaded in self.upstreams.values():
-            crash = loaded.possible_crash
-            if crash is None or now >= crash.hold_until:
-                self._release_held(loaded, now)
-            self._refuse_late_queued(loaded, now)
-        for startable in self.upstreams.values():
-            self._start_queued(startable, now)
-            self._preempt(startable, now)
-            if self.health_tracker.may_probe(startable.upstream, now):
-                self.local_upstreams.probe(startable)
+            step = contain('call-deadline')
+            with step:
+                self._end_past_deadline(job, now)
+            if step.failed:
+                # Whatever state it was left in, it must not be kept for ever.
+                self._end(job, unknown_refusal(job, Reason.deadline, ''), now)
+        for loaded in tuple(self.upstreams.values()):
+            with contain('queue'):
+                crash = loaded.possible_crash
+                if crash is None or now >= crash.hold_until:
+                    self._release_held(loaded, now)
+                self._refuse_late_queued(loaded, now)
+        for startable in tuple(self.upstreams.values()):
+            with contain('start'):
+                self._start_queued(startable, now)
+                self._preempt(startable, now)
+                if self.health_tracker.may_probe(startable.upstream, now):
+                    self.local_upstreams.probe(startable)
         self._finished.trim(now)
 
     def _observe(
@@ -900,3 +912,9 @@
         grace = ZERO if job.dispatch.idempotent else WRITE_GRACE
         if job.deadline + grace <= now:
             self._abort(job, Reason.deadline, now)
+
+
+def _sample_kind(fault: str, status: int) -> SampleKind:
+    if fault:
+        return SampleKind.wrong
+    return SampleKind.error if status >= _HTTP_ERROR else SampleKind.success
--- a/greengagemux/idlecosts.py
+++ b/greengagemux/idlecosts.py
@@ -11,6 +11,7 @@
 
 from .bundlecosts import BundleReader, Size, bundle_text, gc_disabled
 from .clocks import ZERO
+from .effects import raise_failures
 from .events import Announced, Event, PeerMessage, StreamOpened, Tick
 from .ids import StreamId
 from .messages import PROTOCOL_VERSION, Hello, MemberDeltas, MemberRecord
@@ -71,8 +72,10 @@
     def submit(self, event: Event) -> float:
         """Apply an event and return its processor time in seconds."""
         started = time.thread_time()
-        reduce(self.daemon, event, self.now)
-        return time.thread_time() - started
+        effects = reduce(self.daemon, event, self.now)
+        spent_s = time.thread_time() - started
+        raise_failures(effects)
+        return spent_s
 
     def run(self, duration: timedelta) -> list[float]:
         """Advance the clock and return the processor seconds of each tick.
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -21,7 +21,6 @@
 from .bundles import ATTEMPT_LIMIT, HEDGE_PCT, Bundle, Caller, Route
 from .candidates import Candidates
 from .placements import Placements
-from .selection import Selection, UsableView
 from .clocks import in_ms, ms
 from .effects import Outbox, Record, Send
 from .events import CallerDisconnected, CallerRequest
@@ -150,11 +149,6 @@
         """Whether requests are pending."""
         return bool(self._pending)
 
-    @property
-    def views(self) -> Mapping[ServiceName, UsableView]:
-        """Usable upstreams of each service, as this ingress sees them."""
-        return self.candidates.views
-
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle; pending requests keep their old route."""
         self._accounts.configure(bundle)
@@ -236,6 +230,16 @@
         self._budgets[route.service].earn()
         self._begin(pending, now)
 
+    def request_failed(self, event: CallerRequest, now: timedelta) -> None:
+        """Answer a request at once whose admission raised an exception."""
+        pending = self._pending.get(event.exchange)
+        if pending is None:
+            self._refuse(event, Reason.internal_error)
+            return
+        pending.may_have_run = bool(pending.attempts)
+        self._attempts.cancel(pending, now)
+        self._end_failed(pending, Reason.internal_error)
+
     def forwarded_request(
         self,
         origin: Origin,
@@ -341,26 +345,38 @@
         """
         self.candidates.path_changed(path)
         for pending in tuple(self._pending.values()):
-            for attempt in tuple(pending.attempts.values()):
-                if _was_on_earlier_stream(attempt, path):
+            replaced = [
+                attempt
+                for attempt in pending.attempts.values()
+                if _was_on_earlier_stream(attempt, path)
+            ]
+            with self._outbox.contain('path-opened'):
+                for attempt in replaced:
                     self._reattach(pending, attempt, path, now)
-            if not (pending.attempts or pending.done or pending.forwarded):
-                self._place(pending, now)
+                if pending.waits_for_path:
+                    self._place(pending, now)
 
     def path_lost(self, path: Path, now: timedelta) -> None:
         """Handle the attempts on a stream that closed or went silent."""
         self.candidates.path_changed(path)
         for pending in tuple(self._pending.values()):
-            for attempt in tuple(pending.attempts.values()):
-                if attempt.stream and attempt.daemon == path.daemon:
+            lost = [
+                attempt
+                for attempt in pending.attempts.values()
+                if attempt.stream and attempt.daemon == path.daemon
+            ]
+            with self._outbox.contain('path-lost'):
+                for attempt in lost:
                     self._lose_attempt(pending, attempt, path, now)
-            if not (pending.attempts or pending.done or pending.forwarded):
-                # It waits for any path to open, and this one failed.
-                self._place(pending, now)
+                if pending.waits_for_path:
+                    # Any path may open, and this one failed.
+                    self._place(pending, now)
 
     def tick(self, now: timedelta) -> None:
         """Answer requests whose deadline has passed and hedge slow ones."""
-        self.candidates.age(now)
+        contain = self._outbox.contain
+        with contain('candidates'):
+            self.candidates.age(now)
         # Failures are uneven over the ingress daemons, and the budgets at the
         # egress bound the sum.
         steady = self._steady_retries.take(now) * INGRESS_RETRY_FACTOR
@@ -370,10 +386,11 @@
             exchange = heapq.heappop(self._deadlines)[1]
             pending = self._pending.get(exchange)
             if pending is not None:
-                self._expire(pending, now)
+                self._expire_contained(pending, now)
         for slow in tuple(self._pending.values()):
-            if _is_slow(slow, now) and _spend_retry(self._budgets, slow):
-                self._retry(slow, now)
+            with contain('hedge'):
+                if _is_slow(slow, now) and _spend_retry(self._budgets, slow):
+                    self._retry(slow, now)
 
     def stop(self, now: timedelta) -> None:
         """Answer the requests that are pending when the daemon ends.
@@ -381,17 +398,18 @@
         The result of a write with a key is no longer waited for.
         """
         for pending in tuple(self._pending.values()):
-            if pending.attempts:
-                pending.may_have_run = True
-            self._attempts.cancel(pending, now)
-            if pending.permit is None:
-                self._end_failed(pending, Reason.draining)
-            elif not pending.answered:
-                pending.answered = True
-                self._reply(
-                    pending,
-                    Refusal(RequestId(0), Reason.draining, Outcome.unknown),
-                )
+            with self._outbox.contain('stop'):
+                if pending.attempts:
+                    pending.may_have_run = True
+                self._attempts.cancel(pending, now)
+                if pending.permit is None:
+                    self._end_failed(pending, Reason.draining)
+                elif not pending.answered:
+                    pending.answered = True
+                    self._reply(
+                        pending,
+                        Refusal(RequestId(0), Reason.draining, Outcome.unknown),
+                    )
 
     def _refuse(
         self, event: CallerRequest, reason: Reason, key: Hashable = None
@@ -463,7 +481,13 @@
             return
         path = self._paths.ready(selected.candidate.daemon)
         if path is None:
-            self._exclude_unopened(pending, selected, now)
+            # Another one is selected while the path to this one is opening; if
+            # none is left, the request waits for a path to open.
+            candidate = selected.candidate
+            self._paths.want(candidate.daemon, candidate.address, now)
+            pending.excluded.add(candidate.upstream)
+            pending.unopened.append(candidate)
+            self._place(pending, now)
             return
         self._attempts.send(pending, selected, path, now)
 
@@ -481,19 +505,6 @@
         pending.may_have_run = True
         self._end_failed(pending, Reason.no_home)
 
-    def _exclude_unopened(
-        self, pending: PendingRequest, selected: Selection, now: timedelta
-    ) -> None:
-        """Select another upstream while the path to this one is opening.
-
-        If none is left, the request waits for a path to open.
-        """
-        candidate = selected.candidate
-        self._paths.want(candidate.daemon, candidate.address, now)
-        pending.excluded.add(candidate.upstream)
-        pending.unopened.append(candidate)
-        self._place(pending, now)
-
     def _no_candidate(self, pending: PendingRequest, now: timedelta) -> None:
         if pending.attempts:
             _give_up_second(pending, self._budgets)
@@ -737,6 +748,18 @@
         pending.forget_full()
         self._place(pending, now)
 
+    def _expire_contained(
+        self, pending: PendingRequest, now: timedelta
+    ) -> None:
+        """Answer a request at its deadline, also if its state is broken."""
+        step = self._outbox.contain('deadline')
+        with step:
+            self._expire(pending, now)
+        if step.failed and not pending.done:
+            pending.may_have_run = True
+            with self._outbox.contain('deadline-refusal'):
+                self._end_failed(pending, Reason.deadline)
+
     def _expire(self, pending: PendingRequest, now: timedelta) -> None:
         if pending.attempts:
             pending.may_have_run = True
--- a/greengagemux/outcomes.py
+++ b/greengagemux/outcomes.py
@@ -41,6 +41,7 @@
     busy = 'busy'
     retry_budget = 'retry-budget'
     rate_limited = 'rate-limited'
+    internal_error = 'internal-error'
 
 
 class Step(Enum):
--- a/greengagemux/overloadworlds.py
+++ b/greengagemux/overloadworlds.py
@@ -361,7 +361,7 @@
             self._flush(each)
 
     def _update_peer_states(self, host: Host) -> None:
-        view = host.ingress.views[self.layout.service]
+        view = host.ingress.candidates.views[self.layout.service]
         states = [
             candidate.state
             for candidate in view.candidates.values()
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -1,10 +1,11 @@
 """The reducer of a daemon: applies an event and returns its effects."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatch
 from random import Random
+from types import MappingProxyType
 
 from .clocks import ZERO
 from .poisonrequests import PoisonRequests
@@ -19,6 +20,7 @@
     Record,
     ReleaseCallers,
 )
+from .bundles import Bundle
 from .ingress import Ingress
 from .episodes import EpisodeHealthTracker
 from .events import (
@@ -195,10 +197,25 @@
 
     def settle(self, now: timedelta) -> None:
         """Pass results between the parts of the daemon after an event."""
+        contain = self.outbox.contain
+        while self.egress.local_replies:
+            reply = self.egress.local_replies.pop(0)
+            with contain('local-reply'):
+                self.ingress.reply(self.own.daemon, reply, now)
+        with contain('health'):
+            self._settle_upstreams(now)
+        changed = self.members.changes()
+        if changed:
+            with contain('members'):
+                self._members_changed(changed, now)
+        bundle = self.distribution.take_change()
+        if bundle is not None:
+            with contain('bundle'):
+                self._configure(bundle, now)
+
+    def _settle_upstreams(self, now: timedelta) -> None:
+        """Publish what has changed at the upstreams beside this daemon."""
         egress = self.egress
-        while egress.local_replies:
-            reply = egress.local_replies.pop(0)
-            self.ingress.reply(self.own.daemon, reply, now)
         if egress.local_upstreams.health_updates:
             self._publish_health(tuple(egress.local_upstreams.health_updates))
             egress.local_upstreams.health_updates.clear()
@@ -207,18 +224,16 @@
             self.members.set_own(
                 egress.local_upstreams.records(), self.leaving, now
             )
-        changed = self.members.changes()
-        if changed:
-            self._members_changed(changed, now)
-        bundle = self.distribution.take_change()
-        if bundle is not None:
-            egress.local_upstreams.configure(
-                bundle.services, bundle.retries_pct, bundle.retries_per_s
-            )
-            self.ingress.configure(bundle)
-            self.keyed.configure(bundle.services)
-            if self.slots_deadline is None:
-                self.slots_deadline = now + SLOT_OWNERS_TIMEOUT
+
+    def _configure(self, bundle: Bundle, now: timedelta) -> None:
+        """Apply a new bundle to all parts."""
+        self.egress.local_upstreams.configure(
+            bundle.services, bundle.retries_pct, bundle.retries_per_s
+        )
+        self.ingress.configure(bundle)
+        self.keyed.configure(bundle.services)
+        if self.slots_deadline is None:
+            self.slots_deadline = now + SLOT_OWNERS_TIMEOUT
 
     def relay_health(self, update: HealthUpdate) -> None:
         """Send a health update to the daemons of this data centre."""
@@ -265,17 +280,19 @@
             if daemon not in live:
                 self.paths.forget(daemon)
         self.ingress.members_changed(live, changed, now)
-        self.crashes.configure(live, self.own.region, self.ingress.views)
+        self.crashes.configure(
+            live, self.own.region, self.ingress.candidates.views
+        )
         self.keyed.members_changed(live)
         own = {each.service for each in self.egress.upstreams.values()}
         for service in own:
             self._update_peer_states(service)
-            view = self.ingress.views.get(service)
+            view = self.ingress.candidates.views.get(service)
             size = len(view.candidates) if view else 1
             self.egress.local_upstreams.service_sizes[service] = size
 
     def _update_peer_states(self, service: ServiceName) -> None:
-        view = self.ingress.views.get(service)
+        view = self.ingress.candidates.views.get(service)
         if view is None:
             return
         states = [
@@ -287,10 +304,15 @@
 
 
 def reduce(daemon: Daemon, event: Event, now: timedelta) -> list[Effect]:
-    """Apply an event at monotonic time ``now`` and return the effects."""
+    """Apply an event at monotonic time ``now`` and return the effects.
+
+    An exception in one step of the event is reported as ``StepFailed`` and
+    ends no other step.
+    """
     daemon.outbox.now = now
     daemon.egress.local_upstreams.notice(now)
-    handle(event, daemon, now)
+    with daemon.outbox.contain(type(event).__name__):
+        handle(event, daemon, now)
     daemon.settle(now)
     return daemon.outbox.drain()
 
@@ -303,38 +325,80 @@
 
 @handle.register
 def _tick(event: Tick, daemon: Daemon, now: timedelta) -> None:
-    daemon.egress.tick(now)
-    daemon.ingress.tick(now)
-    daemon.publish_far_health()
-    daemon.crashes.tick(now)
-    daemon.send_all(daemon.members.tick(now), now)
-    daemon.distribution.tick(daemon.members.live(), now)
-    daemon.keyed.tick(now)
-    if now >= daemon.paths_due:
-        daemon.paths_due = now + PATH_CHECK_INTERVAL
-        for path in daemon.paths.tick(now):
+    for name, step in _TICK_STEPS.items():
+        with daemon.outbox.contain(name):
+            step(daemon, now)
+
+
+def _tick_paths(daemon: Daemon, now: timedelta) -> None:
+    if now < daemon.paths_due:
+        return
+    daemon.paths_due = now + PATH_CHECK_INTERVAL
+    for path in daemon.paths.tick(now):
+        with daemon.outbox.contain('path-lost'):
             daemon.ingress.path_lost(path, now)
+
+
+def _tick_slots(daemon: Daemon, now: timedelta) -> None:
     if not daemon.slots_ready and daemon.slots_deadline is not None:
         late = now >= daemon.slots_deadline
         daemon.slots_ready = late or daemon.keyed.has_all_owners
+
+
+def _tick_discovery(daemon: Daemon, now: timedelta) -> None:
     if daemon.discovery is not None and not daemon.stopping:
         daemon.discovery.tick(
             connected=daemon.paths.any_open(),
             now=now,
             live=daemon.members.live(),
         )
+
+
+def _tick_seeds(daemon: Daemon, now: timedelta) -> None:
     if now >= daemon.seeds_due:
         daemon.seeds_due = now + SEED_RETRY_INTERVAL
         _open_seeds(daemon)
+
+
+def _tick_stop(daemon: Daemon, now: timedelta) -> None:
     if daemon.stopping_since is not None:
         _check_stop(daemon, daemon.stopping_since, now)
 
 
+#: Steps of a tick, in this order; an exception in one ends no other.
+_TICK_STEPS: Mapping[str, Callable[[Daemon, timedelta], None]] = (
+    MappingProxyType(
+        {
+            'egress-tick': lambda daemon, now: daemon.egress.tick(now),
+            'ingress-tick': lambda daemon, now: daemon.ingress.tick(now),
+            'health-sent': lambda daemon, now: daemon.publish_far_health(),
+            'crashes-tick': lambda daemon, now: daemon.crashes.tick(now),
+            'members-tick': lambda daemon, now: daemon.send_all(
+                daemon.members.tick(now), now
+            ),
+            'distribution-tick': lambda daemon, now: daemon.distribution.tick(
+                daemon.members.live(), now
+            ),
+            'keyed-tick': lambda daemon, now: daemon.keyed.tick(now),
+            'paths-tick': _tick_paths,
+            'slots-tick': _tick_slots,
+            'discovery-tick': _tick_discovery,
+            'seeds-tick': _tick_seeds,
+            'stop-tick': _tick_stop,
+        }
+    )
+)
+
+
 @handle.register
 def _caller_request(
     event: CallerRequest, daemon: Daemon, now: timedelta
 ) -> None:
-    daemon.ingress.request(event, now)
+    step = daemon.outbox.contain('caller-request')
+    with step:
+        daemon.ingress.request(event, now)
+    if step.failed:
+        daemon.ingress.request_failed(event, now)
 
 
 @handle.register
@@ -438,10 +502,14 @@
     event: LogRead | LogAppended | LogFailed, daemon: Daemon, now: timedelta
 ) -> None:
     live = daemon.members.live()
-    daemon.distribution.log_event(event, live, now)
+    contain = daemon.outbox.contain
+    with contain('distribution-log'):
+        daemon.distribution.log_event(event, live, now)
     if daemon.discovery is not None:
-        daemon.discovery.log_event(event, live, now)
-    daemon.keyed.log_event(event, now)
+        with contain('discovery-log'):
+            daemon.discovery.log_event(event, live, now)
+    with contain('keyed-log'):
+        daemon.keyed.log_event(event, now)
 
 
 @handle.register
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -201,6 +201,11 @@
             tries = min(tries, LATER_FULL)
         return len(self.full) < tries
 
+    @property
+    def waits_for_path(self) -> bool:
+        """Whether it has no attempt and waits for a path to open."""
+        return not (self.attempts or self.done or self.forwarded)
+
     def forget_full(self) -> None:
         """Make the upstreams that had no free slot candidates again."""
         self.excluded -= {candidate.upstream for candidate in self.full}
--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -33,6 +33,7 @@
     ReleaseCallers,
     Respond,
     Send,
+    StepFailed,
 )
 from .events import Advance, Event, StopRequested, Tick
 from .ids import DaemonId, Incarnation
@@ -50,6 +51,9 @@
 
 logger = logging.getLogger(__name__)
 
+#: The failures of one step are logged at most once in this time; all count in
+#: the metric ``event_failures_total``.
+FAILURE_LOG_INTERVAL: Final = timedelta(seconds=1)
 #: Interval between collections of the young generations. Python's automatic
 #: collection is off, as it would run in the middle of requests.
 GC_INTERVAL_S: Final = 1.0
@@ -153,6 +157,7 @@
         self._timers: list[Timer] = []
         self._collections = 0
         self._bundle_frozen = False
+        self._failures_logged_at: dict[str, timedelta] = {}
         self._log: LogBackend | None = None
         self._listener = self._build_listener()
         self._upstream_calls = self._build_calls()
@@ -213,10 +218,9 @@
         effects: list[Effect] = []
         try:
             effects = reduce(self.daemon, event, started)
-        except Exception:
+        except Exception as error:
             # An event whose handling fails must not stop later ones.
-            logger.exception('event failed: %s', type(event).__name__)
-            self.metrics.count('event_failures_total')
+            self._step_failed(StepFailed(type(event).__name__, error))
         for effect in effects:
             self._try_to_carry_out(effect)
         self._turn_timer.record(self._clock.monotonic() - started)
@@ -339,6 +343,16 @@
         log_event(logger, effect.name, effect.fields, level)
         self.metrics.count('events_total', event=effect.name.replace('-', '_'))
 
+    @_carry_out.register
+    def _step_failed(self, effect: StepFailed) -> None:
+        self.metrics.count('event_failures_total', step=effect.step)
+        now = self._clock.monotonic()
+        logged_at = self._failures_logged_at.get(effect.step)
+        if logged_at is not None and now - logged_at < FAILURE_LOG_INTERVAL:
+            return
+        self._failures_logged_at[effect.step] = now
+        logger.error('event failed: %s', effect.step, exc_info=effect.error)
+
     @_carry_out.register
     def _continue(self, effect: Continue) -> None:
         # A call with delay 0 runs in the next iteration of the reactor, after
--- a/greengagemux/views.py
+++ b/greengagemux/views.py
@@ -109,7 +109,7 @@
 
 def _services(daemon: Daemon) -> dict[str, Any]:
     services: dict[str, Any] = {}
-    for service, view in daemon.ingress.views.items():
+    for service, view in daemon.ingress.candidates.views.items():
         usable = view.current()
         allowed = {candidate.upstream for candidate in usable.allowed}
         services[service] = [
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -28,6 +28,7 @@
     Record,
     Respond,
     Send,
+    raise_failures,
 )
 from greengagemux.ids import (
     CallId,
@@ -89,6 +90,13 @@
 parse(BUNDLE, 'test bundle')
 
 
+def apply(daemon: Daemon, event: events.Event, now: timedelta) -> list[Effect]:
+    """Apply an event; raise what a step of it has raised."""
+    effects = reduce(daemon, event, now)
+    raise_failures(effects)
+    return effects
+
+
 @dataclass
 class FakeUpstream:
     """An upstream that records the tags of the requests it runs.
@@ -201,7 +209,7 @@
         if self.paused:
             self.backlog.append(event)
             return
-        for effect in reduce(self.daemon, event, self.fleet.now):
+        for effect in apply(self.daemon, event, self.fleet.now):
             self.fleet.carry_out(self, effect)
 
     def new_stream_end(self) -> StreamEnd:
--- a/tests/invariants/capacity_floor.py
+++ b/tests/invariants/capacity_floor.py
@@ -10,7 +10,7 @@
 def floor_violations(daemon: Daemon) -> list[str]:
     """Return the services whose ejections leave less than the floor now."""
     lines = []
-    for service, view in daemon.ingress.views.items():
+    for service, view in daemon.ingress.candidates.views.items():
         listed = list(view.candidates.values())
         allowed = {each.upstream for each in view.current().allowed}
         ejected = [
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -294,9 +294,9 @@
         effects = self.outbox.drain()
         return [each for each in effects if isinstance(each, CallUpstream)]
 
-    def answer(self, call: CallUpstream) -> None:
+    def answer(self, call: CallUpstream, status: int = 200) -> None:
         """End a call with a response."""
-        answered = UpstreamAnswered(call.call, 200, (), b'')
+        answered = UpstreamAnswered(call.call, status, (), b'')
         self.egress.answered(answered, ms(5))
 
     def fail(self, fault: CallFault, *, sent: bool) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from fakes_fleet import FakeFleet, Node, StreamEnd, started
+from fakes_fleet import FakeFleet, Node, StreamEnd, apply, started
 
 from greengagemux.clocks import ms
 from greengagemux.effects import (
@@ -42,7 +42,7 @@
     UpstreamState,
 )
 from greengagemux.outcomes import Outcome, Reason
-from greengagemux.reducers import STOP_NOTICE, TICK, reduce
+from greengagemux.reducers import STOP_NOTICE, TICK
 
 
 def _others(fleet: FakeFleet, name: str) -> list[str]:
@@ -536,11 +536,11 @@
     """Guards against avoiding an upstream because of an outdated load."""
     fleet = started(1)
     ingress = next(iter(fleet.nodes.values())).daemon.ingress
-    for view in ingress.views.values():
+    for view in ingress.candidates.views.values():
         for candidate in view.candidates.values():
             candidate.in_flight = 64
     fleet.run(5000)
-    for view in ingress.views.values():
+    for view in ingress.candidates.views.values():
         assert view.candidates
         assert all(c.in_flight < 8 for c in view.candidates.values())
 
@@ -562,7 +562,7 @@
     learned_by = {
         name
         for name, node in fleet.nodes.items()
-        for view in node.daemon.ingress.views.values()
+        for view in node.daemon.ingress.candidates.views.values()
         for known in view.candidates.values()
         if known.upstream == upstream.upstream
         and known.state is UpstreamState.sick
@@ -611,14 +611,14 @@
     """Guards against callers that stay connected to a stopping daemon."""
     fleet = started(2)
     node = fleet.nodes['d0']
-    effects = reduce(node.daemon, StopRequested(), fleet.now)
+    effects = apply(node.daemon, StopRequested(), fleet.now)
     assert ReleaseCallers(accept=True) in effects
     fleet.run(1900)
     seen = []
     for _ in range(10):
         fleet.clock.advance(TICK)
         tick = Tick(fleet.clock.wall())
-        seen += reduce(node.daemon, tick, fleet.now)
+        seen += apply(node.daemon, tick, fleet.now)
     assert ReleaseCallers(accept=False) in seen
     assert seen.index(ReleaseCallers(accept=False)) < seen.index(Exit())
 
@@ -690,11 +690,11 @@
     effects = []
     for _ in range(16):
         fleet.clock.advance(TICK)
-        effects += reduce(node.daemon, Tick(fleet.clock.wall()), fleet.now)
+        effects += apply(node.daemon, Tick(fleet.clock.wall()), fleet.now)
     end = effects.index(Exit())
     assert _refused(effects[:end]) == {1005}
-    late = reduce(node.daemon, _dispatched(node, 1006, stream), fleet.now)
-    late += reduce(
+    late = apply(node.daemon, _dispatched(node, 1006, stream), fleet.now)
+    late += apply(
         node.daemon, UpstreamAnswered(running[0], 200, (), b''), fleet.now
     )
     assert _refused(late) == {1006}
@@ -791,8 +791,8 @@
     effects = []
     while fleet.now < node.daemon.stopping_since + STOP_NOTICE + TICK * 4:
         fleet.clock.advance(TICK)
-        effects += reduce(node.daemon, Tick(fleet.clock.wall()), fleet.now)
-    effects += reduce(node.daemon, dispatched, fleet.now)
+        effects += apply(node.daemon, Tick(fleet.clock.wall()), fleet.now)
+    effects += apply(node.daemon, dispatched, fleet.now)
     assert not _refused(effects)
     assert fleet.runs(b'w1001') == 1
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -540,7 +540,7 @@
         assert not ingress._pending
         assert not ingress._attempts._pending
         assert not last.daemon.egress.busy
-        for view in ingress.views.values():
+        for view in ingress.candidates.views.values():
             assert all(not c.outstanding for c in view.candidates.values())
         assert all(not p.waiting for p in last.daemon.paths.by_daemon.values())
 
