Acknowledge an announcement only if it has taken effect

What upstreams saw: 200 for a check-in or a DELETE whose handling had failed, so that requests could reach an upstream that relied on its departure.

Cause: the endpoint answered 200 whatever became of the event.

Change: Runtime.apply tells whether a step of the event has failed; the endpoint then answers 500, and the upstream repeats its announcement.

Result: test_announcement_without_effect_is_not_acknowledged; without the change it fails with 200.

--- a/greengagemux/platform/servers.py
+++ b/greengagemux/platform/servers.py
@@ -178,9 +178,14 @@
     """Receives the announcements of the upstream on this host."""
 
     def __init__(
-        self, settings: PlatformSettings, submit: Callable[[Event], None]
+        self,
+        settings: PlatformSettings,
+        submit: Callable[[Event], bool],
     ) -> None:
-        """Pass valid announcements to ``submit`` as events."""
+        """Pass valid announcements to ``submit`` as events.
+
+        It returns whether the event has taken effect.
+        """
         self._settings = settings
         self._submit = submit
 
@@ -189,18 +194,18 @@
     ) -> tuple[int, bytes]:
         """Return 200 once the announcement has taken effect.
 
-        An invalid one gets 400 with the reason, another method 405.
+        An invalid one gets 400 with the reason, another method 405, and one
+        that has failed to take effect 500.
         """
         if not path.startswith(INSTANCES_PATH):
             return http.NOT_FOUND, b'{}'
         upstream = UpstreamId(path[len(INSTANCES_PATH) :].decode('latin-1'))
-        if method == b'DELETE':
-            self._submit(self._departure(upstream))
-            return http.OK, b'{}'
-        if method != b'PUT':
+        if method not in {b'DELETE', b'PUT'}:
             return http.NOT_ALLOWED, b'{}'
         if len(upstream) > ID_LIMIT:
             return self._reject(upstream[:ID_LIMIT], 'the id is too long')
+        if method == b'DELETE':
+            return self._apply(self._departure(upstream))
         try:
             announcement = _decoder.decode(body)
         except (msgspec.MsgspecError, RecursionError) as error:
@@ -224,7 +229,7 @@
             and state is UpstreamState.serving
         ):
             state = UpstreamState.cold
-        self._submit(
+        return self._apply(
             Announced(
                 upstream=upstream,
                 service=ServiceName(announcement.service),
@@ -235,7 +240,12 @@
                 sequence=announcement.sequence,
             )
         )
-        return http.OK, b'{}'
+
+    def _apply(self, event: Announced) -> tuple[int, bytes]:
+        """Acknowledge an announcement only if it has taken effect."""
+        if self._submit(event):
+            return http.OK, b'{}'
+        return http.INTERNAL_SERVER_ERROR, b'{}'
 
     def _departure(self, upstream: UpstreamId) -> Announced:
         return Announced(
--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -157,6 +157,7 @@
         self._timers: list[Timer] = []
         self._collections = 0
         self._bundle_frozen = False
+        self._failed_steps = 0
         self._failures_logged_at: dict[str, timedelta] = {}
         self._log: LogBackend | None = None
         self._listener = self._build_listener()
@@ -193,6 +194,12 @@
             self._apply(self._events.popleft())
         self._applying = False
 
+    def apply(self, event: Event) -> bool:
+        """Apply an event; return whether no step of it has failed."""
+        failed = self._failed_steps
+        self.submit(event)
+        return self._failed_steps == failed
+
     def reload_settings(self) -> None:
         """Log that a reload was requested; the settings are not reloaded."""
         self._carry_out(Record('reload-requested'))
@@ -345,6 +352,7 @@
 
     @_carry_out.register
     def _step_failed(self, effect: StepFailed) -> None:
+        self._failed_steps += 1
         self.metrics.count('event_failures_total', step=effect.step)
         now = self._clock.monotonic()
         logged_at = self._failures_logged_at.get(effect.step)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,6 +26,7 @@
 from greengagemux.events import (
     Announced,
     CallFault,
+    Event,
     LogAppended,
     LogFailed,
     LogRead,
@@ -308,7 +309,8 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self.events: list[Announced] = []
-        self._endpoint = Announcements(settings, self.events.append)
+        self.takes_effect = True
+        self._endpoint = Announcements(settings, self._submit)
 
     def put(self, **changed: object) -> int:
         """Announce the upstream and return the status."""
@@ -325,9 +327,14 @@
         body = json.dumps(fields).encode()
         return self._endpoint(b'PUT', b'/api/instances/i-1', body)[0]
 
-    def delete(self) -> int:
+    def delete(self, body: bytes = b'') -> int:
         """Announce that the upstream leaves and return the status."""
-        return self._endpoint(b'DELETE', b'/api/instances/i-1', b'')[0]
+        return self._endpoint(b'DELETE', b'/api/instances/i-1', body)[0]
+
+    def _submit(self, event: Event) -> bool:
+        assert isinstance(event, Announced)
+        self.events.append(event)
+        return self.takes_effect
 
 
 @pytest.mark.parametrize(
@@ -375,6 +382,16 @@
     assert announcer.events[0].state is UpstreamState.draining
 
 
+def test_announcement_without_effect_is_not_acknowledged(
+    tmp_path: Path,
+) -> None:
+    """An upstream must not rely on what its daemon has failed to apply."""
+    announcer = _Announcer(_settings(tmp_path))
+    announcer.takes_effect = False
+    assert announcer.put(phase='draining') == 500
+    assert announcer.delete() == 500
+
+
 def test_readiness() -> None:
     """A daemon that cannot serve callers must not be reported as ready."""
     statuses = {True: 200, False: 503}
