Remember the departure of an upstream that the daemon does not know

Cause: the announcement endpoint acknowledges the DELETE, and the daemon then drops it as late, because it lists no such upstream yet. Nothing is kept, so a check-in that was on its way brings the upstream into service.

Change: a last announcement is kept whether or not its upstream is known, with the boot that the DELETE names in "born"; without one, every start before its arrival counts as ended. An unknown upstream is listed as draining, so that peers learn of it, unless a later process has the address. A DELETE of an earlier boot no longer ends the next boot of the same id. A boot that has announced its drain does not return to service. The boots that are remembered are limited to 1,000.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -158,6 +158,7 @@
                 Record('announcement-late', {'upstream': event.upstream})
             )
             return
+        departs = event.departs
         if self._stopping:
             event = replace(event, state=UpstreamState.draining)
         for old in tuple(self.upstreams.values()):
@@ -166,7 +167,7 @@
                 self._expire(old, now)
                 # Its calls go on until they end or time out.
                 self.local_upstreams.remove(old)
-        upstream = self.local_upstreams.announce(event, now)
+        upstream = self.local_upstreams.announce(event, now, departs=departs)
         if upstream is None:
             return
         if event.state is UpstreamState.draining:
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -168,7 +168,9 @@
 
     ``boot`` grows with each start of the upstream and ``sequence`` with each
     announcement of one boot; 0 if the upstream does not number them. After
-    the ``last`` one, later announcements of the same boot are ignored.
+    the ``last`` one, announcements of the same boot and of earlier ones are
+    ignored. A last one may come without a known boot: with ``boot_limit``, the
+    boot that has ended is not later than ``boot``.
     """
 
     upstream: UpstreamId
@@ -179,6 +181,12 @@
     boot: int = 0
     sequence: int = 0
     last: bool = False
+    boot_limit: bool = False
+
+    @property
+    def departs(self) -> bool:
+        """Whether the upstream takes no new requests from now on."""
+        return self.last or self.state is UpstreamState.draining
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -90,7 +90,7 @@
         self._ports.append(self._hub.listen(settings.peer_address))
         readiness = Server(self._reactor, Readiness(self.daemon.ready))
         metrics = Server(self._reactor, MetricsPage(self.metrics), METRICS_TYPE)
-        announcements = Announcements(settings, self.apply)
+        announcements = Announcements(settings, self.apply, self._clock)
         self._ports += [
             listen(self._reactor, settings.ready_address, readiness, None),
             listen(self._reactor, settings.admin_address, metrics, None),
--- a/greengagemux/platform/servers.py
+++ b/greengagemux/platform/servers.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IAddress
 from twisted.web import http
 
+from ..clocks import Clock
 from ..events import Announced, Event
 from ..ids import ServiceName, UpstreamId
 from ..messages import UpstreamState
@@ -29,6 +30,7 @@
 ID_LIMIT: Final = 200
 #: Seconds after which an idle connection is closed.
 IDLE_LIMIT_S: Final = 60
+_MS_PER_SECOND: Final = 1000
 
 
 #: Messages between daemons hold integers of 64 bits.
@@ -52,6 +54,14 @@
     cold_remaining_ms: float = 0
 
 
+class _Departure(msgspec.Struct, frozen=True):
+    """Body of ``DELETE /api/instances/ID``."""
+
+    #: As in the announcements.
+    born: _Counter = 0
+
+
+_departure_decoder: Final = msgspec.json.Decoder(_Departure)
 _decoder: Final = msgspec.json.Decoder(_Announcement)
 
 
@@ -181,6 +191,7 @@
         self,
         settings: PlatformSettings,
         submit: Callable[[Event], bool],
+        clock: Clock,
     ) -> None:
         """Pass valid announcements to ``submit`` as events.
 
@@ -188,6 +199,7 @@
         """
         self._settings = settings
         self._submit = submit
+        self._clock = clock
 
     def __call__(
         self, method: bytes, path: bytes, body: bytes
@@ -205,7 +217,7 @@
         if len(upstream) > ID_LIMIT:
             return self._reject(upstream[:ID_LIMIT], 'the id is too long')
         if method == b'DELETE':
-            return self._apply(self._departure(upstream))
+            return self._apply(self._departure(upstream, body))
         try:
             announcement = _decoder.decode(body)
         except (msgspec.MsgspecError, RecursionError) as error:
@@ -247,14 +259,22 @@
             return http.OK, b'{}'
         return http.INTERNAL_SERVER_ERROR, b'{}'
 
-    def _departure(self, upstream: UpstreamId) -> Announced:
+    def _departure(self, upstream: UpstreamId, body: bytes) -> Announced:
+        try:
+            born = _departure_decoder.decode(body).born
+        except (msgspec.MsgspecError, RecursionError):
+            born = 0
+        now_ms = int(self._clock.wall().timestamp() * _MS_PER_SECOND)
         return Announced(
             upstream=upstream,
             service=self._settings.service,
             address=str(self._settings.upstream_address),
             slots=1,
             state=UpstreamState.draining,
+            # A body without a start is no reason to keep an upstream in use.
+            boot=born or now_ms,
             last=True,
+            boot_limit=not born,
         )
 
     def _reject(self, upstream: str, reason: str) -> tuple[int, bytes]:
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -34,6 +34,8 @@
 #: Most retries saved up for one upstream; its detector needs three calls on
 #: new connections to detect that the upstream hangs.
 SAVED_RETRIES_LIMIT = 4
+#: Ended boots that are remembered; the oldest are forgotten first.
+ENDED_LIMIT = 1000
 #: Time whose steady retries a service may save up.
 SAVED_RETRIES_WINDOW_S = 10
 
@@ -67,7 +69,7 @@
         self.health_updates: list[UpstreamHealth] = []
         #: Newest boot that was announced at each address.
         self._boots: dict[str, int] = {}
-        #: Boot of each upstream that sent its last announcement.
+        #: Newest boot of each upstream that sent its last announcement.
         self._ended_boots: dict[UpstreamId, int] = {}
         self._outbox = outbox
         self._health_tracker = health_tracker
@@ -81,6 +83,8 @@
         self.by_id: dict[UpstreamId, Upstream] = {}
         #: Whether the records changed since they were last announced.
         self.changed = False
+        #: Whether an upstream has announced since then that it departs.
+        self.departed = False
 
     def configure(
         self,
@@ -146,13 +150,16 @@
 
     def is_late(self, event: Announced) -> bool:
         """Return whether a newer announcement has come before this one."""
+        known = self.by_id.get(event.upstream)
         if event.last:
-            return event.upstream not in self.by_id
+            # Also the end of an unknown upstream counts: its announcements may
+            # be late, or those to an earlier process of this daemon.
+            return known is not None and 0 < event.boot < known.boot
         if event.boot < self._boots.get(event.address, 0):
             return True
-        if event.boot and self._ended_boots.get(event.upstream) == event.boot:
+        ended = self._ended_boots.get(event.upstream, 0)
+        if event.boot and event.boot <= ended:
             return True
-        known = self.by_id.get(event.upstream)
         if known is None or known.boot != event.boot:
             return False
         return bool(event.sequence) and event.sequence <= known.sequence
@@ -215,19 +222,29 @@
             self.changed = True
         return upstream
 
-    def announce(self, event: Announced, now: timedelta) -> Upstream | None:
-        """Renew a lease; return the upstream if it may take work now."""
+    def announce(
+        self, event: Announced, now: timedelta, *, departs: bool = False
+    ) -> Upstream | None:
+        """Renew a lease; return the upstream if it may take work now.
+
+        One that ``departs`` does so for good, if it names its boot.
+        """
         draining = event.state is UpstreamState.draining
         if self.in_stall_backlog(now) and not draining:
             return None
+        if event.last and not self._end_boot(event):
+            return None
         known = self.by_id.get(event.upstream)
         if known is None or self.supersedes(event, known):
             known = self._add(event, now)
-        if event.last:
-            self._ended_boots[known.upstream] = known.boot
-        else:
-            self._boots[event.address] = event.boot
+        if not event.last:
             known.sequence = event.sequence
+        if event.boot and not event.boot_limit:
+            self._boots[event.address] = event.boot
+        if departs and known.boot and not known.leaving:
+            known.leaving = True
+            self.departed = True
+            self.changed = True
         known.expires = now + self._lease
         known.confirmed = True
         slots = known.slots if event.last else event.slots
@@ -239,6 +256,31 @@
             self.announce_state(known, now)
         return known
 
+    def remember_ended(self, upstream: UpstreamId, boot: int) -> None:
+        """Ignore announcements of a boot and of earlier ones from now on."""
+        newest = max(boot, self._ended_boots.pop(upstream, boot))
+        self._ended_boots[upstream] = newest
+        if len(self._ended_boots) > ENDED_LIMIT:
+            self._ended_boots.pop(next(iter(self._ended_boots)))
+
+    def _end_boot(self, event: Announced) -> bool:
+        """Apply a last announcement; return whether its upstream is listed.
+
+        It is listed as draining, so that peers know of it, unless a later
+        process has its address.
+        """
+        known = self.by_id.get(event.upstream)
+        if known is not None:
+            boot = known.boot if event.boot_limit else event.boot or known.boot
+            self.remember_ended(event.upstream, boot)
+            return True
+        self.remember_ended(event.upstream, event.boot)
+        if not event.address or event.boot < self._boots.get(event.address, 0):
+            return False
+        return not any(
+            each.address == event.address for each in self.by_id.values()
+        )
+
     def drain(self, upstream: Upstream, now: timedelta) -> None:
         """Report an upstream as draining, as if it had announced that."""
         if upstream.announced is not UpstreamState.draining:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,7 +13,7 @@
 
 from greengagemux import approvals, discoveries, headers
 from greengagemux.connections import ResponseOwner
-from greengagemux.clocks import ZERO, ms
+from greengagemux.clocks import ZERO, ManualClock, ms
 from greengagemux.effects import (
     AppendLog,
     CallUpstream,
@@ -310,7 +310,7 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self.events: list[Announced] = []
         self.takes_effect = True
-        self._endpoint = Announcements(settings, self._submit)
+        self._endpoint = Announcements(settings, self._submit, ManualClock())
 
     def put(self, **changed: object) -> int:
         """Announce the upstream and return the status."""
@@ -382,6 +382,25 @@
     assert announcer.events[0].state is UpstreamState.draining
 
 
+@pytest.mark.parametrize(
+    ('body', 'boot', 'boot_limit'),
+    [
+        (b'{"born":77}', 77, False),
+        (b'', 1767225600000, True),
+        (b'{"born":"x"}', 1767225600000, True),
+        (b'[' * 10_000, 1767225600000, True),
+    ],
+)
+def test_leaving_names_the_boot(
+    tmp_path: Path, body: bytes, boot: int, *, boot_limit: bool
+) -> None:
+    """Without a valid start time, the boot is at most the time of arrival."""
+    announcer = _Announcer(_settings(tmp_path))
+    assert announcer.delete(body) == 200
+    event = announcer.events[0]
+    assert (event.boot, event.boot_limit) == (boot, boot_limit)
+
+
 def test_announcement_without_effect_is_not_acknowledged(
     tmp_path: Path,
 ) -> None:
