Tell a restarted daemon which departures it has acknowledged

What upstreams saw: an acknowledged drain was forgotten when the daemon was killed and started again; a late check-in, which says ready, brought requests to the upstream.

Server-Leaving was already remembered by peers, announced departures were not, and no peer told the new process.

Change: the record of a departed upstream says that it is leaving, and is pushed to peers in the turn that acknowledges. A peer that learns that a daemon lists a leaving boot as usable sends it that part of its record; the daemon then drains the upstream.

Open: if all daemons of the fleet end at once, nobody remembers.

--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -8,14 +8,18 @@
 from datetime import timedelta
 from random import Random
 
+import msgspec
+
 from .admissions import RANK
 from .selection import Candidate, Nearness, UsableView, age_loads
 from .clocks import ZERO
+from .gossip import Directed
 from .ids import DaemonId, ServiceName, UpstreamId
 from .limitedupstreams import LimitedUpstreams
 from .messages import (
     HealthUpdate,
     Load,
+    MemberDeltas,
     MemberRecord,
     Priority,
     UpstreamHealth,
@@ -54,6 +58,8 @@
         self._aged_at = ZERO
         #: Newest boot of each upstream that stated that it is leaving.
         self._leaving_boots: dict[UpstreamId, int] = {}
+        #: Peers that list a leaving upstream as usable, with what they list.
+        self._reminders: dict[DaemonId, MemberRecord] = {}
         self._queued_ahead: dict[UpstreamId, tuple[int, ...]] = {}
         self._queue_priority: dict[ServiceName, Priority] = {}
 
@@ -208,6 +214,19 @@
             dropped |= self._drop_others(daemon, listed)
         return dropped
 
+    def take_reminders(self) -> list[Directed]:
+        """Return messages that tell peers which upstreams are leaving.
+
+        A peer that has started again does not know what its earlier process
+        has acknowledged.
+        """
+        reminders = [
+            Directed(daemon, MemberDeltas((record,)))
+            for daemon, record in self._reminders.items()
+        ]
+        self._reminders.clear()
+        return reminders
+
     def path_changed(self, path: Path) -> None:
         """Apply the reachability of one peer to its upstreams."""
         for view in self.views.values():
@@ -232,9 +251,25 @@
         if ahead:
             candidate.queued = ahead[RANK[priority]]
 
+    def _remind(self, record: MemberRecord) -> None:
+        """Note which upstreams of a peer are leaving without its knowledge."""
+        if record.daemon == self._own.daemon or record.leaving:
+            return
+        forgotten = tuple(
+            msgspec.structs.replace(each, leaving=True)
+            for each in record.upstreams
+            if not each.leaving
+            and each.boot <= self._leaving_boots.get(each.upstream, -1)
+        )
+        if forgotten:
+            self._reminders[record.daemon] = msgspec.structs.replace(
+                record, upstreams=forgotten
+            )
+
     def _list_upstreams(
         self, record: MemberRecord, listed: set[UpstreamId], now: timedelta
     ) -> None:
+        self._remind(record)
         reachable = True
         if record.daemon != self._own.daemon and record.upstreams:
             reachable = self._want_path(record, now)
--- a/greengagemux/handlers.py
+++ b/greengagemux/handlers.py
@@ -9,6 +9,7 @@
 from .assignments import Holder
 from .attempts import is_via_owner
 from .effects import Send
+from .events import Announced
 from .ids import DaemonId, StreamId
 from .messages import (
     Answer,
@@ -35,6 +36,7 @@
     Refusal,
     Running,
     Suspects,
+    UpstreamState,
 )
 from .leases import KeyRecordsAccepted, LeaseGrant, LeaseRequest
 
@@ -132,10 +134,34 @@
     sender: Sender,
     now: timedelta,
 ) -> None:
+    if isinstance(message, MemberDeltas):
+        _recall_departures(message, daemon, now)
     replies = daemon.members.receive(message, sender.daemon, now)
     daemon.send_all(replies, now)
 
 
+def _recall_departures(
+    message: MemberDeltas, daemon: 'Daemon', now: timedelta
+) -> None:
+    """Apply what an earlier process of this daemon has acknowledged."""
+    own = [each for each in message.records if each.daemon == daemon.own.daemon]
+    for record in own:
+        for each in record.upstreams:
+            known = daemon.egress.upstreams.get(each.upstream)
+            if not each.leaving or (known is not None and known.leaving):
+                continue
+            ended = Announced(
+                upstream=each.upstream,
+                service=each.service,
+                address=known.address if known else '',
+                slots=each.slots,
+                state=UpstreamState.draining,
+                boot=each.boot,
+                last=True,
+            )
+            daemon.egress.announce(ended, now)
+
+
 @receive.register(Suspects)
 def _suspects(
     message: Suspects, daemon: 'Daemon', sender: Sender, now: timedelta
--- a/greengagemux/members.py
+++ b/greengagemux/members.py
@@ -172,6 +172,12 @@
             now,
         )
 
+    def push(self, now: timedelta) -> list[Directed]:
+        """Return the messages with queued records, without waiting."""
+        out: list[Directed] = []
+        self._gossip.push_records(now, out)
+        return out
+
     def connected(self, sender: DaemonId, now: timedelta) -> list[Directed]:
         """Return the messages to send first on a new stream with a peer.
 
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -224,6 +224,11 @@
             self.members.set_own(
                 egress.local_upstreams.records(), self.leaving, now
             )
+        if egress.local_upstreams.departed:
+            egress.local_upstreams.departed = False
+            # The acknowledgement that follows binds a later process as well,
+            # and only peers can tell that process.
+            self.send_all(self.members.push(now), now)
 
     def _configure(self, bundle: Bundle, now: timedelta) -> None:
         """Apply a new bundle to all parts."""
@@ -280,6 +285,7 @@
             if daemon not in live:
                 self.paths.forget(daemon)
         self.ingress.members_changed(live, changed, now)
+        self.send_all(self.ingress.candidates.take_reminders(), now)
         self.crashes.configure(
             live, self.own.region, self.ingress.candidates.views
         )
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -9,7 +9,9 @@
 from pathlib import Path
 
 import pytest
+from fakes_fleet import FakeFleet, started
 from test_episodes import SERVICE, UPSTREAM, _EgressHarness
+from test_leaving import _ask, _outcomes
 from test_platform_daemon import _Daemon
 
 from greengagemux.clocks import ms
@@ -132,6 +134,69 @@
     assert not harness.serving()
 
 
+@pytest.mark.parametrize('asked_by', [('d0', 'd1', 'd3'), ('d2',)])
+def test_acknowledged_drain_binds_the_next_process(
+    asked_by: tuple[str, ...],
+) -> None:
+    """Peers remember it, and tell a daemon that has started again.
+
+    Its only news of the upstream is a late check-in, which says ready.
+    """
+    fleet = started(4, data_centres=1)
+    upstream = fleet.nodes['d2'].upstreams['d2-u0']
+    upstream.boot = 5
+    fleet.run(2000)
+    upstream.draining = True
+    fleet.run(1000)
+    _restart(fleet)
+    upstream.draining = False
+    fleet.run(4000)
+    before = len(upstream.runs)
+    exchanges = _ask(fleet, 3, names=asked_by)
+    assert len(upstream.runs) == before
+    assert _outcomes(fleet, exchanges) == {'completed'}
+
+
+def test_drain_is_told_before_it_is_acknowledged() -> None:
+    """A process may be killed as soon as it has acknowledged."""
+    fleet = started(4, data_centres=1)
+    node = fleet.nodes['d2']
+    upstream = node.upstreams['d2-u0']
+    upstream.boot = 5
+    fleet.run(2000)
+    upstream.draining = True
+    fleet.announce(node)
+    _restart(fleet)
+    upstream.draining = False
+    fleet.run(4000)
+    before = len(upstream.runs)
+    _ask(fleet, 3)
+    assert len(upstream.runs) == before
+
+
+def test_next_boot_of_a_drained_upstream_gets_work() -> None:
+    """What peers remember must not outlast the process it is about."""
+    fleet = started(4, data_centres=1)
+    upstream = fleet.nodes['d2'].upstreams['d2-u0']
+    upstream.boot = 5
+    fleet.run(2000)
+    upstream.draining = True
+    fleet.run(1000)
+    _restart(fleet)
+    upstream.draining = False
+    upstream.boot = 6
+    fleet.run(4000)
+    before = len(upstream.runs)
+    _ask(fleet, 4)
+    assert len(upstream.runs) > before
+
+
+def _restart(fleet: FakeFleet) -> None:
+    fleet.kill('d2')
+    fleet.run(500)
+    fleet.nodes['d2'].start()
+
+
 @pytest.fixture(name='daemon')
 def _daemon(tmp_path: Path) -> Iterator[_Daemon]:
     instance = _Daemon(tmp_path)
