Divide the time to parse responses that are slow to parse

Callers saw (the report on endless bytes): beside an upstream with 40 slots that sends chunks of one byte without end, ordinary requests end with 504 at their deadline.

Cause: each connection whose input takes long to parse yields after 5 ms, but all of them take such a turn before any other socket is read. With 40 of them a turn of the reactor took 0.2 s (test_many_slow_to_parse_responses_share_ their_time), and a call takes several.

Change: connections that have yielded wait in one queue and share 5 ms in each turn of the reactor. While some wait, the first turn of others is shorter.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client for the upstreams beside this daemon, on h11."""
 
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import Enum
@@ -54,8 +55,9 @@
 #: Responses to other requests before that to the current one. Each request gets
 #: one response, so only a few late ones can come before it.
 MAX_SKIPPED_RESPONSES: Final = 16
-#: A connection whose input takes longer to parse yields to the other sockets, as
-#: a block of very small chunks takes 100 ms, a quarter of a short deadline.
+#: Input that takes longer to parse yields to the other sockets, as a block of
+#: very small chunks takes 100 ms, a quarter of a short deadline. All connections
+#: whose input has yielded share this time in each turn of the reactor.
 PARSE_TURN_S: Final = 0.005
 #: Start of every response, without its minor version.
 STATUS_LINE_START: Final = b'HTTP/1.'
@@ -118,16 +120,61 @@
     size_bytes: int = 0
 
 
+class ParseTurns:
+    """Divides the time to parse input among the connections that have yielded.
+
+    They would otherwise take a turn each before any other socket is read.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        """Start without waiting connections."""
+        self._reactor = reactor
+        self._waiting: deque[Callable[[], None]] = deque()
+        self._scheduled = False
+
+    def until_s(self) -> float:
+        """Return when a connection that parses from now on must yield."""
+        part_s = PARSE_TURN_S / (1 + len(self._waiting))
+        return float(self._reactor.seconds()) + part_s
+
+    def is_over(self, until_s: float) -> bool:
+        """Return whether the time of a connection has passed."""
+        return bool(self._reactor.seconds() > until_s)
+
+    def yield_turn(self, resume: Callable[[], None]) -> None:
+        """Call ``resume`` in a later turn of the reactor."""
+        self._waiting.append(resume)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            self._reactor.callLater(0, self._run)
+
+    def _run(self) -> None:
+        until_s = self._reactor.seconds() + PARSE_TURN_S
+        for resume in tuple(self._waiting):
+            if self.is_over(until_s):
+                break
+            self._waiting.popleft()
+            resume()
+        self._scheduled = False
+        if self._waiting:
+            self._schedule()
+
+
 class UpstreamConnection(Protocol):
     """One connection to an upstream; it runs one exchange at a time."""
 
     transport: Any
 
     def __init__(
-        self, reactor: Any, on_idle: Callable[['UpstreamConnection'], None]
+        self,
+        turns: ParseTurns,
+        on_idle: Callable[['UpstreamConnection'], None],
     ) -> None:
         """Call ``on_idle`` whenever another exchange may start."""
-        self._reactor = reactor
+        self._turns = turns
         self._on_idle = on_idle
         self._parser = _new_parser()
         self._exchange: _UpstreamExchange | None = None
@@ -210,13 +257,13 @@
             self._fail(fault, str(error))
 
     def _handle_events(self) -> None:
-        until_s = self._reactor.seconds() + PARSE_TURN_S
+        until_s = self._turns.until_s()
         while self._handle_next_event():
             if self._exchange is None or self.closed:
                 continue
-            if self._reactor.seconds() > until_s:
+            if self._turns.is_over(until_s):
                 self.transport.pauseProducing()
-                self._reactor.callLater(0, self._resume)
+                self._turns.yield_turn(self._resume)
                 return
 
     def _resume(self) -> None:
@@ -336,13 +383,13 @@
     noisy = False
 
     def __init__(
-        self, reactor: Any, on_idle: Callable[[UpstreamConnection], None]
+        self, turns: ParseTurns, on_idle: Callable[[UpstreamConnection], None]
     ) -> None:
-        self._reactor = reactor
+        self._turns = turns
         self._on_idle = on_idle
 
     def buildProtocol(self, addr: IAddress | None) -> UpstreamConnection:
-        return UpstreamConnection(self._reactor, self._on_idle)
+        return UpstreamConnection(self._turns, self._on_idle)
 
 
 class _Pool:
@@ -407,6 +454,7 @@
         """Build a client that passes results to ``submit``."""
         self._reactor = reactor
         self._submit = submit
+        self._turns = ParseTurns(reactor)
         self._pools: dict[str, _Pool] = {}
         #: Cancels a call: its connection attempt or its open connection.
         self._running: dict[CallId, Callable[[], None]] = {}
@@ -502,7 +550,7 @@
         endpoint: Any = TCP4ClientEndpoint(
             self._reactor, target.host, target.port, timeout=CONNECT_TIMEOUT_S
         )
-        return endpoint.connect(_ConnectionFactory(self._reactor, on_idle))
+        return endpoint.connect(_ConnectionFactory(self._turns, on_idle))
 
     def _build_exchange(self, effect: CallUpstream) -> _UpstreamExchange:
         headers = [(b'Host', effect.host or effect.address.encode())]
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -30,6 +30,8 @@
 TURN_LIMIT_S = 0.4 / 5
 #: Connections that send without end at the same time.
 CONNECTIONS = 4
+#: Slots of a large upstream.
+MANY_CONNECTIONS = 40
 ANSWER_LIMIT_BYTES = 1024 * 1024
 #: Four bodies at their limit, several times over for copies and parts.
 MEMORY_LIMIT_BYTES = 64 * 1024 * 1024
@@ -152,6 +154,25 @@
     caller.calls.drop(upstream.address)
 
 
+def test_many_slow_to_parse_responses_share_their_time(
+    upstream: EndlessUpstream,
+) -> None:
+    """Guards against turns that grow with the number of such responses."""
+    form = 'small-chunks'
+    caller = _Caller(upstream, PlatformCalls)
+    until_s = time.monotonic() + DEADLINE_S
+    calls = [caller.call(f'/{form}/{FAST}') for _ in range(MANY_CONNECTIONS)]
+    upstream.wait_started(form, MANY_CONNECTIONS)
+    caller.run()
+    caller.longest_turn_s = 0
+    while time.monotonic() < until_s:
+        caller.call_other()
+    for call in calls:
+        caller.calls.abort(call)
+    run_reactor_until(lambda: upstream.has_ended(form, MANY_CONNECTIONS))
+    assert caller.longest_turn_s < TURN_LIMIT_S
+
+
 @pytest.mark.parametrize(
     ('form', 'pace'),
     [
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
+from typing import Any
 
 import pytest
 from msgspec import msgpack
@@ -41,21 +42,27 @@
 class _Daemon:
     """A daemon process with its addresses, store and upstream."""
 
-    def __init__(self, folder: Path, store: Store | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        store: Store | None = None,
+        name: str = 'one',
+        upstream: Any = None,
+    ) -> None:
         self.store = store or configured_store()
         self._port = reactor.listenTCP(
             0,
             Server(reactor, self.store, headers=self.store.headers),
             interface=HOST,
         )
-        self.upstream = PlatformUpstream(reactor, 'i-1')
+        self.upstream = upstream or PlatformUpstream(reactor, 'i-1')
         self.upstream.start()
         store = f'{HOST}:{self._port.getHost().port}'
         free = _free_ports(len(PORT_NAMES))
         self.ports = dict(zip(PORT_NAMES, free, strict=True))
-        path = folder / 'settings.conf'
+        path = folder / f'{name}.conf'
         path.write_text(
-            settings_text('one', 'a', self.ports, self.upstream.address, store)
+            settings_text(name, 'a', self.ports, self.upstream.address, store)
         )
         self.process = subprocess.Popen(
             [sys.executable, '-m', 'greengagemux.platform'],
