Limit the memory of all unfinished responses together

Cause: each response has a limit of 1 MiB, but nothing bounded their sum. An upstream with many slots that leaves its bodies unfinished makes the daemon keep a body for each until the deadlines.

Change: above 32 MiB of unfinished responses the largest ends as too large; its call has been sent, so its caller learns that it may have run.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -52,6 +52,8 @@
 #: Largest status line and headers of a response, and of all informational
 #: responses before it, which could otherwise come without end.
 HEAD_LIMIT_BYTES: Final = 64 * 1024
+#: Most bytes of unfinished responses that all connections hold together.
+HELD_LIMIT_BYTES: Final = 32 * 1024 * 1024
 #: Responses to other requests before that to the current one. Each request gets
 #: one response, so only a few late ones can come before it.
 MAX_SKIPPED_RESPONSES: Final = 16
@@ -163,6 +165,40 @@
             self._schedule()
 
 
+class HeldResponses:
+    """Sizes of the unfinished responses of all connections.
+
+    Each stays below the limit of its call, but an upstream with many slots
+    may leave any number of them unfinished.
+    """
+
+    def __init__(self) -> None:
+        """Start without responses."""
+        self.size_bytes = 0
+        self._holders: dict[UpstreamConnection, int] = {}
+
+    def add(self, connection: 'UpstreamConnection', size_bytes: int) -> None:
+        """Count received bytes; above the limit, end the largest response."""
+        known = self._holders.get(connection, 0)
+        self._holders[connection] = known + size_bytes
+        self.size_bytes += size_bytes
+        while self.size_bytes > HELD_LIMIT_BYTES:
+            largest = max(self._holders, key=self._holders.__getitem__)
+            largest.give_up()
+
+    def release(self, connection: 'UpstreamConnection') -> None:
+        """Forget the response of a connection."""
+        self.size_bytes -= self._holders.pop(connection, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class SharedLimits:
+    """What the connections to all upstreams share."""
+
+    turns: ParseTurns
+    held: HeldResponses
+
+
 class UpstreamConnection(Protocol):
     """One connection to an upstream; it runs one exchange at a time."""
 
@@ -170,11 +206,12 @@
 
     def __init__(
         self,
-        turns: ParseTurns,
+        shared: SharedLimits,
         on_idle: Callable[['UpstreamConnection'], None],
     ) -> None:
         """Call ``on_idle`` whenever another exchange may start."""
-        self._turns = turns
+        self._turns = shared.turns
+        self._held = shared.held
         self._on_idle = on_idle
         self._parser = _new_parser()
         self._exchange: _UpstreamExchange | None = None
@@ -217,10 +254,17 @@
 
     def close(self) -> None:
         """Abort the connection; its exchange ends without a callback."""
+        self._held.release(self)
         self._exchange = None
         self.closed = True
         self.transport.abortConnection()
 
+    def give_up(self) -> None:
+        """Fail the exchange: all responses together take too much memory."""
+        self._held.release(self)
+        detail = f'unfinished responses above {HELD_LIMIT_BYTES} bytes'
+        self._fail(CallFault.too_large, detail)
+
     def dataReceived(self, data: bytes) -> None:
         """Parse input as a part of the response."""
         if self._exchange is None:
@@ -318,6 +362,8 @@
         if exchange.size_bytes > exchange.limit_bytes:
             detail = f'response body above {exchange.limit_bytes} bytes'
             self._fail(CallFault.too_large, detail)
+            return
+        self._held.add(self, len(chunk))
 
     def _complete(self, exchange: _UpstreamExchange) -> None:
         owner = exchange.owner_of(exchange.status, exchange.headers)
@@ -328,6 +374,7 @@
             detail = 'a refusal without a request id on a kept connection'
             self._fail(CallFault.malformed, detail)
             return
+        self._held.release(self)
         self._exchange = None
         self._used_before = True
         self._read_keep_alive(exchange.headers)
@@ -358,6 +405,7 @@
         if exchange.body:
             self._parser.send(h11.Data(exchange.body))
         self._parser.send(h11.EndOfMessage())
+        self._held.release(self)
         exchange.status = 0
         exchange.chunks.clear()
         exchange.size_bytes = 0
@@ -383,13 +431,15 @@
     noisy = False
 
     def __init__(
-        self, turns: ParseTurns, on_idle: Callable[[UpstreamConnection], None]
+        self,
+        shared: SharedLimits,
+        on_idle: Callable[[UpstreamConnection], None],
     ) -> None:
-        self._turns = turns
+        self._shared = shared
         self._on_idle = on_idle
 
     def buildProtocol(self, addr: IAddress | None) -> UpstreamConnection:
-        return UpstreamConnection(self._turns, self._on_idle)
+        return UpstreamConnection(self._shared, self._on_idle)
 
 
 class _Pool:
@@ -454,11 +504,16 @@
         """Build a client that passes results to ``submit``."""
         self._reactor = reactor
         self._submit = submit
-        self._turns = ParseTurns(reactor)
+        self._shared = SharedLimits(ParseTurns(reactor), HeldResponses())
         self._pools: dict[str, _Pool] = {}
         #: Cancels a call: its connection attempt or its open connection.
         self._running: dict[CallId, Callable[[], None]] = {}
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the unfinished responses of all calls."""
+        return self._shared.held.size_bytes
+
     def headers_of(self, effect: CallUpstream) -> Headers:
         """Return the request headers of a call."""
         return effect.headers
@@ -550,7 +605,7 @@
         endpoint: Any = TCP4ClientEndpoint(
             self._reactor, target.host, target.port, timeout=CONNECT_TIMEOUT_S
         )
-        return endpoint.connect(_ConnectionFactory(self._turns, on_idle))
+        return endpoint.connect(_ConnectionFactory(self._shared, on_idle))
 
     def _build_exchange(self, effect: CallUpstream) -> _UpstreamExchange:
         headers = [(b'Host', effect.host or effect.address.encode())]
--- a/tests/endless_upstreams.py
+++ b/tests/endless_upstreams.py
@@ -69,6 +69,9 @@
 )
 FAST = 'fast'
 SLOW = 'slow'
+#: Stops below the limit of a response, and keeps the connection open.
+HELD = 'held'
+HELD_BYTES = 1_000_000
 
 
 class EndlessUpstream:
@@ -164,6 +167,9 @@
         connection.sendall(first)
         time.sleep(LATE_S)
         first = b''
+    if pace == HELD:
+        connection.sendall(first + unit * (HELD_BYTES // len(unit)))
+        _receive(connection)
     if pace == FAST:
         block = unit * (BLOCK_BYTES // len(unit))
         connection.sendall(first)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -8,7 +8,14 @@
 from pathlib import Path
 
 import pytest
-from endless_upstreams import FAST, FORMS, SLOW, WHOLE, EndlessUpstream
+from endless_upstreams import (
+    FAST,
+    FORMS,
+    HELD,
+    SLOW,
+    WHOLE,
+    EndlessUpstream,
+)
 from sockets import CONDITION_TIMEOUT_S, reactor, run_reactor_until, turn
 
 from greengagemux.connections import PROBE_TIMEOUT_S, UpstreamCalls
@@ -173,6 +180,34 @@
     assert caller.longest_turn_s < TURN_LIMIT_S
 
 
+@pytest.mark.parametrize('form', ['close-delimited', 'large-chunks'])
+def test_bodies_that_do_not_end_fill_no_memory(
+    upstream: EndlessUpstream, form: str
+) -> None:
+    """Guards against the sum of bodies that stay below their limit.
+
+    Some calls fail for it; the others go on.
+    """
+    caller = _Caller(upstream, PlatformCalls)
+    calls = [
+        caller.call(f'/{form}/{HELD}') for _ in range(2 * MANY_CONNECTIONS)
+    ]
+    until_s = time.monotonic() + CONDITION_TIMEOUT_S
+    while len(caller.events) < MANY_CONNECTIONS:
+        assert time.monotonic() < until_s
+        caller.run()
+    failed = [caller.events[each] for each in calls if each in caller.events]
+    assert len(failed) < len(calls)
+    for event in failed:
+        assert isinstance(event, UpstreamFailed)
+        assert (event.fault, event.sent) == (CallFault.too_large, True)
+    caller.call_other()
+    for call in calls:
+        caller.calls.abort(call)
+    run_reactor_until(lambda: upstream.has_ended(form, len(calls)))
+    assert not caller.calls.held_bytes
+
+
 @pytest.mark.parametrize(
     ('form', 'pace'),
     [
