Limit the memory of all responses that callers do not read

Change: the listener counts the bytes that are unread or wait for an earlier response; above 32 MiB it cuts off the connections that hold most.

Result: test_callers_that_do_not_read_fill_no_memory: 30 callers with 4 MiB each. Nothing counted the sum before, so the test could only fail for the missing counter; now it stays below the limit and another caller is served.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -41,6 +41,9 @@
 #: A connection whose caller pipelines requests and does not read is closed
 #: when its unsent responses exceed this.
 UNREAD_LIMIT_BYTES: Final = 4 * 1024 * 1024
+#: Most bytes of responses that all callers together leave unread or that wait
+#: for earlier responses; above it, the connection with most of them is cut off.
+UNREAD_TOTAL_LIMIT_BYTES: Final = 32 * 1024 * 1024
 #: Connections that the kernel queues until this process accepts them.
 BACKLOG: Final = 1024
 #: Caller connections beyond this are closed at once.
@@ -262,6 +265,7 @@
     def respond(self, exchange: Exchange, effect: Respond) -> None:
         """Write a response in request order, and withheld ones after it."""
         self._withheld[exchange] = effect
+        self.listener.hold(self, len(effect.body))
         while self.requests and self.requests[0] in self._withheld:
             first = self.requests[0]
             # Callers assume that requests after a closing response did not run,
@@ -269,7 +273,9 @@
             closing = self.listener.closing or self._ends_after_requests
             last = closing and len(self.requests) == 1
             self._input_discarded = self._input_discarded or last
-            self._write_response(first, self._withheld.pop(first), close=last)
+            ready = self._withheld.pop(first)
+            self.listener.hold(self, -len(ready.body))
+            self._write_response(first, ready, close=last)
             if last and self.persistent:
                 self._half_close()
 
@@ -298,6 +304,7 @@
         if not self._paused:
             return
         self._unread_bytes += size_bytes
+        self.listener.hold(self, size_bytes)
         if self._unread_bytes > UNREAD_LIMIT_BYTES:
             self.cut_off(Cutoff.unread)
 
@@ -309,6 +316,7 @@
     def resumeProducing(self) -> None:
         """Stop counting: the responses were passed to the kernel."""
         self._paused = False
+        self.listener.hold(self, -self._unread_bytes)
         self._unread_bytes = 0
         super().resumeProducing()  # type: ignore[no-untyped-call]
 
@@ -457,6 +465,9 @@
         self._last_input: dict[CallerChannel, timedelta] = {}
         self._exchanges: dict[ExchangeId, Exchange] = {}
         self._channels: set[CallerChannel] = set()
+        self._held_bytes: dict[CallerChannel, int] = {}
+        #: Bytes of responses that are unread or withheld, of all connections.
+        self.unread_bytes = 0
         self._last_exchange = 0
         self._last_connection = 0
         self._port: Any = None
@@ -518,12 +529,34 @@
         if exchange is not None:
             exchange.respond(effect)
 
+    def hold(self, channel: CallerChannel, size_bytes: int) -> None:
+        """Count bytes of responses that a connection holds, or holds no more.
+
+        Above the limit the connections that hold most are cut off.
+        """
+        if channel not in self._channels:
+            # It was cut off.
+            return
+        held_bytes = self._held_bytes.get(channel, 0) + size_bytes
+        self._held_bytes[channel] = held_bytes
+        self.unread_bytes += size_bytes
+        while self.unread_bytes > UNREAD_TOTAL_LIMIT_BYTES:
+            largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
+            self._release_held(largest)
+            largest.cut_off(Cutoff.unread)
+
     def disconnected(self, channel: CallerChannel) -> None:
         """Remove a closed connection."""
+        self._release_held(channel)
         self._channels.discard(channel)
         self._receiving.pop(channel, None)
         self._last_input.pop(channel, None)
 
+    def _release_held(self, channel: CallerChannel) -> None:
+        """Forget a connection that is being closed."""
+        self._channels.discard(channel)
+        self.unread_bytes -= self._held_bytes.pop(channel, 0)
+
     def restart_idle_limit(self, channel: CallerChannel) -> None:
         """Restart the idle time limit of a connection."""
         self._last_input.pop(channel, None)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -375,6 +375,33 @@
     caller.socket.close()
 
 
+def test_callers_that_do_not_read_fill_no_memory(edge: _Edge) -> None:
+    """Guards against the sum of responses that nobody reads.
+
+    Those that hold most are cut off; another caller gets its response.
+    """
+    # More than the buffers of the kernel hold.
+    large = b'x' * listeners.UNREAD_LIMIT_BYTES
+    callers = []
+    for count in range(1, 31):
+        plain = socket.socket()
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        plain.connect(('127.0.0.1', edge.port.getHost().port))
+        callers.append(Client(plain).send(_GET))
+        edge.answer(count, large)
+        turn(2)
+        held_bytes = edge.listener.unread_bytes
+        assert held_bytes <= listeners.UNREAD_TOTAL_LIMIT_BYTES
+    assert edge.cutoffs['unread'] > 10
+    reader = Client(edge.port).send(_GET)
+    edge.answer(31)
+    reader.expect(b'answer to /stock/1')
+    for each in callers:
+        each.socket.close()
+    run_reactor_until(lambda: edge.listener.connections == 1)
+    assert not edge.listener.unread_bytes
+
+
 def test_connections_above_the_limit_are_closed(
     edge: _Edge, monkeypatch: pytest.MonkeyPatch
 ) -> None:
