Do not queue a request where the path is opening

Cause: a request that found no free slot is queued at the full upstream with the shortest wait, also if the path to its daemon is opening; it was then excluded and placed again at the same one, without end.

Change: full upstreams whose path is opening are left out; with none left the request waits for the path.

Result: test_full_upstream_whose_path_is_opening failed with RecursionError before and passes now.

--- a/greengagemux/placements.py
+++ b/greengagemux/placements.py
@@ -159,11 +159,15 @@
         # Another attempt runs, so this one is not worth a place in a queue.
         return None
     allowed = bounds.usable_set.allowed
+    # The request waits for the paths that are opening.
+    opening = {each.upstream for each in pending.unopened}
     best = shortest_wait(
         [
             each
             for each in pending.full
-            if each in allowed and each.upstream not in closed
+            if each in allowed
+            and each.upstream not in closed
+            and each.upstream not in opening
         ],
         limits,
     )
--- a/tests/test_free_slots.py
+++ b/tests/test_free_slots.py
@@ -14,6 +14,7 @@
 from greengagemux.clocks import in_ms
 from greengagemux.messages import Priority
 from greengagemux.outcomes import Outcome, Reason
+from greengagemux.paths import PathState
 
 DAEMONS = 8
 SLOTS = 2
@@ -275,3 +276,39 @@
     saved = upstream.retries.saved
     harness.ask(Priority.waiting, free_slot_only=True)
     assert upstream.retries.saved == saved
+
+
+def test_full_upstream_whose_path_is_opening(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a placement that selects it again without end.
+
+    The request waits for the path, and is dispatched once it is open.
+    """
+    fleet = FakeFleet(3, 1, data_centres=1)
+    fleet.publish(BUNDLE.format(tries=TRIES))
+    fleet.run(WARM_UP_MS)
+    daemon = fleet.nodes['d0'].daemon
+    monkeypatch.setattr(daemon.paths, 'ready', lambda _daemon: None)
+    fleet.nodes['d0'].upstreams['d0-u0'].hang = True
+    exchange = fleet.ask('d0', b'1', b'/call/1')
+    fleet.run(50)
+    pending = daemon.ingress._pending[exchange]
+    daemon.ingress._attempts.cancel(pending, fleet.now)
+    daemon.outbox.drain()
+    view = daemon.ingress.candidates.view(pending.route.service)
+    pending.full = [
+        each for each in view.candidates.values() if each.daemon != 'd0'
+    ]
+    for path in daemon.paths.by_daemon.values():
+        path.state = PathState.opening
+    daemon.ingress._place(pending, fleet.now)
+    assert exchange not in fleet.answers
+    monkeypatch.undo()
+    for path in daemon.paths.by_daemon.values():
+        path.state = PathState.open
+    daemon.ingress._place(pending, fleet.now)
+    for effect in daemon.outbox.drain():
+        fleet.carry_out(fleet.nodes['d0'], effect)
+    fleet.run(500)
+    assert fleet.outcome(exchange) == 'completed'
