Report the state of the running process with results of an earlier one

Cause: since a call keeps the entry of its own process, whose state is draining once a later process has its id. Its result reported that state, and an ingress in another data centre would have kept requests away from the new process.

Change: the load in a result is that of the process which has the id now.

Result: test_result_of_an_earlier_boot_reports_the_next_one failed before, for an answer and for a failure, and passes now.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -355,7 +355,7 @@
             length=len(event.body),
             digest=xxhash.xxh3_64_intdigest(event.body),
             service_ms=service_ms,
-            load=load_of(upstream, now),
+            load=load_of(self.local_upstreams.current(upstream), now),
             usual_ms=round(upstream.route_ms.get(job.dispatch.route, 0), 1),
         )
         self._end(job, answer, now)
@@ -394,7 +394,7 @@
             reason=reason,
             outcome=outcome,
             detail=str(event.failure),
-            load=load_of(upstream, now),
+            load=load_of(self.local_upstreams.current(upstream), now),
         )
         if holds_refusal:
             job.refusal = refusal
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -176,6 +176,10 @@
         """Return whether an upstream is known and was not replaced."""
         return self.by_id.get(upstream.upstream) is upstream
 
+    def current(self, upstream: Upstream) -> Upstream:
+        """Return the upstream that has replaced one, or else this one."""
+        return self.by_id.get(upstream.upstream, upstream)
+
     def preempts(self, service: ServiceName) -> bool:
         """Return whether interactive requests may preempt internal reads."""
         known = self._services.get(service)
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -576,6 +576,27 @@
     assert state is UpstreamState.serving
 
 
+@pytest.mark.parametrize('fails', [False, True])
+def test_result_of_an_earlier_boot_reports_the_next_one(*, fails: bool) -> None:
+    """An ingress applies the reported state to the upstream of this id.
+
+    That of the earlier process is draining, and would keep requests away.
+    """
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    event = Announced(
+        UPSTREAM, SERVICE, 'a:1', 1, UpstreamState.serving, boot=8
+    )
+    harness.egress.announce(event, ms(8))
+    if fails:
+        harness.fail(CallFault.truncated, sent=True)
+    else:
+        harness.answer(harness.calls()[0])
+    load = _replies(harness)[0].load
+    assert load.state is UpstreamState.serving
+    assert load.leaving_boot is None
+
+
 def test_statement_of_an_earlier_boot_is_ignored() -> None:
     """The process that leaves is not the one that has the id now."""
     harness = _EgressHarness()
