Test the silent calls of a replaced upstream with a daemon process

Change: a daemon process beside a listener that never answers; two later boots are announced while a write waits.

--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -359,3 +359,72 @@
     while b' 200 ' not in daemon.request('GET', path):
         assert time.monotonic() < until_s
         turn(5)
+
+
+class _SilentUpstream:
+    """Accepts connections, and neither reads nor answers."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server((HOST, 0))
+        self._boot = 0
+
+    @property
+    def address(self) -> str:
+        return f'{HOST}:{self._listener.getsockname()[1]}'
+
+    def start(self) -> None:
+        """Do nothing: it listens from the beginning."""
+
+    def stop(self) -> None:
+        """Close the listener and its connections."""
+        self._listener.close()
+
+    def announcement(self, upstream: str) -> bytes:
+        """Return the announcement of its next boot under an id."""
+        self._boot += 1
+        body = json.dumps(
+            {
+                'service': 'orders',
+                'address': 'own',
+                'slots': 3,
+                'phase': 'ready',
+                'sequence': 1,
+                'born': self._boot,
+            }
+        )
+        return (
+            f'PUT /api/instances/{upstream} HTTP/1.1\r\nHost: x\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'
+        ).encode()
+
+
+def test_silent_calls_of_a_replaced_upstream_end(tmp_path: Path) -> None:
+    """Guards against a daemon that does nothing more after two restarts.
+
+    The connections of the first process stay silent; the second one has the
+    same id, the third another.
+    """
+    daemon = _Daemon(tmp_path, upstream=_SilentUpstream())
+    try:
+        daemon.wait_ready()
+        daemon.announce('i-1')
+        connection = socket.create_connection((HOST, daemon.ports['outbound']))
+        waiting = Client(connection).send(
+            b'POST /post/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Request-Id: r-1\r\nDeadline-Ms: 900\r\nContent-Length: 0\r\n\r\n'
+        )
+        turn(50)
+        daemon.announce('i-1')
+        daemon.announce('i-2')
+        waiting.expect(b'HTTP/1.1 504 ')
+        waiting.socket.close()
+        daemon.store.append('keyed.op', 'config', configuration(2))
+        until_s = time.monotonic() + PROPAGATION_S
+        while b' 404 ' in daemon.request('GET', f'{version_prefix(2)}1'):
+            assert time.monotonic() < until_s
+            turn(5)
+        log = daemon.stop()
+        assert 'event failed' not in log
+        assert daemon.process.returncode == 0
+    finally:
+        daemon.close()
