Read the statements of calls and probes in one place

Cause: wrote the same lines for both, apart from the call they name. Change: one method, which takes the call; behaviour as before. Result: linter, type checker and test_connections, test_platform, test_platform_daemon, test_endless and test_ratelimits pass.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -569,7 +569,7 @@
             self._reactor,
             self._submit,
             effect,
-            partial(self._read_probe_head, effect.upstream),
+            partial(self._read_head, effect.upstream),
         ).start(self._connect(effect.address, UpstreamConnection.close))
 
     def check_listening(self, effect: CheckListening) -> None:
@@ -629,18 +629,19 @@
         self, effect: CallUpstream, status: int, headers: Headers
     ) -> None:
         # A late response to another request may be older than the newest one.
-        if self.owner_of(effect, status, headers) is not ResponseOwner.current:
-            return
-        statement = self.statement_of(effect.upstream, status, headers)
-        if statement is not None:
-            self._submit(replace(statement, call=effect.call))
+        if self.owner_of(effect, status, headers) is ResponseOwner.current:
+            self._read_head(effect.upstream, status, headers, effect.call)
 
-    def _read_probe_head(
-        self, upstream: UpstreamId, status: int, headers: Headers
+    def _read_head(
+        self,
+        upstream: UpstreamId,
+        status: int,
+        headers: Headers,
+        call: CallId | None = None,
     ) -> None:
         statement = self.statement_of(upstream, status, headers)
         if statement is not None:
-            self._submit(statement)
+            self._submit(replace(statement, call=call))
 
     def _start(
         self,
