--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from fakes_fleet import FakeFleet, started
+from fakes_fleet import FakeFleet, FakeUpstream, started
 from test_episodes import SERVICE, UPSTREAM, _EgressHarness
 from test_leaving import _ask, _outcomes
 from test_platform_daemon import _Daemon
@@ -142,10 +142,7 @@
 
     Its only news of the upstream is a late check-in, which says ready.
     """
-    fleet = started(4, data_centres=1)
-    upstream = fleet.nodes['d2'].upstreams['d2-u0']
-    upstream.boot = 5
-    fleet.run(2000)
+    fleet, upstream = _started_numbered()
     upstream.draining = True
     fleet.run(1000)
     _restart(fleet)
@@ -159,13 +156,9 @@
 
 def test_drain_is_told_before_it_is_acknowledged() -> None:
     """A process may be killed as soon as it has acknowledged."""
-    fleet = started(4, data_centres=1)
-    node = fleet.nodes['d2']
-    upstream = node.upstreams['d2-u0']
-    upstream.boot = 5
-    fleet.run(2000)
+    fleet, upstream = _started_numbered()
     upstream.draining = True
-    fleet.announce(node)
+    fleet.announce(fleet.nodes['d2'])
     _restart(fleet)
     upstream.draining = False
     fleet.run(4000)
@@ -176,10 +169,7 @@
 
 def test_next_boot_of_a_drained_upstream_gets_work() -> None:
     """What peers remember must not outlast the process it is about."""
-    fleet = started(4, data_centres=1)
-    upstream = fleet.nodes['d2'].upstreams['d2-u0']
-    upstream.boot = 5
-    fleet.run(2000)
+    fleet, upstream = _started_numbered()
     upstream.draining = True
     fleet.run(1000)
     _restart(fleet)
@@ -191,6 +181,15 @@
     assert len(upstream.runs) > before
 
 
+def _started_numbered() -> tuple[FakeFleet, FakeUpstream]:
+    """Return a fleet and the upstream beside d2, which numbers its boots."""
+    fleet = started(4, data_centres=1)
+    upstream = fleet.nodes['d2'].upstreams['d2-u0']
+    upstream.boot = 5
+    fleet.run(2000)
+    return fleet, upstream
+
+
 def _restart(fleet: FakeFleet) -> None:
     fleet.kill('d2')
     fleet.run(500)
