Take a request that has run nowhere for a first attempt

Callers saw: 503, not run, with a sound upstream left.

Cause: the hedge of a waiting request is refused at the sound upstream for the retry budget, which excludes that upstream. The first attempt is then refused as its upstream has become sick: nothing has run, but the request still counts as a retry, and the only sound upstream stays excluded. Refusals for a rate limit, a busy slot or a dispatch that never arrived end in the same state.

Change: before a request is placed, its retries are undone if no upstream was called for it and no attempt is left; upstreams that had no budget for a retry of it are candidates again. Each such turn excludes one more upstream, so it ends.

Result: test_sound_upstream_takes_a_request_that_has_run_nowhere failed before (not-run) and passes now.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -466,6 +466,7 @@
         if permit is not None and not self._keyed.may_run(permit, now):
             self._lose_ownership(pending)
             return
+        pending.restart_unless_called()
         placement = self._placements.place(pending, now)
         selected = placement.selected
         if placement.rate_limited:
@@ -595,6 +596,7 @@
             self._move(pending, now)
             return
         if message.reason is Reason.retry_budget:
+            pending.retry_refusers.add(attempt.candidate.upstream)
             self._redispatch_retry(pending, now)
             return
         pending.last_reason = message.reason
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -152,6 +152,8 @@
     reroutes: int = 0
     #: Refusals of retries for which an upstream had no budget.
     retry_refusals: int = 0
+    #: Those excluded because they had no budget for a retry of it.
+    retry_refusers: set[UpstreamId] = field(default_factory=set)
     retries: int = 0
     #: Upstreams that were called for it and may have run it.
     runs: int = 0
@@ -216,6 +218,19 @@
         self.excluded -= {candidate.upstream for candidate in self.unopened}
         self.unopened.clear()
 
+    def restart_unless_called(self) -> None:
+        """Undo its retries if no upstream was called and none runs.
+
+        It is no retry any more, and upstreams without a budget for one are
+        candidates again.
+        """
+        ran = self.may_have_run or self.called or self.fallback is not None
+        if self.attempts or ran:
+            return
+        self.retries = 0
+        self.excluded -= self.retry_refusers
+        self.retry_refusers.clear()
+
     def end_queue_turn(self, candidate: Candidate) -> None:
         """Try others again after a turn in the queue of ``candidate``."""
         self.queue_turns += 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -43,6 +43,7 @@
 )
 from greengagemux.outcomes import Outcome, Reason
 from greengagemux.reducers import STOP_NOTICE, TICK
+from greengagemux.retries import RetryBudget
 
 
 def _others(fleet: FakeFleet, name: str) -> list[str]:
@@ -813,3 +814,26 @@
     assert outcomes == ['completed'] * 8
     for request in fleet.requests.values():
         assert fleet.runs(request.tag) == 1
+
+
+def test_sound_upstream_takes_a_request_that_has_run_nowhere() -> None:
+    """A refused hedge must not exclude the upstream for the first attempt."""
+    fleet = started(2)
+    egress = fleet.nodes['d0'].daemon.egress
+    ingress = fleet.nodes['d0'].daemon.ingress
+    ingress._budgets[ServiceName('ledger')].saved = 10
+    other = fleet.nodes['d1'].daemon.egress.upstreams[UpstreamId('d1-u0')]
+    other.retries = RetryBudget(0, saved=0)
+    own = egress.upstreams[UpstreamId('d0-u0')]
+    fleet.nodes['d0'].upstreams['d0-u0'].hang = True
+    for number in range(40):
+        if not own.queue:
+            exchange = fleet.ask('d0', b'r%d' % number)
+            fleet.run(1)
+    assert own.queue
+    fleet.run(1200)
+    assert fleet.outcome(exchange) == ''
+    egress._refuse_queued(own, Reason.sick, fleet.now)
+    fleet.run(50)
+    assert fleet.outcome(exchange) == 'completed'
+    assert fleet.runs(fleet.requests[exchange].tag) == 1
