Keep no connections to an upstream that sends unasked bytes

The log of the daemon: "no status line: b'xxxxxxx'" for calls on kept connections.

Cause: a response is complete, its connection is kept, and bytes without end follow 50 ms later. A call that has taken the connection meanwhile reads them as its response. Each kept connection to that upstream is about to do the same.

Change: bytes that belong to no response (on an idle connection, before a call takes one, or in place of a status line on a used one) close all idle connections to the upstream; for 5 s its connections are closed after each response.

Calls that are on such connections at the first of these bytes still fail.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -47,6 +47,9 @@
 #: ``Keep-Alive`` header, so that no request is on its way when the server
 #: closes it.
 KEEP_ALIVE_MARGIN_S: Final = 1
+#: Time for which no connection is kept after an upstream has sent bytes that
+#: belong to no response.
+UNASKED_INPUT_PAUSE_S: Final = 5.0
 #: Longer numbers than this in ``Keep-Alive`` set no limit.
 KEEP_ALIVE_DIGITS: Final = 9
 #: Largest status line and headers of a response, and of all informational
@@ -94,6 +97,10 @@
     """Do nothing with the head of a response."""
 
 
+def _ignore_input() -> None:
+    """Do nothing with bytes that belong to no response."""
+
+
 def _is_current(status: int, headers: Headers) -> ResponseOwner:
     """Take every response as that to the current request."""
     return ResponseOwner.current
@@ -220,6 +227,8 @@
         self.closed = False
         #: Whether a request was sent before the current one.
         self._used_before = False
+        #: Called if bytes arrive that belong to no response.
+        self.on_unasked_input: Callable[[], None] = _ignore_input
         #: Ids of requests that were refused on this connection. A repeated
         #: refusal would be taken for that of a request with the same id.
         self.refused_ids: set[str] = set()
@@ -237,7 +246,14 @@
         connection would count as sent, and unread input would be taken for
         its response.
         """
-        return not self.closed and _has_no_input(self.transport)
+        return self.unread_input() is None
+
+    def unread_input(self) -> bytes | None:
+        """Return the start of the unread input, None without any.
+
+        It is empty if the connection has been closed.
+        """
+        return b'' if self.closed else _peek(self.transport)
 
     def start(self, exchange: _UpstreamExchange) -> None:
         """Send a request.
@@ -270,6 +286,7 @@
         if self._exchange is None:
             # No request is running, so this is no response to one.
             self.close()
+            self.on_unasked_input()
             return
         self._receive(data)
 
@@ -346,6 +363,7 @@
             return
         start = self._parser.trailing_data[0][: len(STATUS_LINE_START)]
         if not STATUS_LINE_START.startswith(start):
+            self.on_unasked_input()
             self._fail(CallFault.malformed, f'no status line: {start!r}')
 
     def _count_informational(
@@ -449,13 +467,17 @@
         self._reactor = reactor
         self._idle_limit_s = idle_limit_s
         self._idle: dict[UpstreamConnection, Any] = {}
+        #: Time of the reactor from which connections are kept again.
+        self._paused_until_s = float(0)
 
     def put(self, connection: UpstreamConnection) -> None:
         """Keep an idle connection until its time limit."""
         full = len(self._idle) >= MAX_POOLED_CONNECTIONS
-        if full or len(connection.refused_ids) >= MAX_REFUSED_IDS:
+        paused = self._reactor.seconds() < self._paused_until_s
+        if full or paused or len(connection.refused_ids) >= MAX_REFUSED_IDS:
             connection.close()
             return
+        connection.on_unasked_input = self._pause
         limit_s = min(self._idle_limit_s, connection.keep_alive_s)
         self._idle[connection] = self._reactor.callLater(
             limit_s, self._expire, connection
@@ -470,9 +492,13 @@
             if request_id and request_id in connection.refused_ids:
                 continue
             self._idle.pop(connection).cancel()
-            if connection.usable:
+            unread = connection.unread_input()
+            if unread is None:
                 return connection
             connection.close()
+            if unread:
+                self._pause()
+                break
         return None
 
     def close(self) -> None:
@@ -482,6 +508,15 @@
             connection.close()
         self._idle.clear()
 
+    def _pause(self) -> None:
+        """Close all connections, and keep none for a while.
+
+        The upstream may be about to send on the others too, and a call would
+        take that for its response.
+        """
+        self._paused_until_s = self._reactor.seconds() + UNASKED_INPUT_PAUSE_S
+        self.close()
+
     def _expire(self, connection: UpstreamConnection) -> None:
         self._idle.pop(connection, None)
         connection.close()
@@ -827,11 +862,15 @@
     return POOL_IDLE_LIMIT_S
 
 
-def _has_no_input(transport: Any) -> bool:
+def _peek(transport: Any) -> bytes | None:
+    """Return the first byte of the input, and leave it there.
+
+    None without input, and empty if the connection has been closed.
+    """
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
     try:
-        transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return bytes(transport.getHandle().recv(1, flags))
     except BlockingIOError:
-        return True
+        return None
     except OSError:
-        return False
-    return False
+        return b''
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -2,7 +2,7 @@
 
 import socket
 import struct
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 from sockets import reactor, turn, run_reactor_until
@@ -222,6 +222,62 @@
     assert len(upstream.accepted) == 1
 
 
+def _send_while_idle(upstream: _Upstream, connection: socket.socket) -> None:
+    connection.sendall(b'x')
+    run_reactor_until(lambda: _is_closed(connection))
+
+
+def _send_before_a_call(upstream: _Upstream, connection: socket.socket) -> None:
+    connection.sendall(b'x')
+    # The reactor does not run before this call.
+    upstream.call()
+    connection = upstream.accept()
+    upstream.read(connection)
+    connection.sendall(_OK)
+    run_reactor_until(lambda: len(upstream.events) == upstream.count - 1)
+    assert isinstance(upstream.events[-1], UpstreamAnswered)
+
+
+def _send_before_a_response(
+    upstream: _Upstream, connection: socket.socket
+) -> None:
+    upstream.call()
+    upstream.read(connection)
+    connection.sendall(b'x')
+    run_reactor_until(lambda: len(upstream.events) == upstream.count - 1)
+    failed = upstream.events[-1]
+    assert isinstance(failed, UpstreamFailed)
+    assert (failed.fault, failed.sent) == (CallFault.malformed, True)
+
+
+@pytest.mark.parametrize(
+    'send_unasked',
+    [_send_while_idle, _send_before_a_call, _send_before_a_response],
+)
+def test_unasked_bytes_cost_no_call_on_another_kept_connection(
+    upstream: _Upstream,
+    send_unasked: Callable[[_Upstream, socket.socket], None],
+) -> None:
+    """Its other connections may be about to carry unasked bytes as well."""
+    connections = []
+    for _ in range(3):
+        upstream.call()
+        connections.append(upstream.accept())
+        upstream.read(connections[-1])
+    idle, last, busy = connections
+    for number, connection in enumerate((idle, last), start=1):
+        connection.sendall(_OK)
+        run_reactor_until(lambda count=number: len(upstream.events) == count)
+    send_unasked(upstream, last)
+    run_reactor_until(lambda: _is_closed(idle))
+    busy.sendall(_OK)
+    run_reactor_until(lambda: len(upstream.events) == upstream.count)
+    assert isinstance(upstream.events[-1], UpstreamAnswered)
+    run_reactor_until(lambda: _is_closed(busy))
+    upstream.call()
+    upstream.read(upstream.accept())
+
+
 @pytest.mark.parametrize('target', [b'/', b'/\x80'])
 def test_nothing_sent_is_not_sent(upstream: _Upstream, target: bytes) -> None:
     """A request that was not sent must be reported so, for another attempt.
