Give the daemons of tests ports that no other process gets

Cause: the tests took free ports of the range from which the kernel assigns ports to outgoing connections. Of three test processes side by side one had "Couldn't listen on 127.0.0.1:36381: Address already in use"; its test then waited for the port without end. This is the hang in KNOWN-RED.txt (test_draining_upstream_gets_no_work), which is therefore a fault of the tests.

Change: ports of a reserved block outside that range; a daemon that has ended fails its test at once; logs go to files, as a full pipe lost lines after 64 KB, and the search for "event failed" saw the first part only. No check is weaker.

--- a/greengagemux_standins/ports.py
+++ b/greengagemux_standins/ports.py
@@ -9,7 +9,8 @@
 #: First ports of the blocks; the kernel assigns none of these ports to
 #: outgoing connections.
 _FIRST_PORTS = range(10_000, 31_000, 700)
-_BLOCK_PORTS = 600
+#: Size of a block; its last port is that of the reservation.
+BLOCK_PORTS = 600
 #: Sockets bound to the last port of each block that this process selected.
 #: They stay open until the process ends, so that another process does not
 #: select the same block.
@@ -24,7 +25,7 @@
     first_ports = list(_FIRST_PORTS)
     random.shuffle(first_ports)
     for first_port in first_ports:
-        last = first_port + _BLOCK_PORTS - 1
+        last = first_port + BLOCK_PORTS - 1
         if _reserve(last) and _all_free(range(first_port, last)):
             return first_port
     raise OSError('no free block of ports')
--- a/tests/test_endless_daemons.py
+++ b/tests/test_endless_daemons.py
@@ -150,9 +150,7 @@
     for daemon in daemons:
         assert daemon.process.poll() is None
         daemon.process.kill()
-        stdout = daemon.process.stdout
-        assert stdout is not None
-        assert 'event failed' not in stdout.read().decode()
+        assert 'event failed' not in daemon.log()
 
 
 @pytest.mark.known_red
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -4,6 +4,7 @@
 start to its stop.
 """
 
+import itertools
 import json
 import os
 import re
@@ -14,6 +15,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import suppress
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -32,6 +34,7 @@
     version_prefix,
 )
 from greengagemux_standins.platformupstreams import PlatformUpstream
+from greengagemux_standins.ports import BLOCK_PORTS, free_base_port
 from greengagemux_standins.stores import Store
 
 HOST = '127.0.0.1'
@@ -58,17 +61,19 @@
         self.upstream = upstream or PlatformUpstream(reactor, 'i-1')
         self.upstream.start()
         store = f'{HOST}:{self._port.getHost().port}'
-        free = _free_ports(len(PORT_NAMES))
-        self.ports = dict(zip(PORT_NAMES, free, strict=True))
+        self.ports = {each: next(_ports()) for each in PORT_NAMES}
         path = folder / f'{name}.conf'
         path.write_text(
             settings_text(name, 'a', self.ports, self.upstream.address, store)
         )
-        self.process = subprocess.Popen(
-            [sys.executable, '-m', 'greengagemux.platform'],
-            env={**os.environ, PATH_VARIABLE: str(path)},
-            stdout=subprocess.PIPE,
-        )
+        # A file, as a full pipe would lose lines.
+        self._log_path = folder / f'{name}.log'
+        with self._log_path.open('wb') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'greengagemux.platform'],
+                env={**os.environ, PATH_VARIABLE: str(path)},
+                stdout=log,
+            )
 
     def ask(self, name: str, wire: str) -> bytes:
         """Send a request to one address and return the response.
@@ -80,6 +85,7 @@
             try:
                 connection = socket.create_connection((HOST, self.ports[name]))
             except ConnectionRefusedError:
+                assert self.process.poll() is None, 'the daemon has ended'
                 turn(5)
         client = Client(connection).send(wire.encode('latin-1'))
         run_reactor_until(
@@ -114,15 +120,17 @@
         """Stop the process with ``SIGTERM`` and return its log."""
         self.process.send_signal(signal.SIGTERM)
         run_reactor_until(lambda: self.process.poll() is not None)
-        stdout = self.process.stdout
-        assert stdout is not None
-        return stdout.read().decode()
+        return self.log()
+
+    def log(self) -> str:
+        """Return the log lines that were written so far."""
+        return self._log_path.read_text()
 
     def close(self) -> None:
         """Kill the process if it still runs, and close the stand-ins."""
         if self.process.poll() is None:
             self.process.kill()
-        self.process.communicate()
+        self.process.wait()
         self._port.stopListening()
         self.upstream.stop()
         turn()
@@ -162,12 +170,11 @@
 )
 
 
-def _free_ports(count: int) -> list[int]:
-    listeners = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in listeners]
-    for each in listeners:
-        each.close()
-    return ports
+@cache
+def _ports() -> Iterator[int]:
+    """Return ports that the kernel assigns to no other process."""
+    first = free_base_port()
+    return itertools.cycle(range(first, first + BLOCK_PORTS - 1))
 
 
 @pytest.fixture(name='daemon')
