Go on parsing responses after an exception in one of them

Cause: connections that are slow to parse wait in one queue. An exception in the turn of one left the queue marked as scheduled, so that no later one was resumed: their calls, and each later one that is slow to parse, waited for their deadline.

Change: the queue is scheduled again whatever its connections raise, and the connection that has raised is aborted, as the reactor does after an exception in dataReceived; its call fails at once.

Result: test_exception_in_one_parse_turn_stops_no_other failed before (no event and no byte read in 10 s) and passes now.

--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -161,15 +161,17 @@
             self._reactor.callLater(0, self._run)
 
     def _run(self) -> None:
-        until_s = self._reactor.seconds() + PARSE_TURN_S
-        for resume in tuple(self._waiting):
-            if self.is_over(until_s):
-                break
-            self._waiting.popleft()
-            resume()
         self._scheduled = False
-        if self._waiting:
-            self._schedule()
+        until_s = self._reactor.seconds() + PARSE_TURN_S
+        try:
+            for resume in tuple(self._waiting):
+                if self.is_over(until_s):
+                    break
+                self._waiting.popleft()
+                resume()
+        finally:
+            if self._waiting:
+                self._schedule()
 
 
 class HeldResponses:
@@ -331,7 +333,12 @@
         if self.closed:
             return
         self.transport.resumeProducing()
-        self._parse()
+        try:
+            self._parse()
+        except Exception:
+            # As the reactor does after an exception in ``dataReceived``.
+            self.transport.abortConnection()
+            raise
 
     def _handle_next_event(self) -> bool:
         """Handle one parser event; return whether another may follow."""
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -3,9 +3,11 @@
 import gc
 import os
 import time
+from collections import Counter
 from collections.abc import Iterator
 from itertools import count
 from pathlib import Path
+from typing import Any
 
 import pytest
 from endless_upstreams import (
@@ -18,7 +20,11 @@
 )
 from sockets import CONDITION_TIMEOUT_S, reactor, run_reactor_until, turn
 
-from greengagemux.connections import PROBE_TIMEOUT_S, UpstreamCalls
+from greengagemux.connections import (
+    PROBE_TIMEOUT_S,
+    UpstreamCalls,
+    UpstreamConnection,
+)
 from greengagemux.effects import CallUpstream, ProbeUpstream
 from greengagemux.events import (
     CallFault,
@@ -37,6 +43,8 @@
 TURN_LIMIT_S = 0.4 / 5
 #: Connections that send without end at the same time.
 CONNECTIONS = 4
+#: Body in chunks of one byte that takes more than one turn to parse.
+SLOW_TO_PARSE_BYTES = 5000
 #: Slots of a large upstream.
 MANY_CONNECTIONS = 40
 ANSWER_LIMIT_BYTES = 1024 * 1024
@@ -180,6 +188,38 @@
     assert caller.longest_turn_s < TURN_LIMIT_S
 
 
+def test_exception_in_one_parse_turn_stops_no_other(
+    upstream: EndlessUpstream, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The other responses that are slow to parse must still be read."""
+    collect = UpstreamConnection._collect
+    broken: list[UpstreamConnection] = []
+    read_after: Counter[UpstreamConnection] = Counter()
+
+    def raise_once(
+        connection: UpstreamConnection, exchange: Any, chunk: bytes
+    ) -> None:
+        if not broken and exchange.size_bytes > SLOW_TO_PARSE_BYTES:
+            broken.append(connection)
+            raise RuntimeError('broken')
+        read_after[connection] += len(broken)
+        collect(connection, exchange, chunk)
+
+    monkeypatch.setattr(UpstreamConnection, '_collect', raise_once)
+    caller = _Caller(upstream, PlatformCalls)
+    calls = [caller.call(f'/small-chunks/{FAST}') for _ in range(CONNECTIONS)]
+    until_s = time.monotonic() + CONDITION_TIMEOUT_S
+    least_bytes = 0
+    while not caller.events or least_bytes < SLOW_TO_PARSE_BYTES:
+        assert time.monotonic() < until_s, (caller.events, least_bytes)
+        caller.run()
+        others = [read_after[each] for each in read_after if each not in broken]
+        least_bytes = min(others) if len(others) == CONNECTIONS - 1 else 0
+    assert [type(each) for each in caller.events.values()] == [UpstreamFailed]
+    for call in calls:
+        caller.calls.abort(call)
+
+
 @pytest.mark.parametrize('form', ['close-delimited', 'large-chunks'])
 def test_bodies_that_do_not_end_fill_no_memory(
     upstream: EndlessUpstream, form: str
