Close the connection of a response of the store that is too large or late

Callers and operators saw (the report on endless bytes, control path): a store that sends a body without end fills the memory of each daemon that reads it, at hundreds of MB a second, until the process ends.

Cause: a body above 12 MiB, or one that is not complete in time, ends its call and then has to be aborted. The transport that twisted gives to the reader of a response has no abortConnection, so nothing was closed; the body went on to be collected although nobody waited for it any more, without a limit of size or time. The fake of the unit tests had that method.

Change: loseConnection, which that transport has; nothing is kept after the call has ended. The fake has the methods of the real transport.

--- a/greengagemux/logclients.py
+++ b/greengagemux/logclients.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from io import BytesIO
-from typing import Annotated, Any, Final
+from typing import Annotated, Any, Final, cast
 from urllib.parse import quote
 
 import msgspec
@@ -304,9 +304,12 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Keep the data; a body above the limit fails and is aborted."""
+        if self.done.called:
+            return
         self._body += data
-        if len(self._body) > BODY_LIMIT_BYTES and not self.done.called:
+        if len(self._body) > BODY_LIMIT_BYTES:
             self._abort()
+            self._body.clear()
             self.done.errback(
                 _TooLargeError(f'body above {BODY_LIMIT_BYTES} bytes'),
             )
@@ -329,9 +332,9 @@
         self._abort()
 
     def _abort(self) -> None:
-        abort = getattr(self.transport, 'abortConnection', None)
-        if abort is not None:
-            abort()
+        # The transport of a response body has no ``abortConnection``.
+        if self.transport is not None:
+            cast('Any', self.transport).loseConnection()
 
 
 def _log_failure(failure: TwistedFailure) -> None:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
+from datetime import timedelta
 from itertools import count
 from pathlib import Path
 from typing import Any
@@ -19,6 +20,7 @@
     EndlessUpstream,
 )
 from sockets import CONDITION_TIMEOUT_S, reactor, run_reactor_until, turn
+from twisted.internet.defer import Deferred
 
 from greengagemux.connections import (
     PROBE_TIMEOUT_S,
@@ -34,7 +36,9 @@
     UpstreamFailed,
 )
 from greengagemux.ids import CallId, UpstreamId
+from greengagemux.logclients import build_agent
 from greengagemux.platform.exchanges import PlatformCalls
+from greengagemux.platform.stores import StoreClient
 
 #: Time limit of a call, after which the egress aborts it.
 DEADLINE_S = 0.8
@@ -50,6 +54,8 @@
 ANSWER_LIMIT_BYTES = 1024 * 1024
 #: Four bodies at their limit, several times over for copies and parts.
 MEMORY_LIMIT_BYTES = 64 * 1024 * 1024
+#: Time limit of a call of the store.
+STORE_LIMIT = timedelta(seconds=2)
 #: Time for the upstream to notice a closed connection.
 CLOSE_LIMIT_S = 1.0
 
@@ -291,3 +297,22 @@
         caller.run()
     assert len(caller.probed) == 1
     assert not caller.probed[0].refused
+
+
+@pytest.mark.parametrize('form', FORMS)
+def test_endless_bytes_of_the_store_fill_no_memory(
+    upstream: EndlessUpstream, form: str
+) -> None:
+    """Guards the client of the store, which has a parser of its own."""
+    url = f'http://{upstream.address}'
+    client = StoreClient(build_agent(reactor), reactor, url, [].append)
+    ended: list[object] = []
+    call = client._call(b'GET', f'{url}/{form}/{FAST}', None, STORE_LIMIT)
+    Deferred.fromCoroutine(call).addBoth(ended.append)
+    resident_bytes = _resident_bytes()
+    limit_s = time.monotonic() + STORE_LIMIT.total_seconds() + CLOSE_LIMIT_S
+    while not (ended and upstream.has_ended(form)):
+        assert time.monotonic() < limit_s
+        reactor.iterate(0.001)
+        assert _resident_bytes() - resident_bytes < MEMORY_LIMIT_BYTES
+    assert len(ended) == 1
--- a/tests/test_logclients.py
+++ b/tests/test_logclients.py
@@ -49,13 +49,13 @@
 
     def deliverBody(self, protocol) -> None:  # noqa: N802
         """Deliver the body at once."""
-        protocol.transport = SimpleNamespace(abortConnection=self.abort)
+        protocol.transport = SimpleNamespace(loseConnection=self.abort)
         protocol.dataReceived(self.body)
         if self.end:
             protocol.connectionLost(Failure(self.end()))
 
     def abort(self) -> None:
-        """Record that the connection was aborted."""
+        """Record that the connection was closed."""
         self.aborted = True
 
 
