Limit the unsent bytes of the streams to all peers together

Cause: a peer that does not read is disconnected at 32 MiB unsent, but the sum over peers had no bound; with some stalled daemons it exceeds the 300 MB of a host.

Change: the hub counts what its streams have not sent; above 64 MiB the stream with most of it ends, as at its own limit.

Result: test_peers_that_do_not_read_share_one_limit, long and short messages: the sum stays below the limit, some of the four stalled peers end, and a fifth that reads is served.

--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -53,6 +53,9 @@
 HELLO_TIMEOUT_S = 5.0
 #: A peer that does not read is disconnected when this much is unsent.
 UNSENT_LIMIT_BYTES = 32 * 1024 * 1024
+#: Most unsent bytes of all streams; above it, the stream with most of them is
+#: closed.
+UNSENT_TOTAL_LIMIT_BYTES = 64 * 1024 * 1024
 #: Pause between two fragments of a long message, so that other messages are
 #: written in between.
 FRAGMENT_PAUSE_S = 0.001
@@ -158,6 +161,7 @@
         )
         if self._failure is None:
             self._count_abrupt_end(failure)
+        self._hub.unsent.forget(self)
         self._hub.lost(self, self._hello, failure)
         if self._hello is None and self._address:
             self._hub.submit(
@@ -176,11 +180,16 @@
         self._check_unsent()
         self._write_fragment()
 
+    def fail_unsent(self, detail: str) -> None:
+        """Abort the connection, as its peer does not read."""
+        self.fail(Failure(Step.frame, self._peer_name(), detail))
+
     def fail(self, failure: Failure) -> None:
         """Count a failure and abort the connection."""
         if self._failure is not None:
             return
         self._failure = failure
+        self._hub.unsent.forget(self)
         self._hub.counters.failed(failure)
         self.transport.abortConnection()
 
@@ -202,6 +211,7 @@
         """Go on writing fragments."""
         self._paused = False
         self._unsent_bytes = 0
+        self._check_unsent()
         self._write_fragment()
 
     def stopProducing(self) -> None:
@@ -305,8 +315,9 @@
     def _check_unsent(self) -> None:
         unsent_bytes = self._unsent_bytes + self._writer.pending_bytes
         if unsent_bytes > UNSENT_LIMIT_BYTES:
-            detail = f'more than {UNSENT_LIMIT_BYTES} bytes unsent'
-            self.fail(Failure(Step.frame, self._peer_name(), detail))
+            self.fail_unsent(f'more than {UNSENT_LIMIT_BYTES} bytes unsent')
+        elif self._failure is None:
+            self._hub.unsent.update(self, unsent_bytes)
 
     def _write_fragment(self) -> None:
         if self._paused or not self.connected or self._fragment_due:
@@ -314,6 +325,7 @@
         fragment = self._writer.next_fragment()
         if fragment:
             self._write(fragment)
+            self._check_unsent()
         if self._writer.pending:
             self._fragment_due = True
             self._hub.reactor.callLater(FRAGMENT_PAUSE_S, self._next_fragment)
@@ -345,6 +357,32 @@
         return f'{peer.host}:{peer.port}'
 
 
+class UnsentBytes:
+    """Bytes that the peers of all streams have not read."""
+
+    def __init__(self) -> None:
+        """Start without streams."""
+        self.total_bytes = 0
+        self._by_stream: dict[PeerStream, int] = {}
+
+    def update(self, stream: PeerStream, unsent_bytes: int) -> None:
+        """Count those of a stream; above the limit, end the largest."""
+        self.forget(stream)
+        if not unsent_bytes:
+            return
+        self._by_stream[stream] = unsent_bytes
+        self.total_bytes += unsent_bytes
+        while self.total_bytes > UNSENT_TOTAL_LIMIT_BYTES:
+            largest = max(self._by_stream, key=self._by_stream.__getitem__)
+            largest.fail_unsent(
+                f'more than {UNSENT_TOTAL_LIMIT_BYTES} bytes unsent to all'
+            )
+
+    def forget(self, stream: PeerStream) -> None:
+        """Count no bytes of a stream."""
+        self.total_bytes -= self._by_stream.pop(stream, 0)
+
+
 class StreamHub:
     """All inbound and outbound streams of this daemon."""
 
@@ -367,6 +405,7 @@
         self.submit = submit
         self.next_hello = next_hello
         self.counters = counters
+        self.unsent = UnsentBytes()
         self._streams: dict[StreamId, PeerStream] = {}
         self._last_stream = 0
         self._opening_addresses: set[str] = set()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -247,6 +247,33 @@
     assert hub.of(StreamClosed)[0].failure.peer == 'peer-1'
 
 
+@pytest.mark.parametrize('long', [True, False])
+def test_peers_that_do_not_read_share_one_limit(
+    hub: _Hub, monkeypatch: pytest.MonkeyPatch, long: bool
+) -> None:
+    """Unsent bytes of many peers, each below its limit, must not fill memory."""
+    monkeypatch.setattr(streams, 'UNSENT_TOTAL_LIMIT_BYTES', 40_000_000)
+    stalled = [hub.peer() for _ in range(4)]
+    reading = hub.peer()
+    opened = hub.of(StreamOpened)
+    size = 1_000_000 if long else 20_000
+    for _ in range(25_000_000 // size):
+        for each in opened[: len(stalled)]:
+            hub.hub.send(each.stream, _hello('x' * size))
+        turn(1)
+    assert 0 < hub.hub.unsent.total_bytes <= 40_000_000
+    assert 0 < len(hub.failures) < len(stalled)
+    assert 'unsent to all' in hub.failures[0].detail
+    received = len(reading.received)
+    hub.hub.send(opened[-1].stream, _hello('y' * size))
+    run_reactor_until(
+        lambda: reading.read() or len(reading.received) > received + size
+    )
+    for peer in stalled:
+        peer.socket.close()
+    run_reactor_until(lambda: not hub.hub.unsent.total_bytes)
+
+
 def test_request_from_the_accepting_side(hub: _Hub) -> None:
     """A peer must not send requests on a stream that it did not open."""
     peer = hub.open()
