Queue a refused request at another full upstream, not at the same again

Callers saw: 503, not run (sick), with a sound upstream left.

Cause: a request that found no free slot is queued at the full upstream with the shortest wait. If that refuses it for another reason than the slot, it is still on the list of full ones, and its emptied queue makes it the one with the shortest wait again, until the limit of refusals. The same list made it a candidate for the retry after it had failed the request.

Change: an upstream at which a request was queued is not selected from the list of full ones again, and stays excluded for its retries; a turn in a queue that ends without a slot doesn't count.

Result: test_refused_request_is_queued_at_another_full_upstream and test_retry_ avoids_the_full_upstream_that_failed failed before (the latter ran twice at the failing one) and pass now.

--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -138,6 +138,8 @@
         self._record_placement(pending, attempt, now)
         pending.attempts[request] = attempt
         pending.excluded.add(candidate.upstream)
+        if not selected.free_slot_only:
+            pending.queued_at.add(candidate.upstream)
         self._pending[request] = pending
         candidate.outstanding += 1
         route = pending.route
--- a/greengagemux/placements.py
+++ b/greengagemux/placements.py
@@ -161,13 +161,12 @@
     allowed = bounds.usable_set.allowed
     # The request waits for the paths that are opening.
     opening = {each.upstream for each in pending.unopened}
+    left_out = pending.queued_at.union(opening, closed)
     best = shortest_wait(
         [
             each
             for each in pending.full
-            if each in allowed
-            and each.upstream not in closed
-            and each.upstream not in opening
+            if each in allowed and each.upstream not in left_out
         ],
         limits,
     )
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -160,6 +160,8 @@
     moves: int = 0
     #: Upstreams that had no free slot for it.
     full: list[Candidate] = field(default_factory=list)
+    #: Upstreams that it was sent to beyond a free slot; it is queued there once.
+    queued_at: set[UpstreamId] = field(default_factory=set)
     #: How often it was in a queue without getting a slot in time.
     queue_turns: int = 0
     #: Refusals because of a rate limit.
@@ -209,8 +211,12 @@
         return not (self.attempts or self.done or self.forwarded)
 
     def forget_full(self) -> None:
-        """Make the upstreams that had no free slot candidates again."""
-        self.excluded -= {candidate.upstream for candidate in self.full}
+        """Make the upstreams that had no free slot candidates again.
+
+        Those at which it was queued stay excluded.
+        """
+        full = {candidate.upstream for candidate in self.full}
+        self.excluded -= full - self.queued_at
         self.full.clear()
 
     def forget_unopened(self) -> None:
@@ -234,6 +240,7 @@
     def end_queue_turn(self, candidate: Candidate) -> None:
         """Try others again after a turn in the queue of ``candidate``."""
         self.queue_turns += 1
+        self.queued_at.discard(candidate.upstream)
         self.forget_full()
         self.full.append(candidate)
         self.excluded.add(candidate.upstream)
--- a/tests/test_free_slots.py
+++ b/tests/test_free_slots.py
@@ -312,3 +312,54 @@
         fleet.carry_out(fleet.nodes['d0'], effect)
     fleet.run(500)
     assert fleet.outcome(exchange) == 'completed'
+
+
+def _queued_call() -> tuple[FakeFleet, int, str, str]:
+    """Return a call, the daemon where it is queued, and one that is full too."""
+    fleet = FakeFleet(2, data_centres=1)
+    for upstream, report_ms in zip(fleet.upstreams, (3000, 500), strict=True):
+        upstream.slots = 1
+        upstream.path_ms = {b'/report/': report_ms, b'/call/': 20}
+    fleet.publish(BUNDLE.format(tries=TRIES))
+    fleet.run(WARM_UP_MS)
+    for _ in range(20):
+        for node in fleet.nodes:
+            fleet.ask(node, b'known', b'/call/0')
+            fleet.run(50)
+    for number in range(2):
+        fleet.ask('d0', b'%d' % number, b'/report/1')
+    fleet.run(100)
+    call = fleet.ask('d0', b'call', b'/call/1')
+    fleet.run(5)
+    queued_at, other = sorted(
+        fleet.nodes, key=lambda name: not _is_queued_at(fleet, name)
+    )
+    assert _is_queued_at(fleet, queued_at)
+    return fleet, call, queued_at, other
+
+
+def _is_queued_at(fleet: FakeFleet, name: str) -> bool:
+    upstreams = fleet.nodes[name].daemon.egress.upstreams.values()
+    return any(upstream.queue for upstream in upstreams)
+
+
+def test_refused_request_is_queued_at_another_full_upstream() -> None:
+    """Guards against one that is sent to the same sick upstream until it ends."""
+    fleet, call, sick, other = _queued_call()
+    egress = fleet.nodes[sick].daemon.egress
+    upstream = next(iter(egress.upstreams.values()))
+    egress._refuse_queued(upstream, Reason.sick, fleet.now)
+    fleet.run(50)
+    assert not _is_queued_at(fleet, sick)
+    assert _is_queued_at(fleet, other)
+    assert call not in fleet.answers
+
+
+def test_retry_avoids_the_full_upstream_that_failed() -> None:
+    """A request that was queued where it then failed must not return there."""
+    fleet, call, failing, _other = _queued_call()
+    upstream = fleet.nodes[failing].upstreams[f'{failing}-u0']
+    upstream.status = 500
+    fleet.run(1500)
+    assert call in fleet.answers
+    assert upstream.runs.count(b'call') == 1
