Contain steps of the runtime and of the reducer with one class

Cause: wrote again, as StepRunner, what Containment does. Change: Containment takes the callback that it reports to; the runtime uses it. Two tests of free slots share their start. Behaviour and assertions as before.

--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -1,6 +1,6 @@
 """Effects: outputs of the reducer, carried out by the runtime."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from types import TracebackType
@@ -222,7 +222,7 @@
         What one step leaves undone must not end the work for other requests
         and peers. ``step`` is a fixed name, for logs and metrics.
         """
-        return Containment(self, step)
+        return Containment(self.emit, step)
 
     def drain(self) -> list[Effect]:
         """Return the collected effects and remove them."""
@@ -234,11 +234,11 @@
 class Containment:
     """Turns an exception within its ``with`` block into ``StepFailed``."""
 
-    __slots__ = ('_outbox', '_step', 'failed')
+    __slots__ = ('_report', '_step', 'failed')
 
-    def __init__(self, outbox: Outbox, step: str) -> None:
-        """Report to ``outbox`` under the name ``step``."""
-        self._outbox = outbox
+    def __init__(self, report: Callable[[StepFailed], None], step: str) -> None:
+        """Pass the exception to ``report`` under the name ``step``."""
+        self._report = report
         self._step = step
         #: Whether the block has raised an exception.
         self.failed = False
@@ -257,7 +257,7 @@
         if not isinstance(error, Exception):
             return False
         self.failed = True
-        self._outbox.emit(StepFailed(self._step, error))
+        self._report(StepFailed(self._step, error))
         return True
 
 
--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -22,6 +22,7 @@
     CallUpstream,
     CheckListening,
     CloseStream,
+    Containment,
     Continue,
     DropConnections,
     Effect,
@@ -110,21 +111,6 @@
         self._work()
 
 
-class StepRunner:
-    """Does work whose exceptions must not end other steps."""
-
-    def __init__(self, on_failure: Callable[[StepFailed], None]) -> None:
-        """Pass each exception to ``on_failure``."""
-        self._on_failure = on_failure
-
-    def __call__(self, step: str, work: Callable[[], object]) -> None:
-        """Do the work of one step."""
-        try:
-            work()
-        except Exception as error:
-            self._on_failure(StepFailed(step, error))
-
-
 class GarbageCollection:
     """Collects the younger generations, and at times all of them."""
 
@@ -192,7 +178,7 @@
         self._ports: list[Any] = []
         self._timers: list[Timer] = []
         self._garbage = GarbageCollection()
-        self._contain = StepRunner(self._carry_out)
+        self._contain = partial(Containment, self._carry_out)
         self._failed_steps = 0
         self._failures_logged_at: dict[str, timedelta] = {}
         self._log: LogBackend | None = None
@@ -282,8 +268,10 @@
 
     def _collect(self) -> None:
         has_bundle = self.daemon.distribution.bundle is not None
-        self._contain('garbage', partial(self._garbage.collect, has_bundle))
-        self._contain('slow-callers', self._listener.cut_off_slow)
+        with self._contain('garbage'):
+            self._garbage.collect(has_bundle)
+        with self._contain('slow-callers'):
+            self._listener.cut_off_slow()
         self.metrics.gauge('caller_connections', self._listener.connections)
         self.metrics.record_pending()
 
@@ -404,12 +392,15 @@
         # Responses written in this turn have not been sent yet.
         due_s = self._reactor.seconds() + EXIT_LIMIT_S
         self._reactor.callLater(EXIT_DELAY_S, self._stop_reactor, due_s)
-        self._contain('callers-closed', self._listener.disconnect_all)
+        with self._contain('callers-closed'):
+            self._listener.disconnect_all()
         for timer in self._timers:
             timer.stop()
         for port in self._ports:
-            self._contain('port-closed', port.stopListening)
-        self._contain('streams-ended', self._hub.stop)
+            with self._contain('port-closed'):
+                port.stopListening()
+        with self._contain('streams-ended'):
+            self._hub.stop()
         self._handler.flush()
 
     def _stop_reactor(self, due_s: float) -> None:
@@ -417,7 +408,8 @@
         if self._hub.has_streams and self._reactor.seconds() < due_s:
             self._reactor.callLater(EXIT_DELAY_S, self._stop_reactor, due_s)
             return
-        self._contain('streams-closed', self._hub.close_all)
+        with self._contain('streams-closed'):
+            self._hub.close_all()
         self._reactor.stop()
 
 
--- a/tests/test_free_slots.py
+++ b/tests/test_free_slots.py
@@ -204,6 +204,16 @@
     assert max(waits) < 3000 - 800
 
 
+def _learn_times(fleet: FakeFleet) -> None:
+    """Let each daemon learn the service time of short calls."""
+    fleet.publish(BUNDLE.format(tries=TRIES))
+    fleet.run(WARM_UP_MS)
+    for _ in range(20):
+        for node in fleet.nodes:
+            fleet.ask(node, b'known', b'/call/0')
+            fleet.run(50)
+
+
 def test_second_attempt_without_a_slot_leaves_the_retry() -> None:
     """A read must be retried after a failure although its hedge was given up.
 
@@ -213,12 +223,7 @@
     for upstream in fleet.upstreams:
         upstream.slots = 1
         upstream.path_ms = {b'/report/': REPORT_MS, b'/call/': 20}
-    fleet.publish(BUNDLE.format(tries=TRIES))
-    fleet.run(WARM_UP_MS)
-    for _ in range(20):
-        for node in fleet.nodes:
-            fleet.ask(node, b'known', b'/call/0')
-            fleet.run(50)
+    _learn_times(fleet)
     for upstream in fleet.upstreams:
         upstream.path_ms[b'/call/'] = 600
     fleet.ask('d1', b'busy', b'/call/1')
@@ -320,12 +325,7 @@
     for upstream, report_ms in zip(fleet.upstreams, (3000, 500), strict=True):
         upstream.slots = 1
         upstream.path_ms = {b'/report/': report_ms, b'/call/': 20}
-    fleet.publish(BUNDLE.format(tries=TRIES))
-    fleet.run(WARM_UP_MS)
-    for _ in range(20):
-        for node in fleet.nodes:
-            fleet.ask(node, b'known', b'/call/0')
-            fleet.run(50)
+    _learn_times(fleet)
     for number in range(2):
         fleet.ask('d0', b'%d' % number, b'/report/1')
     fleet.run(100)
