Identify client accounts by API key

A request names its account by the one key in Api-Key. Without a known key it gets 401, unless its route is public. Upstreams get the account in Tenant-Id and never the key, which the daemon keeps as a digest only. The priority of an account replaces that of the route. Requests of the kind download may be repeated. A client's Authorization header belongs to the upstream and is passed on; before, it was taken for a bearer token and the request refused.

--- /dev/null
+++ b/greengagemux/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: identification, routes and limits of their requests."""
--- a/greengagemux/accounts.py
+++ b/greengagemux/accounts/admission.py
@@ -3,12 +3,13 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from .bundles import Bundle, Caller, Route, Service
-from .events import CallerRequest
-from .ids import RouteName, ServiceName
-from .messages import Priority
-from .outcomes import Reason
-from .routes import RouteTable, permitted, priority
+from ..bundles import ANONYMOUS, Bundle, Caller, Route, Service
+from ..events import CallerRequest
+from ..ids import RouteName, ServiceName
+from ..messages import Priority
+from ..outcomes import Reason
+from ..routes import RouteTable, permitted, priority
+from .keys import Credentials
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +19,8 @@
     caller: Caller
     route: Route
     priority: Priority
+    #: Name of the client account that its key belongs to; empty without one.
+    account: str = ''
 
 
 class Accounts:
@@ -44,19 +47,51 @@
         table = self._table
         if table is None:
             return Reason.no_bundle
+        if table.credentials is Credentials.api_key:
+            return self._admit_by_key(event, table)
         caller = table.identify(event.headers)
         if isinstance(caller, Reason):
             return caller
         route = table.match(event.method, event.target, event.host)
         if isinstance(route, Reason):
             return route
+        return self._check(event, caller, route)
+
+    def _admit_by_key(
+        self, event: CallerRequest, table: RouteTable
+    ) -> Admitted | Reason:
+        """Admit a request; one for a public route needs no key."""
+        route = table.match(event.method, event.target, event.host)
+        if isinstance(route, Reason):
+            return route
+        caller = table.identify_by_key(event.headers, route)
+        if isinstance(caller, Reason):
+            return caller
+        return self._check(event, caller, route)
+
+    def _check(
+        self, event: CallerRequest, caller: Caller, route: Route
+    ) -> Admitted | Reason:
         if not permitted(caller, route):
             return Reason.unauthorized
         if len(event.body) > route.body_limit_bytes:
             return Reason.body_too_large
         if self._over_limit(caller):
             return Reason.caller_limit
-        return Admitted(caller, route, priority(caller, route))
+        return Admitted(
+            caller, route, priority(caller, route), self._account_of(caller)
+        )
+
+    @property
+    def origin(self) -> str:
+        """Name that upstreams get of the host on which requests begin."""
+        return self._bundle.origin if self._bundle else ''
+
+    def _account_of(self, caller: Caller) -> str:
+        if self._bundle is None or not self._bundle.api_keys:
+            return ''
+        anonymous = self._bundle.callers.get(ANONYMOUS)
+        return '' if caller is anonymous else caller.name
 
     def service(self, name: ServiceName) -> Service:
         """Return a service of the bundle in force, or its defaults."""
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -32,6 +32,7 @@
     with_config,
 )
 
+from .accounts.keys import Credentials, KeyDigest
 from .effects import HEALTH_PATH
 from .ids import BundleVersion, CallerName, DataCentre, RouteName, ServiceName
 from .messages import Priority
@@ -119,6 +120,7 @@
 _Percent = Annotated[int, Field(ge=0, le=100)]
 _ErrorRate = Annotated[float, Field(ge=1e-12, le=0.1, allow_inf_nan=False)]
 _Rate = Annotated[float, Field(ge=0, le=10_000, allow_inf_nan=False)]
+_AllotmentRate = Annotated[float, Field(ge=0, le=1e9, allow_inf_nan=False)]
 _LinkRate = Annotated[int, Field(ge=0, le=100_000_000)]
 _Count = Annotated[int, Field(ge=1, le=100_000)]
 _Bytes = Annotated[int, Field(ge=0, le=MESSAGE_LIMIT_BYTES)]
@@ -224,7 +226,7 @@
     discarded as wrong. ``attempt_limit`` bounds the upstreams that may run a
     request. ``target_ms`` is the response time that the caller expects; in an
     overload, requests that exceed it wait until the other requests of their
-    priority have run.
+    priority have run. Requests of a ``public`` route need no API key.
     """
 
     name: RouteName
@@ -245,12 +247,19 @@
     host: Annotated[str, Field(max_length=255)] = ''
     split: _Split = ()
     target_ms: Annotated[int, Field(ge=0, le=600_000)] = 0
+    public: bool = False
 
 
 @with_config(extra='forbid')
 @dataclass(frozen=True, slots=True)
 class Caller:
-    """A caller account; ``token_sha256`` is empty only for ``anonymous``."""
+    """A caller account; ``token_sha256`` is empty only for ``anonymous``.
+
+    With ``priority_first`` its priority replaces that of the routes; otherwise
+    the less urgent of the two counts. All daemons together admit ``rate_per_s``
+    requests of it a second, and ``burst`` more after idle time; a rate of 0 is
+    no limit.
+    """
 
     name: CallerName
     token_sha256: _Token = ''
@@ -260,6 +269,9 @@
         frozenset()
     )
     team: Annotated[TeamName | None, BeforeValidator(_none_if_empty)] = None
+    priority_first: bool = False
+    rate_per_s: _AllotmentRate = 0
+    burst: _AllotmentRate = 0
 
 
 @with_config(extra='forbid')
@@ -296,7 +308,10 @@
     ``region_link_kbit_s`` is the bandwidth that all requests placed in the
     other region and their responses may use; 0 forbids such requests. Each
     service may get retries of ``retries_pct`` of its requests and
-    ``retries_per_s`` more a second.
+    ``retries_per_s`` more a second. With ``credentials`` by API key,
+    ``api_keys`` names the account of each key; without any key all requests
+    are anonymous. Upstreams get ``origin`` as the name of the caller, and the
+    account apart from it; if it is empty, they get the account as the caller.
     """
 
     version: BundleVersion
@@ -309,6 +324,9 @@
     callers: Mapping[CallerName, Caller] = field(default_factory=dict)
     teams: Mapping[TeamName, Team] = field(default_factory=dict)
     stage: Stage | None = None
+    credentials: Credentials = Credentials.bearer
+    api_keys: Mapping[KeyDigest, CallerName] = field(default_factory=dict)
+    origin: str = ''
     #: Index of routes and callers; absent if it has not been built yet.
     table: 'RouteTable | None' = field(default=None, compare=False, repr=False)
 
--- a/greengagemux/headers.py
+++ b/greengagemux/headers.py
@@ -13,6 +13,10 @@
 DEADLINE = b'Greengage-Deadline-Ms'
 REQUEST_ID = b'Greengage-Request'
 CALLER = b'Greengage-Caller'
+#: Name of the client account, for upstreams.
+ACCOUNT = b'Greengage-Account'
+#: API key of the client account, in lower case; it is never forwarded.
+ACCOUNT_KEY = b'greengage-account-key'
 IDEMPOTENCY_KEY = b'idempotency-key'
 CONTENT_DIGEST = b'content-digest'
 
@@ -37,7 +41,7 @@
         b'upgrade',
     )
 )
-_CREDENTIALS = b'authorization'
+_CREDENTIALS = frozenset((b'authorization',))
 
 
 def get(headers: Headers, name: bytes) -> bytes | None:
@@ -48,17 +52,28 @@
     return None
 
 
-def upstream_request_headers(headers: Headers, caller: str) -> Headers:
+def upstream_request_headers(
+    headers: Headers,
+    caller: str,
+    account: str = '',
+    *,
+    keeps_authorization: bool = False,
+) -> Headers:
     """Return the headers of a request as the upstream receives them.
 
-    ``Authorization`` is removed; the name of the caller's account is added.
+    The name of the caller is added, and that of its client account if it has
+    one. ``Authorization`` is removed, as it names the caller, unless
+    ``keeps_authorization``.
     """
+    removed = frozenset() if keeps_authorization else _CREDENTIALS
     forwarded = tuple(
         (name, content)
         for name, content in headers
-        if _is_forwarded(name.lower()) and name.lower() != _CREDENTIALS
+        if _is_forwarded(name.lower()) and name.lower() not in removed
     )
-    return (*forwarded, (CALLER, caller.encode()))
+    names = ((CALLER, caller), (ACCOUNT, account))
+    added = tuple((header, name.encode()) for header, name in names if name)
+    return (*forwarded, *added)
 
 
 def caller_response_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from . import headers
-from .accounts import Accounts
+from .accounts.admission import Accounts, Admitted
 from .answers import RECORD_MARGIN, WRITE_GRACE, Origin
 from .attempts import Attempts
 from .baselines import Baselines
@@ -36,6 +36,7 @@
 from .messages import (
     Answer,
     Dispatch,
+    Headers,
     MemberRecord,
     Message,
     NotSeen,
@@ -198,9 +199,7 @@
             caller=caller,
             method=event.method,
             target=event.target,
-            headers=headers.upstream_request_headers(
-                event.headers, caller.name
-            ),
+            headers=_upstream_headers(event, admitted, self._accounts.origin),
             body=event.body,
             priority=admitted.priority,
             arrived=now,
@@ -935,6 +934,17 @@
     return max(1, min(route.deadline_ms, int(requested)))
 
 
+def _upstream_headers(
+    event: CallerRequest, admitted: Admitted, origin: str
+) -> Headers:
+    return headers.upstream_request_headers(
+        event.headers,
+        origin or admitted.caller.name,
+        admitted.account if origin else '',
+        keeps_authorization=bool(origin),
+    )
+
+
 def _key_of(event: CallerRequest, route: Route) -> str:
     if route.idempotent:
         return ''
--- a/greengagemux/outcomes.py
+++ b/greengagemux/outcomes.py
@@ -22,6 +22,8 @@
     body_too_large = 'body-too-large'
     no_bundle = 'no-bundle'
     caller_limit = 'caller-limit'
+    #: The client account is beyond its allotment.
+    allotment = 'allotment'
     overloaded = 'overloaded'
     deadline = 'deadline'
     no_upstream = 'no-upstream'
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -1,12 +1,13 @@
 """Decodes the platform's JSON configuration into a bundle."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
-from typing import Final, cast
+from typing import Annotated, Final, cast
 
 import msgspec
 
+from ..accounts.keys import Credentials, index_keys
 from ..bundles import (
     ANONYMOUS,
     Bundle,
@@ -50,15 +51,22 @@
 STEADY_RETRIES_USED: Final = 0.4
 #: Largest version; messages between daemons hold integers of 64 bits.
 VERSION_LIMIT: Final = 2**63 - 1
+#: Largest rate of a client account; above it a rate is an error.
+RATE_LIMIT_PER_S: Final = 1e9
 #: Largest weight of a weighted service; larger ones overflow when added up.
 WEIGHT_LIMIT: Final = 1e18
 #: Longest time that a caller waits for a response, in milliseconds.
 DEADLINE_LIMIT_MS: Final = 24 * 60 * 60 * 1000
 PERCENT: Final = 100
+#: Kinds of routes whose requests may run more than once.
+REPEATABLE_KINDS: Final = frozenset(('idempotent', 'download'))
 #: Priorities by configured rank, 0 first. Larger ranks map to the last one.
 _PRIORITIES: Final = (Priority.waiting, Priority.routine, Priority.internal)
 
 
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=RATE_LIMIT_PER_S)]
+
+
 class _WeightedBackend(msgspec.Struct, frozen=True):
     service: str
     #: Checked with its route, so that an error names the route.
@@ -67,7 +75,7 @@
 
 class _Route(msgspec.Struct, frozen=True):
     name: str
-    #: Whether a request may run more than once: ``idempotent`` or not.
+    #: Tells whether a request may run more than once: see ``REPEATABLE_KINDS``.
     kind: str
     path_prefix: str
     hostname: str = ''
@@ -82,6 +90,8 @@
     max_attempts: int = 1
     #: Rank; 0 is the most urgent.
     priority: int = 1
+    #: Whether its requests need no API key.
+    public: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -89,6 +99,19 @@
     health_path: str = '/healthz'
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    """A client account."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    #: Rank that replaces that of the route; missing if the route's counts.
+    priority: int | None = None
+    #: Requests a second of all daemons together; 0 for no limit.
+    rate_per_s: _Rate = 0
+    #: Requests that idle time saves up.
+    burst: _Rate = 0
+
+
 class _Limits(msgspec.Struct, frozen=True):
     max_body_bytes: int = BODY_LIMIT_BYTES
 
@@ -98,6 +121,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
 
 
 _decoder: Final = msgspec.json.Decoder(_Configuration)
@@ -138,7 +162,18 @@
             retries_per_s=STEADY_RETRIES_USED * self._bounds.retries_per_s,
             services=self._services(configuration),
             routes=routes,
-            callers={ANONYMOUS: self._caller(routes)},
+            callers={
+                ANONYMOUS: self._caller(routes),
+                **_accounts(configuration, routes),
+            },
+            credentials=Credentials.api_key,
+            api_keys=index_keys(
+                {
+                    CallerName(tenant.name): tenant.api_keys
+                    for tenant in configuration.tenants
+                }
+            ),
+            origin=self._caller_name,
         )
         return replace(bundle, table=RouteTable(bundle))
 
@@ -190,6 +225,7 @@
     """Raise ``ValueError`` for a name that comes twice or is not known."""
     _check_unique('route', configuration.routes)
     _check_unique('service', configuration.services)
+    _check_unique('tenant', configuration.tenants)
     known = {service.name for service in configuration.services}
     for route in configuration.routes:
         named = {backend.service for backend in route.weighted_backends}
@@ -201,7 +237,7 @@
 
 
 def _check_unique(
-    kind: str, entries: tuple[_Route, ...] | tuple[_Service, ...]
+    kind: str, entries: Iterable[_Route | _Service | _Tenant]
 ) -> None:
     counts = Counter(entry.name for entry in entries)
     for name, count in counts.items():
@@ -242,18 +278,51 @@
 def _route(route: _Route, limit_bytes: int) -> Route:
     split = _split(route)
     service = split[0].service if split else route.service
-    rank = min(max(route.priority, 0), len(_PRIORITIES) - 1)
     return Route(
         name=RouteName(route.name),
         service=ServiceName(service),
         prefix=route.path_prefix,
         methods=frozenset(),
-        idempotent=route.kind == 'idempotent',
-        priority=_PRIORITIES[rank],
+        idempotent=route.kind in REPEATABLE_KINDS,
+        priority=_priority(route.priority),
         deadline_ms=min(route.timeout_ms, DEADLINE_LIMIT_MS),
         body_limit_bytes=limit_bytes,
         attempt_limit=max(1, route.max_attempts),
         host=route.hostname,
         split=split,
         target_ms=min(route.target_latency_ms, DEADLINE_LIMIT_MS),
+        public=route.public,
     )
+
+
+def _accounts(
+    configuration: _Configuration, routes: Mapping[RouteName, Route]
+) -> Mapping[CallerName, Caller]:
+    """Return the client accounts, which may use all routes.
+
+    Raises ``ValueError`` for the name of the anonymous account.
+    """
+    accounts = {
+        CallerName(tenant.name): _account(tenant, frozenset(routes))
+        for tenant in configuration.tenants
+    }
+    if ANONYMOUS in accounts:
+        raise ValueError(f'tenant {ANONYMOUS!r}: the name is reserved')
+    return accounts
+
+
+def _account(tenant: _Tenant, routes: frozenset[RouteName]) -> Caller:
+    rank = tenant.priority
+    return Caller(
+        name=CallerName(tenant.name),
+        priority=Priority.waiting if rank is None else _priority(rank),
+        priority_first=rank is not None,
+        max_in_flight=IN_FLIGHT_LIMIT,
+        routes=routes,
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+    )
+
+
+def _priority(rank: int) -> Priority:
+    return _PRIORITIES[min(max(rank, 0), len(_PRIORITIES) - 1)]
--- a/greengagemux/platform/exchanges.py
+++ b/greengagemux/platform/exchanges.py
@@ -34,6 +34,11 @@
 EXPECT_INSTANCE: Final = b'Expect-Instance'
 #: Account name of the caller, set by the daemon on requests to an upstream.
 CALLER_SERVICE: Final = b'Caller-Service'
+#: API key of the client account, set by the caller; the header holds only
+#: the key.
+API_KEY: Final = b'api-key'
+#: Client account of the key, set by the daemon on requests to an upstream.
+TENANT_ID: Final = b'Tenant-Id'
 #: Set by an upstream on each response that it computed itself.
 RESPONSE_SEAL: Final = b'response-seal'
 #: Present if the upstream has not run the request.
@@ -53,7 +58,11 @@
 #: Statuses by which callers know that a request has not run and never will.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, _UNAVAILABLE))
 #: Statuses of the daemon for faulty requests; they are returned unchanged.
-_FAULTY_REQUEST_STATUSES: Final = frozenset((400, 404, 413))
+_FAULTY_REQUEST_STATUSES: Final = frozenset((400, 401, 404, 413))
+#: Reasons whose wait until a later request is admitted is known exactly.
+_KNOWN_WAITS: Final = frozenset(
+    (Reason.rate_limited.value.encode(), Reason.allotment.value.encode())
+)
 #: Request headers that the daemon sets itself; those of the caller are
 #: not forwarded. The request id is carried in ``CallerRequest.tag``.
 _DAEMON_HEADERS: Final = frozenset(
@@ -61,6 +70,9 @@
         DEADLINE_MS.lower(),
         EXPECT_INSTANCE.lower(),
         CALLER_SERVICE.lower(),
+        TENANT_ID.lower(),
+        API_KEY,
+        headers.ACCOUNT_KEY,
         REQUEST_ID,
     )
 )
@@ -115,6 +127,7 @@
         names = {
             headers.DEADLINE: DEADLINE_MS,
             headers.CALLER: CALLER_SERVICE,
+            headers.ACCOUNT: TENANT_ID,
             # Not sent: the platform's request id is in ``effect.tag``.
             headers.REQUEST_ID: b'',
         }
@@ -205,6 +218,11 @@
     ]
     if deadline is not None:
         forwarded.append((headers.DEADLINE, deadline))
+    forwarded += [
+        (headers.ACCOUNT_KEY, key)
+        for name, key in event.headers
+        if name.lower() == API_KEY
+    ]
     return CallerRequest(
         exchange=event.exchange,
         method=event.method,
@@ -232,7 +250,8 @@
     )
     if outcome == Outcome.not_run.value.encode():
         if status not in _FAULTY_REQUEST_STATUSES:
-            status = _UNAVAILABLE
+            if not _is_beyond_allotment(effect):
+                status = _UNAVAILABLE
             retry_after = (RETRY_AFTER, _retry_after_s(effect))
             response_headers = (*response_headers, retry_after)
     elif status in _NOT_RUN_STATUSES or status < _FIRST_SERVER_ERROR:
@@ -240,13 +259,15 @@
     return Respond(effect.exchange, status, response_headers, effect.body)
 
 
-def _retry_after_s(effect: Respond) -> bytes:
-    """Return ``Retry-After`` in seconds with fractions.
+def _is_beyond_allotment(effect: Respond) -> bool:
+    reason = headers.get(effect.headers, headers.REASON.lower())
+    return reason == Reason.allotment.value.encode()
 
-    Only the wait for a rate limit is known exactly.
-    """
+
+def _retry_after_s(effect: Respond) -> bytes:
+    """Return ``Retry-After`` in seconds with fractions."""
     reason = headers.get(effect.headers, headers.REASON.lower())
-    if reason != Reason.rate_limited.value.encode():
+    if reason not in _KNOWN_WAITS:
         return RETRY_AFTER_S
     return b'%.3f' % (effect.retry_after_ms / _MS_PER_S)
 
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -45,6 +45,7 @@
         Reason.body_too_large: 413,
         Reason.key_conflict: 409,
         Reason.caller_limit: 429,
+        Reason.allotment: 429,
         Reason.crashes_upstreams: 422,
     }
 )
--- a/greengagemux/routes.py
+++ b/greengagemux/routes.py
@@ -7,6 +7,8 @@
 from typing import Final
 from urllib.parse import unquote_to_bytes
 
+from . import headers as names
+from .accounts.keys import digest_key
 from .bundles import ANONYMOUS, Bundle, Caller, Route, Steps, finish
 from .messages import Headers, Priority
 from .outcomes import Reason
@@ -48,6 +50,9 @@
         """Build the index; the cost is linear in the size of the bundle."""
         self._roots: dict[str, _Node] = {}
         self._anonymous = bundle.callers.get(ANONYMOUS)
+        self._has_keys = bool(bundle.api_keys)
+        #: How requests name the account of their caller.
+        self.credentials = bundle.credentials
         # Tokens are looked up by their SHA-256. Timing can reveal at most a
         # part of a digest, which does not help to guess a token.
         self._callers: dict[bytes, Caller] = {}
@@ -58,6 +63,8 @@
         """Build the index in steps and return it."""
         table = cls(Bundle(bundle.version, bundle.follows))
         table._anonymous = bundle.callers.get(ANONYMOUS)
+        table._has_keys = bool(bundle.api_keys)
+        table.credentials = bundle.credentials
         yield from table._fill_steps(bundle)
         return table
 
@@ -99,6 +106,26 @@
             return Reason.unauthorized
         return self._callers.get(_digest(match[1]), Reason.unauthorized)
 
+    def identify_by_key(
+        self, headers: Headers, route: Route
+    ) -> Caller | Reason:
+        """Return the account that the API key of a request belongs to.
+
+        A request of a public route, and any in a bundle without keys, gets the
+        anonymous account.
+        """
+        if route.public or not self._has_keys:
+            return self._anonymous or Reason.unauthorized
+        keys = [
+            found
+            for name, found in headers
+            if name.lower() == names.ACCOUNT_KEY
+        ]
+        digest = digest_key(keys[0]) if len(keys) == 1 else None
+        if digest is None:
+            return Reason.unauthorized
+        return self._callers.get(digest, Reason.unauthorized)
+
     def _fill_steps(self, bundle: Bundle) -> Steps[None]:
         yield STEP_US
         for place, route in enumerate(bundle.routes.values(), start=1):
@@ -110,6 +137,8 @@
                 self._callers[bytes.fromhex(caller.token_sha256)] = caller
             if number % CALLERS_PER_STEP == 0:
                 yield STEP_US
+        for digest, name in bundle.api_keys.items():
+            self._callers[digest] = bundle.callers[name]
 
     def _add(self, route: Route) -> None:
         node = self._roots.setdefault(route.host.lower(), _Node())
@@ -166,7 +195,9 @@
 
 
 def priority(caller: Caller, route: Route) -> Priority:
-    """Return the lower of the priorities of the caller and the route."""
+    """Return the priority of a request by its caller and its route."""
+    if caller.priority_first:
+        return caller.priority
     return max(caller.priority, route.priority, key=_URGENCY.index)
 
 
