Suspect calls that were aborted shortly before a crash

The egress aborts an idempotent call when its client leaves, and only calls still running at the reset of a connection were suspects. If nothing else ran, the crash was not counted at all.

Each upstream now keeps its newest 64 aborted calls. If nothing runs, a refused connection or a start without an announced end counts as a crash of them. Suspects that are unrelated are cleared by their next complete response, and a planned stop makes none. All aborts go through CrashChecks.abort.

The stand-in of an upstream has a settable crash delay; its default is as before. No existing test is changed.

--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -19,7 +19,6 @@
 from .crashes import CrashReports, blocked_record
 from .detectors import Sample, SampleKind
 from .effects import (
-    AbortCall,
     CallUpstream,
     DropConnections,
     Outbox,
@@ -543,9 +542,8 @@
             return
         if not upstream.takes_request(now) or not upstream.retries.spend():
             return
-        self._outbox.emit(AbortCall(job.call))
+        self._crash_checks.abort(job, job.call, now)
         self._release(job, upstream)
-        self.poison_requests.finished(job.fingerprint, answered=False, now=now)
         job.new_connection = True
         job.aborted_calls += 1
         self._start(upstream, job, now)
@@ -755,9 +753,8 @@
             return
         if not upstream.preemptions.spend(lost_ms / upstream.service_ms):
             return
-        self._outbox.emit(AbortCall(job.call))
+        self._crash_checks.abort(job, job.call, now)
         self._release(job, upstream)
-        self.poison_requests.finished(job.fingerprint, answered=False, now=now)
         job.aborted_calls += 1
         upstream.queue.put_back(job)
         upstream.queue.discard(first)
@@ -890,10 +887,7 @@
     def _abort(self, job: Job, reason: Reason, now: timedelta) -> None:
         upstream = job.upstream
         if job.call is not None:
-            self._outbox.emit(AbortCall(job.call))
-            self.poison_requests.finished(
-                job.fingerprint, answered=False, now=now
-            )
+            self._crash_checks.abort(job, job.call, now)
         self._release(job, upstream)
         self._end(job, unknown_refusal(job, reason, ''), now)
         self._start_queued(upstream, now)
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -47,6 +47,8 @@
 #: Part of its target latency in which a new request must be expected to end
 #: in an overload; service times vary.
 TARGET_SHARE = 0.85
+#: Most aborted calls kept for each upstream; the oldest are dropped first.
+ABORTED_LIMIT = 64
 #: ``Retry-After`` of a request that is refused because of overload.
 RETRY_AFTER_MS = 1000
 
@@ -116,6 +118,15 @@
     hold_until: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class AbortedCall:
+    """A call that was aborted and that its upstream may still run."""
+
+    fingerprint: int
+    stream: StreamId | None
+    at: timedelta
+
+
 @dataclass(slots=True, eq=False)
 class Upstream:
     """An upstream beside this daemon."""
@@ -143,6 +154,10 @@
     possible_crash: PossibleCrash | None = None
     #: Calls that were in flight at its last crash.
     crashed_calls: frozenset[CallId] = frozenset()
+    #: Newest aborted calls, oldest first.
+    aborted: deque[AbortedCall] = field(
+        default_factory=lambda: deque(maxlen=ABORTED_LIMIT)
+    )
     #: Requests whose refusal waits for the check of a possible crash.
     held: list[Job] = field(default_factory=list)
     #: Identity of the process start, and number of its newest announcement.
--- a/greengagemux_standins/platformupstreams.py
+++ b/greengagemux_standins/platformupstreams.py
@@ -95,6 +95,9 @@
         self.leaving = False
         #: A request whose target contains this ends the process.
         self.crash_word = ''
+        #: Time from the start of such a request to the end of the process,
+        #: which comes even if the connection has closed.
+        self.crash_delay_s = CRASH_DELAY_S
         #: Targets of the requests that have ended it.
         self.crashed_by: list[str] = []
         self._network = network
@@ -224,7 +227,7 @@
         )
         self.runs.append(run)
         if self.crash_word and self.crash_word in target:
-            self._network.callLater(CRASH_DELAY_S, self.crash, target)
+            self._network.callLater(self.crash_delay_s, self.crash, target)
             return
         limit_s = int(headers['deadline-ms']) / _MS_PER_SECOND
         call = self._network.callLater(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from sockets import Client, reactor, turn
+from sockets import Client, reactor, run_reactor_until, turn
 
 from greengagemux.discoveries import FAR_DELAY
 from greengagemux_standins.platformfleets import (
@@ -20,6 +20,7 @@
     PlatformFleet,
 )
 from greengagemux_standins.platformupstreams import (
+    ANNOUNCE_INTERVAL_S,
     RESTART_DELAY_S,
     PlatformUpstream,
 )
@@ -131,3 +132,44 @@
     assert served.count(200) == len(served)
     for daemon in callers.fleet.upstreams:
         assert callers.ask(daemon, target, method) == 503
+
+
+def _send_and_leave(callers: _Callers, daemon: str) -> None:
+    """Send the crashing request; leave once it runs or is refused."""
+    upstreams = callers.fleet.upstreams.values()
+    before = sum(len(each.runs) for each in upstreams)
+    client = callers.start(daemon, CRASHING)
+    run_reactor_until(
+        lambda: (
+            client.read() or sum(len(each.runs) for each in upstreams) > before
+        )
+    )
+    client.socket.close()
+
+
+@pytest.mark.parametrize('others', [True, False])
+def test_request_that_crashes_after_its_client_left_is_blocked(
+    callers: _Callers, others: bool
+) -> None:
+    """A crash must count for a request that was aborted before it.
+
+    The egress aborts the call when the client leaves, and the upstream
+    crashes by it later. With ``others`` the next request finds the crash,
+    otherwise the announcement of the next start.
+    """
+    for upstream in callers.fleet.upstreams.values():
+        upstream.crash_delay_s = 0.5
+    served = []
+    for daemon in callers.fleet.upstreams:
+        _send_and_leave(callers, daemon)
+        _pass(0.5 + RESTART_DELAY_S / 5)
+        if others:
+            served += [
+                callers.ask(each, f'{READ_PREFIX}other{daemon}')
+                for each in callers.fleet.upstreams
+            ]
+        _pass(RESTART_DELAY_S + ANNOUNCE_INTERVAL_S)
+    assert _crashes(callers) <= CRASHES_TO_BLOCK
+    assert served.count(200) == len(served)
+    for daemon in callers.fleet.upstreams:
+        assert callers.ask(daemon, CRASHING) == 503
--- a/tests/test_episodes.py
+++ b/tests/test_episodes.py
@@ -20,7 +20,7 @@
     PoisonRequests,
     PoisonStatus,
 )
-from greengagemux.crashchecks import HOLD_LIMIT
+from greengagemux.crashchecks import ABORT_WINDOW, HOLD_LIMIT
 from greengagemux.crashes import CrashReports
 from greengagemux.detectors import Sample, SampleKind
 from greengagemux.effects import (
@@ -461,6 +461,94 @@
     assert [len(entry.crashes) for entry in entries] == [1]
 
 
+def _abort(harness: _EgressHarness, number: int, now_ms: float) -> None:
+    """Abort the call of a request whose client has left."""
+    origin = Origin(DaemonId('d'), Incarnation(1), RequestId(number))
+    harness.egress.cancel(origin, ms(now_ms))
+
+
+def _refuse_connection(harness: _EgressHarness, now: timedelta) -> None:
+    """Report that the upstream refuses connections, as after its end."""
+    probed = Probed(UPSTREAM, alive=False, refused=True)
+    harness.egress.probed(probed, now)
+
+
+def _crash_counts(harness: _EgressHarness) -> list[int]:
+    """Return the number of crashes of each suspect."""
+    entries = harness.poison_requests.snapshot(ms(10_000)).entries
+    return [len(entry.crashes) for entry in entries]
+
+
+@pytest.mark.parametrize('late', [False, True])
+def test_aborted_call_is_suspect_for_a_short_time(late: bool) -> None:
+    """A call aborted shortly before a crash is a suspect, once per crash."""
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    _abort(harness, 1, 10)
+    found = ms(10) + ABORT_WINDOW - (ms(0) if late else ms(1))
+    _refuse_connection(harness, found)
+    _refuse_connection(harness, found + ms(1))
+    assert _crash_counts(harness) == ([] if late else [1])
+
+
+def test_restart_after_an_aborted_call_is_a_crash() -> None:
+    """A start that follows no announced end shows a crash by itself."""
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    _abort(harness, 1, 10)
+    event = Announced(
+        UPSTREAM, SERVICE, 'a:1', 1, UpstreamState.serving, boot=8
+    )
+    harness.egress.announce(event, ms(2000))
+    assert _crash_counts(harness) == [1]
+
+
+def test_aborted_and_running_calls_share_a_crash() -> None:
+    """A crash must not count twice if a refusal is read before the resets."""
+    harness = _EgressHarness(slots=3)
+    for number in (1, 2, 3):
+        harness.dispatch(number)
+    calls = [each.call for each in harness.calls()]
+    _abort(harness, 1, 10)
+    _refuse_connection(harness, ms(20))
+    failure = Failure(Step.call, 'a:1', 'gone')
+    failed = UpstreamFailed(calls[1], CallFault.reset, True, failure)
+    harness.egress.failed(failed, ms(21))
+    checked = ListeningChecked(UPSTREAM, refused=True)
+    harness.egress.listening_checked(checked, ms(22))
+    # Its reset is still unread, so it was in flight at the counted crash.
+    _abort(harness, 3, 23)
+    _refuse_connection(harness, ms(24))
+    assert _crash_counts(harness) == [1]
+
+
+def test_completed_request_is_no_suspect_of_an_earlier_abort() -> None:
+    """An unrelated request that was aborted must not stay a suspect."""
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    subject = harness.running_fingerprint
+    _abort(harness, 1, 10)
+    _refuse_connection(harness, ms(20))
+    status = harness.poison_requests.check(subject, ms(20))
+    assert status is PoisonStatus.suspect
+    harness.egress.tick(ms(2100))
+    harness.calls()
+    harness.dispatch(2, forced=True)
+    harness.answer(harness.calls()[0])
+    status = harness.poison_requests.check(subject, ms(2100))
+    assert status is PoisonStatus.clear
+
+
+def test_announced_end_after_an_abort_is_no_crash() -> None:
+    """A planned stop must not make aborted calls suspects."""
+    harness = _EgressHarness()
+    harness.dispatch(1)
+    _abort(harness, 1, 10)
+    harness.announce(UpstreamState.draining, sequence=2)
+    _refuse_connection(harness, ms(20))
+    assert _crash_counts(harness) == []
+
+
 def test_announced_end_of_an_upstream_is_no_crash() -> None:
     """Requests cut off by a planned stop of an upstream are no suspects."""
     harness = _EgressHarness()
