Let nested calls wait for their deadline, and share slots by time

An ingress finds the routes that its own upstream calls and lets their requests wait until the deadline; lower classes get a twentieth of the slot time. Both are service options, on where a configuration has downloads.

--- a/greengagemux/admissions.py
+++ b/greengagemux/admissions.py
@@ -19,6 +19,8 @@
 #: Of this many requests taken in a row while lower classes wait, the last one
 #: is the oldest request of the lower classes.
 STARVATION_INTERVAL = 20
+#: Part of the slot time that lower classes get with shares of time.
+LOWER_TIME_SHARE = 1 / STARVATION_INTERVAL
 
 _ORDER = (Priority.waiting, Priority.routine, Priority.internal)
 RANK = MappingProxyType(
@@ -61,6 +63,10 @@
         self.limit_bytes = limit_bytes
         self._size_bytes = 0
         self._passed_over = 0
+        #: Whether lower classes get a share of the slot time. Their share of the
+        #: requests is a multiple of that where their requests are longer.
+        self.time_shares = False
+        self._passed_over_ms = float(0)
         self._lanes: tuple[Lane[Item], ...] = tuple(
             Lane(_start_by) for _ in _ORDER
         )
@@ -196,14 +202,7 @@
         ]
         if not filled:
             return None
-        lane = filled[0]
-        if len(filled) == 1:
-            self._passed_over = 0
-        elif self._passed_over + 1 >= STARVATION_INTERVAL:
-            lane = min(filled[1:], key=lambda each: each.oldest().arrived)
-            self._passed_over = 0
-        else:
-            self._passed_over += 1
+        lane = self._take_turn(filled, usual_ms)
         item = lane.take()
         self._size_bytes -= item.size_bytes
         return item
@@ -245,6 +244,33 @@
             return overdue
         return lane
 
+    def _take_turn(
+        self, filled: list[Lane[Item]], usual_ms: float
+    ) -> Lane[Item]:
+        """Return the lane of the most urgent class, or of one below it."""
+        if len(filled) == 1:
+            self._passed_over = 0
+            return filled[0]
+        oldest = min(filled[1:], key=lambda each: each.oldest().arrived)
+        if self.time_shares:
+            return self._take_time(filled[0], oldest, usual_ms)
+        if self._passed_over + 1 >= STARVATION_INTERVAL:
+            self._passed_over = 0
+            return oldest
+        self._passed_over += 1
+        return filled[0]
+
+    def _take_time(
+        self, urgent: Lane[Item], lower: Lane[Item], usual_ms: float
+    ) -> Lane[Item]:
+        """Return the lower lane once its share covers its next request."""
+        cost_ms = lower.oldest().cost_ms or usual_ms
+        if self._passed_over_ms * LOWER_TIME_SHARE >= cost_ms:
+            self._passed_over_ms -= cost_ms / LOWER_TIME_SHARE
+            return lower
+        self._passed_over_ms += urgent.oldest().cost_ms or usual_ms
+        return urgent
+
     def _over_limit(self) -> bool:
         if len(self) > self.limit:
             return True
--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -255,4 +255,6 @@
     target_ms = pending.route.target_ms
     if not target_ms:
         return 0
+    if pending.waits_until_deadline:
+        return max(1, int(in_ms(pending.deadline - now)))
     return max(1, int(target_ms - in_ms(now - pending.arrived)))
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -166,7 +166,10 @@
     starts once the first has lasted ``hedge_pct`` of its expected time. With
     ``fair`` the accounts of callers get equal shares of the slots. Before a
     request is queued, ``free_slot_tries`` upstreams of the data centre of its
-    ingress are tried for a free slot.
+    ingress are tried for a free slot. With ``calls_wait`` requests that other
+    upstreams make while they run one may wait until their deadline instead of
+    the target latency. With ``time_shares`` the share of less urgent classes
+    is one of slot time instead of requests.
     """
 
     name: ServiceName
@@ -184,6 +187,8 @@
     hedge_pct: Annotated[int, Field(ge=100, le=10_000)] = HEDGE_PCT
     fair: bool = True
     free_slot_tries: Annotated[int, Field(ge=0, le=16)] = 0
+    calls_wait: bool = False
+    time_shares: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -33,6 +33,7 @@
 )
 from .keyed import KeyedWrites
 from .egress import Egress
+from .nestedcalls.detection import CallRoutes
 from .messages import (
     Answer,
     Dispatch,
@@ -128,6 +129,7 @@
         self._throttles = Throttles(rng)
         self._link = LinkBudget()
         self._splits = Splits(rng)
+        self._call_routes = CallRoutes()
         self._pending: dict[ExchangeId, PendingRequest] = {}
         self._attempts = Attempts(
             own,
@@ -153,6 +155,7 @@
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle; pending requests keep their old route."""
         self._accounts.configure(bundle)
+        self._call_routes.keep(bundle.routes)
         self._link.configure(bundle.region_link_kbit_s)
         self._steady_retries.per_s = bundle.retries_per_s
         for name, service in bundle.services.items():
@@ -210,6 +213,9 @@
             usual_ms=self._baselines.usual_ms(route.name),
             key=_key_of(event, route) if self._keyed.enabled else '',
             key_service=admitted.route.service,
+            nested_call=self._call_routes.arrived(
+                route.name, self._egress.local_upstreams.running_count
+            ),
         )
         key = throttle_key(pending)
         if not self._throttles.admit(key, now):
@@ -376,6 +382,7 @@
         contain = self._outbox.contain
         with contain('candidates'):
             self.candidates.age(now)
+            self._call_routes.sample(self._egress.local_upstreams.running_count, now)
         # Failures are uneven over the ingress daemons, and the budgets at the
         # egress bound the sum.
         steady = self._steady_retries.take(now) * INGRESS_RETRY_FACTOR
--- /dev/null
+++ b/greengagemux/nestedcalls/__init__.py
@@ -0,0 +1,1 @@
+"""Nested calls: requests that an upstream makes while it runs another."""
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -58,8 +58,10 @@
 #: Longest time that a caller waits for a response, in milliseconds.
 DEADLINE_LIMIT_MS: Final = 24 * 60 * 60 * 1000
 PERCENT: Final = 100
+#: Kind of a route with large responses.
+DOWNLOAD: Final = 'download'
 #: Kinds of routes whose requests may run more than once.
-REPEATABLE_KINDS: Final = frozenset(('idempotent', 'download'))
+REPEATABLE_KINDS: Final = frozenset(('idempotent', DOWNLOAD))
 #: Priorities by configured rank, 0 first. Larger ranks map to the last one.
 _PRIORITIES: Final = (Priority.waiting, Priority.routine, Priority.internal)
 
@@ -181,6 +183,11 @@
         self, configuration: _Configuration
     ) -> Mapping[ServiceName, Service]:
         floor_pct = round(PERCENT * self._bounds.floor_share)
+        # Downloads are long and less urgent than the short calls that share
+        # their slots.
+        has_downloads = any(
+            route.kind == DOWNLOAD for route in configuration.routes
+        )
         return {
             ServiceName(service.name): Service(
                 name=ServiceName(service.name),
@@ -198,6 +205,8 @@
                 # other upstreams; which host they enter at says nothing.
                 fair=False,
                 free_slot_tries=FREE_SLOT_TRIES,
+                calls_wait=has_downloads,
+                time_shares=has_downloads,
             )
             for service in configuration.services
         }
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -167,6 +167,8 @@
     queue_turns: int = 0
     #: Refusals because of a rate limit.
     limit_refusals: int = 0
+    #: Whether the upstream on this host has sent it while it runs another.
+    nested_call: bool = False
     #: Whether an upstream refused it because of overload.
     overloaded: bool = False
     may_have_run: bool = False
@@ -256,6 +258,16 @@
         """Whether it may go to an upstream on probation; a retry may not."""
         return self.idempotent and not self.retries
 
+    @property
+    def waits_until_deadline(self) -> bool:
+        """Whether only its deadline bounds its wait for a slot.
+
+        If a call is refused, the request that made it fails after its run;
+        while the call waits, that request holds its slot, and fewer new ones
+        are started.
+        """
+        return self.nested_call and self.service.calls_wait
+
     @property
     def idempotent(self) -> bool:
         """Whether the request may run more than once."""
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -120,6 +120,11 @@
             for each in self.by_id.values()
         )
 
+    @property
+    def running_count(self) -> int:
+        """Number of requests that run on these upstreams."""
+        return sum(len(each.running) for each in self.by_id.values())
+
     def add_retries(self, now: timedelta) -> None:
         """Give each upstream its part of the steady retries of its service."""
         amount = self._steady_retries.take(now)
@@ -372,6 +377,7 @@
         if service is not None:
             upstream.queue.limit = service.queue_limit
             upstream.queue.limit_bytes = service.queue_limit_bytes
+            upstream.queue.time_shares = service.time_shares
 
     def _record(
         self, name: str, upstream: Upstream, fields: Mapping[str, object]
