--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -382,7 +382,9 @@
         contain = self._outbox.contain
         with contain('candidates'):
             self.candidates.age(now)
-            self._call_routes.sample(self._egress.local_upstreams.running_count, now)
+            self._call_routes.sample(
+                self._egress.local_upstreams.running_count, now
+            )
         # Failures are uneven over the ingress daemons, and the budgets at the
         # egress bound the sum.
         steady = self._steady_retries.take(now) * INGRESS_RETRY_FACTOR
