Test that a status outside 200 to 599 reaches no caller

A report on other systems: a server in trouble answered with status 000, and the client got it. Here such a response counts as malformed (502, may have run), also with a seal or marked as not executed; the tests passed without a change of the code.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -123,6 +123,13 @@
         (b'nonsense\r\n\r\n', CallFault.malformed),
         (b'HTTP/1.1 two OK\r\n\r\n', CallFault.malformed),
         (b'HTTP/1.1 777 OK\r\nContent-Length: 0\r\n\r\n', CallFault.malformed),
+        (
+            b'HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok',
+            CallFault.malformed,
+        ),
+        (b'HTTP/1.1 000\r\n\r\n', CallFault.malformed),
+        (b'HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n', CallFault.malformed),
+        (b'HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n', CallFault.malformed),
         (b'HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n', CallFault.malformed),
         (b'HTTP/1.1 200 OK\r\nbad name: 1\r\n\r\n', CallFault.malformed),
         (
@@ -528,6 +535,28 @@
 _MISDIRECTED = 421
 
 
+@pytest.mark.parametrize(
+    'marks', [b'', b'Response-Seal: s\r\n', b'Not-Executed: 1\r\n']
+)
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+def test_status_that_is_none_is_not_passed_on(
+    upstream: _Upstream, status: bytes, marks: bytes
+) -> None:
+    """A response with such a status must not reach a caller as an answer.
+
+    Whatever else it states, the request may have run.
+    """
+    platform = _Platform(upstream)
+    call = platform.call('a')
+    connection = upstream.accept()
+    upstream.read(connection)
+    head = b'HTTP/1.1 %s No\r\nRequest-Id: a\r\n%sContent-Length: 2\r\n\r\nno'
+    connection.sendall(head % (status, marks))
+    ended = platform.result(call)
+    assert isinstance(ended, UpstreamFailed)
+    assert (ended.fault, ended.sent) == (CallFault.malformed, True)
+
+
 @pytest.mark.parametrize('status', [503, 429, _MISDIRECTED])
 @pytest.mark.parametrize('repeated', ['a', ''])
 @pytest.mark.parametrize('cut', [0, 1, 12, 30, 58])
