Try other regions for a free slot, and fewer upstreams in an overload

Cause: a service with few upstreams and uneven demand queued or refused requests in one region while slots in another were free, and in an overload of the whole service each request was refused by up to six upstreams first.

Change: service option overflow (off by default). The number of tries in the region falls towards 1 while nearly all are refused.

--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -10,6 +10,7 @@
 from .ids import CallerName, RequestId, UpstreamId
 from .egress import Egress
 from .limitedupstreams import TOLERATED_WAIT, LimitedUpstreams
+from .overflow.decisions import Overflow
 from .messages import Cancel, Dispatch, Inquire, MemberRecord, UpstreamState
 from .paths import Path, Paths
 from .regionlinks import LinkBudget
@@ -35,9 +36,11 @@
         baselines: Baselines,
         link: LinkBudget,
         limited: LimitedUpstreams,
+        overflow: Overflow,
     ) -> None:
         """Start without dispatches."""
         self._limited = limited
+        self._overflow = overflow
         self._own = own
         self._egress = egress
         self._paths = paths
@@ -110,6 +113,15 @@
         if path is not None and attempt.stream is not None:
             path.waiting -= 1
 
+    def found_full(
+        self, pending: PendingRequest, attempt: Attempt, now: timedelta
+    ) -> None:
+        """Note that the upstream of a try for a free slot had none."""
+        pending.full.append(attempt.candidate)
+        self._overflow.refused(attempt.candidate, now)
+        # No response comes over the link between regions.
+        self._link.refund(attempt.link_bytes)
+
     def _attempt(
         self,
         pending: PendingRequest,
@@ -136,6 +148,9 @@
                 pending.route.name, len(pending.body)
             )
         self._record_placement(pending, attempt, now)
+        self._record_overflow(pending, attempt)
+        if pending.service.overflow and selected.free_slot_only:
+            self._overflow.sent(candidate, now)
         pending.attempts[request] = attempt
         pending.excluded.add(candidate.upstream)
         if not selected.free_slot_only:
@@ -200,6 +215,33 @@
             )
         )
 
+    def _record_overflow(
+        self, pending: PendingRequest, attempt: Attempt
+    ) -> None:
+        """Record that a request leaves the region as its upstreams are full."""
+        candidate = attempt.candidate
+        if candidate.nearness is not Nearness.other_region:
+            return
+        if not pending.service.overflow:
+            return
+        if not attempt.free_slot_only and not pending.full:
+            return
+        self._outbox.emit(
+            Record(
+                'request-overflowed',
+                {
+                    'request': pending.tag,
+                    'exchange': pending.exchange,
+                    'attempt': attempt.request,
+                    'service': candidate.service,
+                    'upstream': candidate.upstream,
+                    'region': candidate.region,
+                    'free_slot_only': attempt.free_slot_only,
+                    'tried': len(pending.full),
+                },
+            )
+        )
+
     def _send(
         self, attempt: Attempt, message: Dispatch, path: Path, now: timedelta
     ) -> None:
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -166,7 +166,8 @@
     starts once the first has lasted ``hedge_pct`` of its expected time. With
     ``fair`` the accounts of callers get equal shares of the slots. Before a
     request is queued, ``free_slot_tries`` upstreams of the data centre of its
-    ingress are tried for a free slot.
+    ingress are tried for a free slot. With ``overflow`` fewer are tried while
+    nearly all refuse, and then upstreams of other regions.
     """
 
     name: ServiceName
@@ -184,6 +185,7 @@
     hedge_pct: Annotated[int, Field(ge=100, le=10_000)] = HEDGE_PCT
     fair: bool = True
     free_slot_tries: Annotated[int, Field(ge=0, le=16)] = 0
+    overflow: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -322,6 +322,7 @@
                 nearness=self._nearness(record),
                 boot=each.boot,
                 address=record.peer_address,
+                region=record.region,
                 reachable=reachable,
             )
         )
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -44,6 +44,7 @@
     Running,
 )
 from .outcomes import Outcome, Reason
+from .overflow.decisions import Overflow
 from .paths import Path, Paths, PathState
 from .poisonrequests import (
     PoisonRequests,
@@ -129,6 +130,7 @@
         self._link = LinkBudget()
         self._splits = Splits(rng)
         self._pending: dict[ExchangeId, PendingRequest] = {}
+        self._overflow = Overflow(rng)
         self._attempts = Attempts(
             own,
             egress,
@@ -137,8 +139,11 @@
             self._baselines,
             self._link,
             self.candidates.limited,
+            self._overflow,
+        )
+        self._placements = Placements(
+            self.candidates, self._link, self._overflow, rng
         )
-        self._placements = Placements(self.candidates, self._link, rng)
         self._origins: dict[Origin, PendingRequest] = {}
         self._forwarded_count = 0
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
@@ -537,6 +542,8 @@
             self._link.settle(
                 pending.route.name, attempt.link_bytes, len(message.body)
             )
+        if attempt.free_slot_only:
+            self._overflow.found(attempt.candidate)
         self._throttles.accepted(throttle_key(pending), now)
         self.candidates.report(attempt.candidate, message.load, now)
         if not _is_complete(message):
@@ -584,7 +591,7 @@
             self._limit_refused(pending, attempt, now)
             return
         if attempt.free_slot_only and message.reason is Reason.busy:
-            pending.full.append(attempt.candidate)
+            self._attempts.found_full(pending, attempt, now)
             self._place(pending, now)
             return
         if message.reason is Reason.busy and pending.service.free_slot_tries:
@@ -724,6 +731,7 @@
     ) -> None:
         already_lost = attempt.lost
         attempt.lost = True
+        self._overflow.lost(attempt.candidate, now)
         unreachable = path.state is PathState.failed and path.refused
         if unreachable:
             self._attempts.drop(pending, attempt)
--- a/greengagemux/overloadworlds.py
+++ b/greengagemux/overloadworlds.py
@@ -73,12 +73,22 @@
 _BITS_PER_BYTE: Final = 8
 
 
+@dataclass(frozen=True, slots=True)
+class RegionSize:
+    """Daemons of one region; the first ``upstreams`` of them have one each."""
+
+    name: Region
+    daemons: int
+    upstreams: int
+
+
 @dataclass(frozen=True, slots=True)
 class Layout:
     """Size of a simulated fleet; each upstream has its own egress daemon.
 
     ``daemons`` is the number of daemons, all of which are ingresses. The last
-    ``far`` of them are in the region without upstreams.
+    ``far`` of them are in the region without upstreams. With ``regions``, these
+    replace the two regions, and their sums must be ``daemons`` and ``upstreams``.
     """
 
     upstreams: int = 8
@@ -90,11 +100,27 @@
     answer_bytes: int = 2000
     link_kbit_s: int = 30_000
     service: ServiceName = ServiceName('dispatch')
+    regions: tuple[RegionSize, ...] = ()
 
     def capacity_per_s(self) -> float:
         """Return the requests a second that all slots together can serve."""
         return self.upstreams * self.slots / self.service_ms * 1000
 
+    def region_of(self, number: int) -> Region:
+        """Return the region of a daemon; those with upstreams come first."""
+        if not self.regions:
+            is_far = number >= self.daemons - self.far
+            return FAR_REGION if is_far else NEAR_REGION
+        with_upstream = [
+            each.name for each in self.regions for _ in range(each.upstreams)
+        ]
+        others = [
+            each.name
+            for each in self.regions
+            for _ in range(each.daemons - each.upstreams)
+        ]
+        return (with_upstream + others)[number]
+
 
 @dataclass(slots=True)
 class Run:
@@ -168,9 +194,7 @@
         layout = world.layout
         self.number = number
         self.outbox = Outbox()
-        region = NEAR_REGION
-        if number >= layout.daemons - layout.far:
-            region = FAR_REGION
+        region = layout.region_of(number)
         self.record = MemberRecord(
             daemon=DaemonId(f'd{number}'),
             incarnation=FIRST_INCARNATION,
@@ -218,7 +242,7 @@
         self.on_response: Callable[[int, Exchange], None] | None = None
         self._events: list[_Event] = []
         self._order = 0
-        self._link_free_at = {NEAR_REGION: ZERO, FAR_REGION: ZERO}
+        self._link_free_at: dict[Region, timedelta] = {}
         self._calls = 0
         self._members: dict[DaemonId, MemberRecord] = {}
         self._streams: dict[StreamId, tuple[Host, Host]] = {}
@@ -398,7 +422,7 @@
         size = MESSAGE_OVERHEAD_BYTES
         size += len(getattr(message, 'body', b''))
         self.far_bytes += size
-        start = max(self._link_free_at[region], self.now)
+        start = max(self._link_free_at.get(region, ZERO), self.now)
         free = start + ms(size * _BITS_PER_BYTE / self.layout.link_kbit_s)
         self._link_free_at[region] = free
         return free - self.now + FAR_LATENCY
--- a/greengagemux/placements.py
+++ b/greengagemux/placements.py
@@ -9,6 +9,7 @@
 from .candidates import Candidates
 from .clocks import in_ms
 from .ids import UpstreamId
+from .overflow.decisions import Overflow, far_tries_left, soonest
 from .regionlinks import LinkBudget
 from .requests import PendingRequest
 from .selection import (
@@ -63,9 +64,14 @@
     """Selects upstreams by health, load, distance and rate limit."""
 
     def __init__(
-        self, candidates: Candidates, link: LinkBudget, rng: Random
+        self,
+        candidates: Candidates,
+        link: LinkBudget,
+        overflow: Overflow,
+        rng: Random,
     ) -> None:
         """Select from ``candidates`` within the budget of ``link``."""
+        self._overflow = overflow
         self._candidates = candidates
         self._link = link
         self._rng = rng
@@ -78,6 +84,7 @@
         first.
         """
         service = pending.route.service
+        pending.tries_limit = self._overflow.tries(pending.service, now)
         view = self._candidates.view_of(service, pending.priority)
         usable_set = view.current()
         remote = self._link.allows(pending.priority, now)
@@ -101,7 +108,8 @@
             pending.excluded | closed if closed else pending.excluded,
             limits.without_patience() if pending.seeks_free_slot else limits,
         )
-        selected = seek_free_slot(bounds, limits, closed, selected)
+        if pending.service.free_slot_tries:
+            selected = self._seek_slot(bounds, limits, closed, selected, now)
         if selected is not None:
             return Placement(selected)
         selected = self._wait_for_limit(bounds, closed, now)
@@ -113,6 +121,54 @@
             far_only=not remote and has_other_region(usable_set),
         )
 
+    def _seek_slot(
+        self,
+        bounds: _Bounds,
+        limits: SelectionLimits,
+        closed: Collection[UpstreamId],
+        selected: Selection | None,
+        now: timedelta,
+    ) -> Selection | None:
+        """Return where a request is tried for a free slot, or is queued.
+
+        Upstreams of the region come first, then those of other regions. Once
+        enough of them have been tried, the request is queued.
+        """
+        pending = bounds.pending
+        if selected is not None and is_free_slot_try(pending, selected):
+            return replace(selected, free_slot_only=True)
+        if pending.attempts:
+            # Another attempt runs, so this one is not worth a place in a queue.
+            return None if pending.full else selected
+        far = self._far_slot(bounds, closed, now)
+        return far or seek_queue(bounds, limits, closed, selected)
+
+    def _far_slot(
+        self, bounds: _Bounds, closed: Collection[UpstreamId], now: timedelta
+    ) -> Selection | None:
+        """Return an upstream of another region to try for a free slot."""
+        pending = bounds.pending
+        if not pending.service.overflow or not bounds.remote:
+            return None
+        if not far_tries_left(
+            pending.full, pending.unopened, pending.queue_turns
+        ):
+            return None
+        tiers = bounds.usable_set.tiers
+        candidate = self._overflow.choose_far(
+            (
+                each
+                for each in tiers[-1]
+                if each.upstream not in closed and bounds.admits(each)
+            )
+            if tiers
+            else (),
+            now,
+        )
+        if candidate is None:
+            return None
+        return Selection(candidate, forced=False, free_slot_only=True)
+
     def _wait_for_limit(
         self, bounds: _Bounds, closed: set[UpstreamId], now: timedelta
     ) -> Selection | None:
@@ -130,46 +186,47 @@
         return Selection(candidate, forced, waits=True)
 
 
-def seek_free_slot(
+def is_free_slot_try(
+    pending: PendingRequest, selected: Selection | None
+) -> bool:
+    """Return whether an upstream of the region is tried for a free slot.
+
+    It answers services with long requests and few slots: an ingress with few
+    requests knows little of the load of most upstreams, and a short request
+    would wait behind a long one while slots nearby are free. ``selected`` is
+    the nearest upstream that was not tried.
+    """
+    if selected is None or not pending.seeks_free_slot:
+        return False
+    return selected.candidate.nearness <= Nearness.same_region
+
+
+def seek_queue(
     bounds: _Bounds,
     limits: SelectionLimits,
     closed: Collection[UpstreamId],
     selected: Selection | None,
 ) -> Selection | None:
-    """Return where a request is tried for a free slot, or is queued.
+    """Return where a request is queued that has found no free slot.
 
-    It answers services with long requests and few slots: an ingress with few
-    requests knows little of the load of most upstreams, and a short request
-    would wait behind a long one while slots nearby are free. ``selected`` is
-    the nearest upstream that was not tried. Once those of the region or enough
-    of them have been tried, the request is queued at the one with the shortest
-    wait, in the data centre unless it would wait too long there. None of
+    That is the upstream with the shortest wait, in the data centre unless it
+    would wait too long there, or ``selected`` if none was tried. None of
     ``closed`` is returned.
     """
     pending = bounds.pending
-    if not pending.service.free_slot_tries:
-        return selected
-    if (
-        selected is not None
-        and pending.seeks_free_slot
-        and selected.candidate.nearness <= Nearness.same_region
-    ):
-        return replace(selected, free_slot_only=True)
-    if pending.full and pending.attempts:
-        # Another attempt runs, so this one is not worth a place in a queue.
-        return None
     allowed = bounds.usable_set.allowed
     # The request waits for the paths that are opening.
     opening = {each.upstream for each in pending.unopened}
     left_out = pending.queued_at.union(opening, closed)
-    best = shortest_wait(
-        [
-            each
-            for each in pending.full
-            if each in allowed and each.upstream not in left_out
-        ],
-        limits,
-    )
+    full = [
+        each
+        for each in pending.full
+        if each in allowed and each.upstream not in left_out
+    ]
+    if pending.service.overflow:
+        best = soonest(full, limits)
+    else:
+        best = shortest_wait(full, limits)
     if best is None:
         return selected
     return Selection(best, best.upstream in bounds.usable_set.forced)
--- a/greengagemux/regionlinks.py
+++ b/greengagemux/regionlinks.py
@@ -67,6 +67,10 @@
         self._balance_bytes -= OVERHEAD_BYTES + body_bytes + mean_bytes
         return mean_bytes
 
+    def refund(self, expected: float) -> None:
+        """Give back a charge of ``expected`` bytes for no response."""
+        self._balance_bytes += expected
+
     def settle(
         self, route: RouteName, expected: float, answer_bytes: int
     ) -> None:
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -165,6 +165,9 @@
     queued_at: set[UpstreamId] = field(default_factory=set)
     #: How often it was in a queue without getting a slot in time.
     queue_turns: int = 0
+    #: Tries for a free slot that it gets in its region; None if it gets all of
+    #: its service.
+    tries_limit: int | None = None
     #: Refusals because of a rate limit.
     limit_refusals: int = 0
     #: Whether an upstream refused it because of overload.
@@ -202,6 +205,8 @@
     def seeks_free_slot(self) -> bool:
         """Whether another upstream is tried for a free slot."""
         tries = self.service.free_slot_tries
+        if self.tries_limit is not None:
+            tries = min(tries, self.tries_limit)
         if self.queue_turns:
             tries = min(tries, LATER_FULL)
         return len(self.full) < tries
--- a/greengagemux/selection.py
+++ b/greengagemux/selection.py
@@ -13,7 +13,7 @@
 from types import MappingProxyType
 
 from .clocks import ZERO
-from .ids import DaemonId, ServiceName, UpstreamId
+from .ids import DaemonId, Region, ServiceName, UpstreamId
 from .messages import Load, UpstreamState
 
 #: Probability, by state, that a drawn upstream is kept.
@@ -77,6 +77,7 @@
     boot: int = 0
     #: Peer address of its daemon.
     address: str = ''
+    region: Region = Region('')
     #: When its state was last reported.
     state_updated_at: timedelta = ZERO
 
