Compare full upstreams of the region for a queue; switch overflow on by zones

Change: upstreams of the region that reported lately that they are full count as tried. The platform's settings read zones.NAME=REGION, and overflow is on where they list three regions or more.

--- a/greengagemux/overflow/decisions.py
+++ b/greengagemux/overflow/decisions.py
@@ -25,7 +25,7 @@
 FAR_GAIN_MS: Final = 50
 #: Upstreams of other regions among which the one with the least load is used.
 _DRAWS: Final = 2
-#: States of upstreams of other regions that are tried.
+#: States of upstreams of which the reported load is used.
 _SOUND: Final = frozenset((UpstreamState.serving, UpstreamState.suspect))
 
 
@@ -104,6 +104,19 @@
     return max(0, limit - far)
 
 
+def is_known_full(candidate: Candidate) -> bool:
+    """Return whether an upstream of the region lately reported that it is full.
+
+    One that seems to have free slots does not count: it may be one that fails
+    its requests at once, and all requests would be queued there.
+    """
+    if candidate.nearness is Nearness.other_region:
+        return False
+    if candidate.state not in _SOUND or not candidate.reported:
+        return False
+    return candidate.placed() >= candidate.slots
+
+
 def soonest(
     full: Collection[Candidate], limits: SelectionLimits
 ) -> Candidate | None:
--- a/greengagemux/placements.py
+++ b/greengagemux/placements.py
@@ -9,7 +9,12 @@
 from .candidates import Candidates
 from .clocks import in_ms
 from .ids import UpstreamId
-from .overflow.decisions import Overflow, far_tries_left, soonest
+from .overflow.decisions import (
+    Overflow,
+    far_tries_left,
+    is_known_full,
+    soonest,
+)
 from .regionlinks import LinkBudget
 from .requests import PendingRequest
 from .selection import (
@@ -210,7 +215,9 @@
     """Return where a request is queued that has found no free slot.
 
     That is the upstream with the shortest wait, in the data centre unless it
-    would wait too long there, or ``selected`` if none was tried. None of
+    would wait too long there, or ``selected`` if none was tried. If recent
+    refusals leave it few tries, those that reported lately that they are full
+    count as tried. None of
     ``closed`` is returned.
     """
     pending = bounds.pending
@@ -224,6 +231,12 @@
         if each in allowed and each.upstream not in left_out
     ]
     if pending.service.overflow:
+        others = filter(bounds.admits, allowed) if pending.tries_cut else ()
+        full.extend(
+            each
+            for each in others
+            if is_known_full(each) and each.upstream not in closed
+        )
         best = soonest(full, limits)
     else:
         best = shortest_wait(full, limits)
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -39,6 +39,9 @@
 #: is queued. Messages within a data centre cost little, and hosts know little
 #: of the load of upstreams that get few of their requests.
 FREE_SLOT_TRIES: Final = 6
+#: Number of regions from which on requests may use free slots of another one.
+#: With more regions, each has fewer upstreams of a service.
+OVERFLOW_REGIONS: Final = 3
 #: Elapsed time, in percent of the expected service time, after which a request
 #: is hedged. Gray upstreams on this platform often hang; 1% of the requests
 #: of a healthy upstream take three times the mean.
@@ -134,6 +137,7 @@
         """Use the service as the caller's name, and the bounds."""
         self._caller_name = CallerName(settings.service)
         self._bounds = settings.bounds
+        self._overflow = len(settings.regions) >= OVERFLOW_REGIONS
 
     def __call__(self, payload: bytes) -> Bundle:
         """Return the bundle for the JSON configuration in a log record.
@@ -198,6 +202,7 @@
                 # other upstreams; which host they enter at says nothing.
                 fair=False,
                 free_slot_tries=FREE_SLOT_TRIES,
+                overflow=self._overflow,
             )
             for service in configuration.services
         }
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -15,6 +15,8 @@
 PATH_VARIABLE: Final = 'GREENGAGEMUX_BOOT'
 DEFAULT_PATH: Final = '/etc/greengagemux/settings.conf'
 FILE_LIMIT_BYTES: Final = 1024 * 1024
+#: Start of the keys that state the region of a data centre.
+ZONE_PREFIX: Final = 'zones.'
 
 #: The platform's documented values, used where ``bounds`` lacks one.
 DEFAULT_BOUNDS: Final = MappingProxyType(
@@ -70,6 +72,8 @@
     #: Peer addresses of some daemons; they may have ended since.
     seeds: tuple[Address, ...]
     bounds: Bounds
+    #: Regions of the listed data centres (``zones.NAME``).
+    regions: frozenset[Region] = frozenset()
 
 
 def read_settings(path: Path | None = None) -> PlatformSettings:
@@ -112,6 +116,7 @@
             log_address=self._address('platform.address'),
             seeds=self._seeds(peer_address.port),
             bounds=self._bounds(),
+            regions=self._regions(),
         )
 
     def _text(self, key: str) -> str:
@@ -143,6 +148,14 @@
             for part in listed
         )
 
+    def _regions(self) -> frozenset[Region]:
+        """Return the regions of the data centres that the file lists."""
+        return frozenset(
+            Region(self._text(key))
+            for key in self._values
+            if key.startswith(ZONE_PREFIX)
+        )
+
     def _bounds(self) -> Bounds:
         bounds = dict(DEFAULT_BOUNDS)
         for part in self._values.get('bounds', '').split(','):
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -211,6 +211,13 @@
             tries = min(tries, LATER_FULL)
         return len(self.full) < tries
 
+    @property
+    def tries_cut(self) -> bool:
+        """Whether recent refusals leave it fewer tries than configured."""
+        if self.tries_limit is None:
+            return False
+        return self.tries_limit < self.service.free_slot_tries
+
     @property
     def waits_for_path(self) -> bool:
         """Whether it has no attempt and waits for a path to open."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -164,6 +164,7 @@
         ('node_name=sidecar-a-1', '', 'node_name'),
         ('10.1.0.38:8147', 'nowhere', 'listen.outbound'),
         ('grace_s=5', 'grace_s=soon', 'grace_s'),
+        ('unknown.key=ignored', 'zones.a=', 'zones.a'),
     ],
 )
 def test_bad_settings_name_the_key(
@@ -189,6 +190,23 @@
     assert write.body_limit_bytes == 1000
 
 
+@pytest.mark.parametrize(
+    ('zones', 'expected'),
+    [
+        ('', False),
+        ('zones.a=one\nzones.b=two\nzones.c=two\n', False),
+        ('zones.a=one\nzones.b=two\nzones.c=three\n', True),
+    ],
+)
+def test_overflow_needs_three_regions(
+    tmp_path: Path, zones: str, expected: bool
+) -> None:
+    """Guards against a changed service where two regions or none are listed."""
+    decode = ConfigurationDecoder(_settings(tmp_path, LINES + zones))
+    bundle = decode(json.dumps(CONFIGURATION).encode())
+    assert {each.overflow for each in bundle.services.values()} == {expected}
+
+
 def test_longest_prefix_of_the_host_wins(tmp_path: Path) -> None:
     """A request must not match the route of another host."""
     bundle = ConfigurationDecoder(_settings(tmp_path))(
