Limit the rate of accounts over all daemons by allotments

Each account now has an owner with a token bucket, which every ingress asks before it places a request; a local share decides while the owner cannot be asked.

--- /dev/null
+++ b/greengagemux/allotments/__init__.py
@@ -0,0 +1,1 @@
+"""Allotments: rates of client accounts over all daemons together."""
--- /dev/null
+++ b/greengagemux/allotments/buckets.py
@@ -0,0 +1,110 @@
+"""Token buckets of allotments, and the tolerance of their limits."""
+
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Final
+
+from ..clocks import ZERO, in_ms
+
+#: One token, less the rounding errors of earned fractions.
+_ONE: Final = 1 - 1e-9
+#: A wait of a bucket that earns nothing.
+_LONGEST_WAIT: Final = timedelta(hours=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """Requests per second of an account, and those after idle time besides."""
+
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tolerance:
+    """How far the requests of an account may exceed its limit in a window.
+
+    The sum over all daemons is at most ``rate_per_s * window_s + burst``,
+    raised by the share ``overshoot``, plus ``slack`` requests.
+    """
+
+    window_s: float = 5
+    overshoot: float = 0.1
+    slack: float = 20
+
+    def half(self, limit: Limit) -> float:
+        """Return half of the requests by which a limit may be exceeded.
+
+        The capacity of a bucket uses one half, a change of owner the other.
+        """
+        allowed = limit.rate_per_s * self.window_s + limit.burst
+        return (self.overshoot * allowed + self.slack) / 2
+
+    def capacity(self, limit: Limit) -> float:
+        """Return the capacity of an owner's bucket.
+
+        The tolerance lets requests within the limit pass in spite of jitter.
+        """
+        return max(1, limit.burst + self.half(limit))
+
+
+class TokenBucket:
+    """Tokens of one account; each request that is granted takes one."""
+
+    def __init__(
+        self, rate_per_s: float, capacity: float, tokens: float, now: timedelta
+    ) -> None:
+        """Start with some tokens, at most the capacity."""
+        self._rate_per_s = rate_per_s
+        self._capacity = capacity
+        self._tokens = min(tokens, capacity)
+        self._counted_at = now
+
+    def change(
+        self, rate_per_s: float, capacity: float, now: timedelta
+    ) -> None:
+        """Replace rate and capacity; earned tokens are kept up to it."""
+        self._earn(now)
+        self._rate_per_s = rate_per_s
+        self._capacity = capacity
+        self._tokens = min(self._tokens, capacity)
+
+    def take(self, now: timedelta) -> bool:
+        """Take one token; return false if there is none."""
+        self._earn(now)
+        if self._tokens < _ONE:
+            return False
+        self._tokens -= 1
+        return True
+
+    def spend(self, now: timedelta) -> None:
+        """Take one token, or what there is of it."""
+        self._earn(now)
+        self._tokens = max(0, self._tokens - 1)
+
+    def drain(self, now: timedelta) -> None:
+        """Take all tokens."""
+        self._tokens = 0
+        self._counted_at = now
+
+    def wait(self, now: timedelta) -> timedelta:
+        """Return the time until there is a token."""
+        self._earn(now)
+        missing = 1 - self._tokens
+        if missing <= 1 - _ONE:
+            return ZERO
+        if not self._rate_per_s:
+            return _LONGEST_WAIT
+        wait_s = missing / self._rate_per_s
+        return min(_LONGEST_WAIT, timedelta(seconds=wait_s))
+
+    def wait_ms(self, now: timedelta) -> int:
+        """Return the time until there is a token, rounded up."""
+        return math.ceil(in_ms(self.wait(now)))
+
+    def _earn(self, now: timedelta) -> None:
+        elapsed_s = (now - self._counted_at).total_seconds()
+        self._counted_at = now
+        earned = self._tokens + elapsed_s * self._rate_per_s
+        self._tokens = min(earned, self._capacity)
--- a/greengagemux/handlers.py
+++ b/greengagemux/handlers.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
+from .allotments.messages import TokenReply, TokenRequest
 from .answers import Origin
 from .assignments import Holder
 from .attempts import is_via_owner
@@ -191,6 +192,20 @@
         daemon.keyed.receive(message, holder, now)
 
 
+@receive.register(TokenRequest)
+def _token_request(
+    message: TokenRequest, daemon: 'Daemon', sender: Sender, now: timedelta
+) -> None:
+    daemon.allotments.requested(sender.stream, message, now)
+
+
+@receive.register(TokenReply)
+def _token_reply(
+    message: TokenReply, daemon: 'Daemon', sender: Sender, now: timedelta
+) -> None:
+    daemon.allotments.replied(sender.daemon, message, now)
+
+
 @receive.register(OwnersRequest)
 def _owners_request(
     message: OwnersRequest, daemon: 'Daemon', sender: Sender, now: timedelta
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -15,6 +15,7 @@
 
 from . import headers
 from .accounts.admission import Accounts, Admitted
+from .allotments.verdicts import Verdict
 from .answers import RECORD_MARGIN, WRITE_GRACE, Origin
 from .attempts import Attempts
 from .baselines import Baselines
@@ -142,6 +143,8 @@
         self._origins: dict[Origin, PendingRequest] = {}
         self._forwarded_count = 0
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
+        #: New requests of accounts with a limited rate.
+        self.without_token: list[PendingRequest] = []
         #: Set once a planned stop has begun and its notice is over.
         self.stop_window: StopWindow | None = None
 
@@ -226,9 +229,33 @@
         self._pending[event.exchange] = pending
         heapq.heappush(self._deadlines, (pending.deadline, event.exchange))
         self._accounts.count(caller, 1)
+        if caller.rate_per_s:
+            pending.awaits_token = True
+            self.without_token.append(pending)
+            return
         self._budgets[route.service].earn()
         self._begin(pending, now)
 
+    def token_decided(self, verdict: Verdict, now: timedelta) -> None:
+        """Place a request that has got its token, or refuse it.
+
+        Its caller may have left, or its deadline may have passed.
+        """
+        pending = verdict.pending
+        if pending.done:
+            return
+        pending.awaits_token = False
+        if verdict.granted:
+            self._budgets[pending.route.service].earn()
+            self._begin(pending, now)
+            return
+        # Only the owner of its key knows whether an earlier attempt ran.
+        outcome = Outcome.unknown if pending.key else Outcome.not_run
+        self._end(
+            pending,
+            Refusal(RequestId(0), Reason.allotment, outcome, verdict.wait_ms),
+        )
+
     def request_failed(self, event: CallerRequest, now: timedelta) -> None:
         """Answer a request at once whose admission raised an exception."""
         pending = self._pending.get(event.exchange)
@@ -389,7 +416,8 @@
         for slow in tuple(self._pending.values()):
             with contain('hedge'):
                 if _is_slow(slow, now) and _spend_retry(self._budgets, slow):
-                    self._retry(slow, now)
+                    slow.begin_retry()
+                    self._place(slow, now)
 
     def stop(self, now: timedelta) -> None:
         """Answer the requests that are pending when the daemon ends.
@@ -559,7 +587,8 @@
             if pending.attempts:
                 return
             if _spend_retry(self._budgets, pending):
-                self._retry(pending, now)
+                pending.begin_retry()
+                self._place(pending, now)
                 return
         self._attempts.cancel(pending, now)
         self._end(pending, message)
@@ -711,7 +740,8 @@
         if pending.attempts:
             return
         if _spend_retry(self._budgets, pending):
-            self._retry(pending, now)
+            pending.begin_retry()
+            self._place(pending, now)
             return
         self._end_failed(pending, reason)
 
@@ -729,7 +759,8 @@
             self._attempts.drop(pending, attempt)
             self._attempt_failed(pending, Reason.connection_lost, now)
         elif not already_lost and _spend_retry(self._budgets, pending):
-            self._retry(pending, now)
+            pending.begin_retry()
+            self._place(pending, now)
 
     def _reattach(
         self,
@@ -744,11 +775,6 @@
             return
         self._attempts.reattach(attempt, path)
 
-    def _retry(self, pending: PendingRequest, now: timedelta) -> None:
-        pending.retries += 1
-        pending.forget_full()
-        self._place(pending, now)
-
     def _expire_contained(
         self, pending: PendingRequest, now: timedelta
     ) -> None:
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -21,6 +21,7 @@
     UpstreamId,
 )
 from .outcomes import Outcome, Reason
+from .allotments.messages import TokenMessage
 from .leases import KeyRecordsAccepted, LeaseGrant, LeaseRequest, SlotEpoch
 
 #: Version of the protocol between daemons.
@@ -427,4 +428,5 @@
     | SlotMessage
     | OwnersRequest
     | OwnersSnapshot
+    | TokenMessage
 )
--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -164,6 +164,7 @@
         tick=TICK,
         announce_lease=ANNOUNCE_LEASE,
         leave_after=STOP_NOTICE - LEAVE_LEAD,
+        tolerance=settings.bounds.tolerance,
     )
     source = ApprovedSource(ConfigurationDecoder(settings))
     return Daemon(options, source, Random(f'{own.daemon}/{incarnation}'))
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from ..addresses import Address
+from ..allotments.buckets import Tolerance
 from ..ids import DaemonId, DataCentre, Region, ServiceName
 from ..outcomes import Failure, FailureError, Step
 
@@ -24,6 +25,9 @@
         'retry_budget_ratio': 0.2,
         'budget_slack': float(0),
         'budget_window_s': 10.0,
+        'quota_window_s': 5.0,
+        'quota_overshoot': 0.1,
+        'quota_slack': 20.0,
     }
 )
 
@@ -40,6 +44,8 @@
     retry_share: float
     #: Retries a second that it may receive besides.
     retries_per_s: float
+    #: How far client accounts may exceed their rates.
+    tolerance: Tolerance = Tolerance()
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +166,11 @@
             retry_share=bounds['retry_budget_ratio'],
             retries_per_s=bounds['budget_slack']
             / max(bounds['budget_window_s'], 1),
+            tolerance=Tolerance(
+                window_s=max(bounds['quota_window_s'], 0),
+                overshoot=max(bounds['quota_overshoot'], 0),
+                slack=max(bounds['quota_slack'], 0),
+            ),
         )
 
 
--- a/greengagemux/readers.py
+++ b/greengagemux/readers.py
@@ -18,14 +18,14 @@
 
 def reader_order(daemons: Iterable[DaemonId]) -> list[DaemonId]:
     """Return daemons in rendezvous order; the first ones read the log."""
-    return sorted(daemons, key=_score, reverse=True)
+    return sorted(daemons, key=score, reverse=True)
 
 
 def rank_among(own: MemberRecord, live: Iterable[DaemonId]) -> int:
     """Return the rank of a daemon in the rendezvous order, 0 for the first."""
-    score = _score(own.daemon)
+    mine = score(own.daemon)
     others = (daemon for daemon in live if daemon != own.daemon)
-    return sum(_score(other) > score for other in others)
+    return sum(score(other) > mine for other in others)
 
 
 def reader_rank(
@@ -40,5 +40,9 @@
     return rank_among(own, nearby)
 
 
-def _score(daemon: DaemonId) -> int:
-    return xxhash.xxh3_64_intdigest(daemon.encode())
+def score(daemon: DaemonId, subject: str = '') -> int:
+    """Return the place of a daemon in the rendezvous order of a subject.
+
+    Each subject has an order of its own; the first has the highest score.
+    """
+    return xxhash.xxh3_64_intdigest(f'{subject}{daemon}'.encode())
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -7,6 +7,8 @@
 from random import Random
 from types import MappingProxyType
 
+from .allotments.buckets import Tolerance
+from .allotments.clients import Allotments
 from .clocks import ZERO
 from .poisonrequests import PoisonRequests
 from .crashes import CrashReports
@@ -110,6 +112,8 @@
     #: A stopping daemon announces after this time that it is leaving; until
     #: then its upstreams get new requests.
     leave_after: timedelta = ZERO
+    #: How far accounts may exceed their rates.
+    tolerance: Tolerance = Tolerance()
 
 
 class Daemon:
@@ -146,6 +150,9 @@
         self.ingress = Ingress(
             own, self.egress, self.paths, self.outbox, rng, self.keyed
         )
+        self.allotments = Allotments(
+            own, self.paths, self.outbox, options.tolerance
+        )
         if options.episodes:
             self.ingress.candidates.separate_health = True
         self.members = Members(own, rng, by_data_centre=options.episodes)
@@ -198,6 +205,8 @@
     def settle(self, now: timedelta) -> None:
         """Pass results between the parts of the daemon after an event."""
         contain = self.outbox.contain
+        with contain('allotments'):
+            self._settle_allotments(now)
         while self.egress.local_replies:
             reply = self.egress.local_replies.pop(0)
             with contain('local-reply'):
@@ -213,6 +222,16 @@
             with contain('bundle'):
                 self._configure(bundle, now)
 
+    def _settle_allotments(self, now: timedelta) -> None:
+        """Pass requests without a token and the decisions on them."""
+        unasked = self.ingress.without_token
+        while unasked:
+            self.allotments.ask(unasked.pop(0), now)
+        while self.allotments.verdicts:
+            verdict = self.allotments.verdicts.pop(0)
+            with self.outbox.contain('token-decided'):
+                self.ingress.token_decided(verdict, now)
+
     def _settle_upstreams(self, now: timedelta) -> None:
         """Publish what has changed at the upstreams beside this daemon."""
         egress = self.egress
@@ -236,6 +255,7 @@
             bundle.services, bundle.retries_pct, bundle.retries_per_s
         )
         self.ingress.configure(bundle)
+        self.allotments.configure(bundle, now)
         self.keyed.configure(bundle.services)
         if self.slots_deadline is None:
             self.slots_deadline = now + SLOT_OWNERS_TIMEOUT
@@ -290,6 +310,7 @@
             live, self.own.region, self.ingress.candidates.views
         )
         self.keyed.members_changed(live)
+        self.allotments.members_changed(live, now)
         own = {each.service for each in self.egress.upstreams.values()}
         for service in own:
             self._update_peer_states(service)
@@ -385,6 +406,7 @@
             'distribution-tick': lambda daemon, now: daemon.distribution.tick(
                 daemon.members.live(), now
             ),
+            'allotments-tick': lambda daemon, now: daemon.allotments.tick(now),
             'keyed-tick': lambda daemon, now: daemon.keyed.tick(now),
             'paths-tick': _tick_paths,
             'slots-tick': _tick_slots,
@@ -430,6 +452,7 @@
         )
     if path is not None:
         daemon.ingress.path_opened(path, now)
+    daemon.allotments.path_opened(hello.daemon, now)
     daemon.send_all(daemon.members.connected(hello.daemon, now), now)
     daemon.distribution.connected(event.stream)
     daemon.crashes.connected(event.stream, now)
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -190,6 +190,8 @@
     #: awaited for the record of the key.
     answered: bool = False
     deadline_passed: bool = False
+    #: Its account has a limited rate, and it has no token yet.
+    awaits_token: bool = False
 
     @property
     def movable(self) -> bool:
@@ -209,8 +211,15 @@
     @property
     def waits_for_path(self) -> bool:
         """Whether it has no attempt and waits for a path to open."""
+        if self.awaits_token:
+            return False
         return not (self.attempts or self.done or self.forwarded)
 
+    def begin_retry(self) -> None:
+        """Count a retry, for which all upstreams are tried for a free slot."""
+        self.retries += 1
+        self.forget_full()
+
     def forget_full(self) -> None:
         """Make the upstreams that had no free slot candidates again.
 
