Pool local shares, and test allotments by simulation

With a local share of one token at each of 86 hosts, the loss of the owner of an account with 5 requests a second and burst 5 let 83 requests pass in 5 s, 53 allowed (simulation, 50 arrivals a second after idle time). Daemons that cannot ask the owner now ask the next daemon of its order, which pools their shares within half of the tolerance; the local share remains for a daemon that can ask nobody.

An owner that refuses requests checks its paths, as it withholds the shares of members that it cannot reach and has no other use for some of the paths.

--- a/greengagemux/allotments/buckets.py
+++ b/greengagemux/allotments/buckets.py
@@ -78,6 +78,15 @@
         self._tokens -= 1
         return True
 
+    def add(self, tokens: float) -> None:
+        """Add tokens, up to the capacity."""
+        self._tokens = min(self._tokens + tokens, self._capacity)
+
+    def tokens(self, now: timedelta) -> float:
+        """Return the tokens that there are."""
+        self._earn(now)
+        return self._tokens
+
     def spend(self, now: timedelta) -> None:
         """Take one token, or what there is of it."""
         self._earn(now)
--- a/greengagemux/allotments/clients.py
+++ b/greengagemux/allotments/clients.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Final
 
@@ -15,14 +15,17 @@
 from ..requests import PendingRequest
 from .buckets import Limit, Tolerance
 from .messages import Decision, TokenReply, TokenRequest
-from .owners import OwnedAllotments
+from .owners import OwnedAllotments, TokenDecision
 from .shares import LocalShares
 from .verdicts import Verdict
 from .views import MemberView
 
-#: A request that the owner has not decided on after this time is decided by
-#: the local share.
+#: A request that a daemon has not decided on after this time goes to the next.
 REPLY_LIMIT: Final = timedelta(milliseconds=150)
+#: Daemons that are asked before the local share decides.
+ASK_LIMIT: Final = 3
+#: A daemon that has not replied in time is not asked for this long.
+SILENT_TIME: Final = timedelta(seconds=1)
 #: Interval at which the members that can be reached are counted.
 REACH_INTERVAL: Final = timedelta(milliseconds=500)
 #: Minimum time between two log lines about the refusals of an account.
@@ -35,8 +38,9 @@
 
     pending: PendingRequest
     account: CallerName
-    owner: DaemonId | None = None
     due: timedelta | None = None
+    #: Daemons that were asked; the last one has not decided yet.
+    asked: list[DaemonId] = field(default_factory=list)
     sent: bool = False
 
 
@@ -45,7 +49,7 @@
     """Refusals of an account since the last log line about them."""
 
     requests: int = 0
-    by_share: int = 0
+    by_owner: int = 0
     wait_ms: int = 0
 
 
@@ -61,20 +65,20 @@
     ) -> None:
         """Start without limits."""
         self._own = own.daemon
+        self._region = own.region
         self._paths = paths
         self._outbox = outbox
         self._view = MemberView(own.daemon)
         self._owned = OwnedAllotments(self._view, tolerance)
         self._shares = LocalShares(self._view)
+        self._silent_until: dict[DaemonId, timedelta] = {}
         self._waiting: dict[ExchangeId, _Waiting] = {}
         self._refusals: dict[CallerName, _Refusals] = {}
         self._reach_due = ZERO
         self._summary_due = ZERO
         #: Decisions that have not been applied yet.
         self.verdicts: list[Verdict] = []
-        #: Decisions on requests that entered here, by decision and by whether
-        #: the owner or the local share made them.
-        self.counts: Counter[tuple[str, str]] = Counter()
+        self._counts: Counter[tuple[str, str]] = Counter()
 
     @property
     def owned_count(self) -> int:
@@ -86,6 +90,16 @@
         """Number of requests that wait for a token."""
         return len(self._waiting)
 
+    def take_counts(self) -> Counter[tuple[str, str]]:
+        """Return the decisions since the last call.
+
+        The key is the decision, and whether the owner, a pool or the local
+        share made it.
+        """
+        counts = self._counts
+        self._counts = Counter()
+        return counts
+
     def configure(self, bundle: Bundle, now: timedelta) -> None:
         """Apply the limits of a new bundle."""
         limits = {
@@ -102,6 +116,9 @@
         """Apply the live members."""
         if self._view.update(live, now):
             self._owned.members_changed(now)
+        for daemon in tuple(self._silent_until):
+            if daemon not in live:
+                self._silent_until.pop(daemon)
 
     def ask(self, pending: PendingRequest, now: timedelta) -> None:
         """Begin to decide on a request; ``verdicts`` gets the decision."""
@@ -111,26 +128,35 @@
             self._begin(waiting, now)
 
     def requested(
-        self, stream: StreamId, message: TokenRequest, now: timedelta
+        self,
+        sender: DaemonId,
+        stream: StreamId,
+        message: TokenRequest,
+        now: timedelta,
     ) -> None:
         """Decide on a request of another ingress."""
-        decision, wait_ms = self._owned.decide(message.account, now)
-        reply = TokenReply(message.exchange, decision, wait_ms)
+        found = self._owned.decide(message.account, sender, now)
+        reply = TokenReply(
+            message.exchange, found.decision, found.wait_ms, found.pooled
+        )
         self._outbox.emit(Send(stream, reply))
 
     def replied(
         self, daemon: DaemonId, message: TokenReply, now: timedelta
     ) -> None:
-        """Apply the reply of an owner, unless it comes too late."""
+        """Apply the reply of a daemon, unless it comes too late."""
+        self._silent_until.pop(daemon, None)
         waiting = self._waiting.get(message.exchange)
-        if waiting is None or waiting.owner != daemon:
+        if waiting is None or waiting.asked[-1:] != [daemon]:
             return
-        self._decided(waiting, message.decision, message.wait_ms, now)
+        found = TokenDecision(message.decision, message.wait_ms, message.pooled)
+        self._decided(waiting, found, now)
 
     def path_opened(self, daemon: DaemonId, now: timedelta) -> None:
         """Ask a peer on its new stream for what it has not been asked."""
+        self._silent_until.pop(daemon, None)
         for waiting in tuple(self._waiting.values()):
-            if waiting.owner == daemon and not waiting.sent:
+            if waiting.asked[-1:] == [daemon] and not waiting.sent:
                 self._send(waiting, daemon, now)
 
     def tick(self, now: timedelta) -> None:
@@ -138,7 +164,7 @@
         self._view.tick(now)
         if now >= self._reach_due:
             self._reach_due = now + REACH_INTERVAL
-            self._owned.reach(self._reachable() / self._view.size, now)
+            self._count_reachable(now)
         for waiting in tuple(self._waiting.values()):
             with self._outbox.contain('allotment'):
                 self._check(waiting, now)
@@ -153,71 +179,102 @@
             if self._view.joined_at is not None:
                 self._begin(waiting, now)
         elif waiting.due <= now:
-            self._decide_by_share(waiting, now)
+            self._silent_until[waiting.asked[-1]] = now + SILENT_TIME
+            self._begin(waiting, now)
 
     def _begin(self, waiting: _Waiting, now: timedelta) -> None:
-        owner = self._view.owner(waiting.account)
-        waiting.owner = owner
-        waiting.due = now + REPLY_LIMIT
-        if owner == self._own:
-            decision, wait_ms = self._owned.decide(waiting.account, now)
-            self._decided(waiting, decision, wait_ms, now)
+        """Ask the owner, or the next daemon of its order that can be asked."""
+        daemon = self._choose(waiting, now)
+        if daemon is None:
+            share = self._shares.decide(waiting.account, now)
+            self._end(waiting, share, 'share')
             return
-        if owner is None or self._has_failed(owner):
-            self._decide_by_share(waiting, now)
+        waiting.asked.append(daemon)
+        waiting.due = now + REPLY_LIMIT
+        if daemon == self._own:
+            found = self._owned.decide(waiting.account, self._own, now)
+            self._decided(waiting, found, now)
             return
-        self._send(waiting, owner, now)
+        self._send(waiting, daemon, now)
+
+    def _choose(self, waiting: _Waiting, now: timedelta) -> DaemonId | None:
+        """Return the daemon to ask, None if the local share decides."""
+        if len(waiting.asked) >= ASK_LIMIT:
+            return None
+        owner = self._view.owner(waiting.account)
+        if owner is None or self._may_ask(waiting, owner, now):
+            return owner
+        for daemon in self._view.order(waiting.account):
+            if self._may_ask(waiting, daemon, now):
+                return daemon
+        return None
 
-    def _send(self, waiting: _Waiting, owner: DaemonId, now: timedelta) -> None:
+    def _may_ask(
+        self, waiting: _Waiting, daemon: DaemonId, now: timedelta
+    ) -> bool:
+        if daemon in waiting.asked or self._has_failed(daemon):
+            return False
+        return self._silent_until.get(daemon, now) <= now
+
+    def _send(
+        self, waiting: _Waiting, daemon: DaemonId, now: timedelta
+    ) -> None:
         request = TokenRequest(waiting.pending.exchange, waiting.account)
-        waiting.sent = self._paths.send(owner, request)
-        path = self._paths.by_daemon.get(owner)
+        waiting.sent = self._paths.send(daemon, request)
+        path = self._paths.by_daemon.get(daemon)
         if path is not None:
             # A path that is in use is checked, so that a cut is noticed.
             path.used_at = now
-        record = self._view.live.get(owner)
+        record = self._view.live.get(daemon)
         if not waiting.sent and record is not None:
-            self._paths.want(owner, record.peer_address, now)
+            self._paths.want(daemon, record.peer_address, now)
 
     def _has_failed(self, daemon: DaemonId) -> bool:
         path = self._paths.by_daemon.get(daemon)
         return path is not None and path.state is PathState.failed
 
-    def _reachable(self) -> int:
-        """Return the number of live members without a failed path."""
-        return sum(not self._has_failed(daemon) for daemon in self._view.live)
+    def _count_reachable(self, now: timedelta) -> None:
+        """Count the live members without a failed path."""
+        if self._owned.exhausted:
+            self._owned.exhausted = False
+            self._check_paths(now)
+        failed = [
+            path
+            for path in self._paths.by_daemon.values()
+            if path.state is PathState.failed and path.daemon in self._view.live
+        ]
+        ended = frozenset(path.daemon for path in failed if path.refused)
+        share = 1 - len(failed) / self._view.size
+        self._owned.reach(share, ended, now)
+
+    def _check_paths(self, now: timedelta) -> None:
+        """Let the paths to the members of the region be checked for silence.
+
+        An owner may have no other use for them, and members that it cannot
+        reach use their own shares of a rate that it would grant in full.
+        """
+        for daemon, record in self._view.live.items():
+            if daemon != self._own and record.region == self._region:
+                path = self._paths.want(daemon, record.peer_address, now)
+                path.used_at = now
 
     def _decided(
-        self,
-        waiting: _Waiting,
-        decision: Decision,
-        wait_ms: int,
-        now: timedelta,
+        self, waiting: _Waiting, found: TokenDecision, now: timedelta
     ) -> None:
-        if decision is Decision.not_owner:
-            self._decide_by_share(waiting, now)
+        if found.decision is Decision.unable:
+            self._begin(waiting, now)
             return
-        self._shares.observe(waiting.account, decision, now)
-        self._end(waiting, decision, wait_ms, by_share=False)
-
-    def _decide_by_share(self, waiting: _Waiting, now: timedelta) -> None:
-        decision, wait_ms = self._shares.decide(waiting.account, now)
-        self._end(waiting, decision, wait_ms, by_share=True)
+        self._shares.observe(waiting.account, found.decision, now)
+        self._end(waiting, found, 'pool' if found.pooled else 'owner')
 
     def _end(
-        self,
-        waiting: _Waiting,
-        decision: Decision,
-        wait_ms: int,
-        *,
-        by_share: bool,
+        self, waiting: _Waiting, found: TokenDecision, decided_by: str
     ) -> None:
         pending = waiting.pending
         self._waiting.pop(pending.exchange)
-        decided_by = 'share' if by_share else 'owner'
-        self.counts[(decision.value, decided_by)] += 1
-        granted = decision is Decision.granted
-        self.verdicts.append(Verdict(pending, granted, wait_ms))
+        self._counts[(found.decision.value, decided_by)] += 1
+        granted = found.decision is Decision.granted
+        self.verdicts.append(Verdict(pending, granted, found.wait_ms))
         if granted:
             self._outbox.emit(
                 Record(
@@ -226,7 +283,7 @@
                         'request': pending.tag,
                         'exchange': pending.exchange,
                         'account': waiting.account,
-                        'owner': waiting.owner,
+                        'asked': waiting.asked,
                         'decided_by': decided_by,
                     },
                     detail=True,
@@ -235,8 +292,8 @@
             return
         refusals = self._refusals.setdefault(waiting.account, _Refusals())
         refusals.requests += 1
-        refusals.by_share += by_share
-        refusals.wait_ms = wait_ms
+        refusals.by_owner += decided_by == 'owner'
+        refusals.wait_ms = found.wait_ms
 
     def _log_refusals(self) -> None:
         for account, refusals in self._refusals.items():
@@ -246,7 +303,7 @@
                     {
                         'account': account,
                         'requests': refusals.requests,
-                        'by_share': refusals.by_share,
+                        'by_owner': refusals.by_owner,
                         'wait_ms': refusals.wait_ms,
                         'owner': self._view.owner(account),
                     },
--- a/greengagemux/allotments/messages.py
+++ b/greengagemux/allotments/messages.py
@@ -12,12 +12,15 @@
 
     granted = 'granted'
     refused = 'refused'
-    #: The daemon that was asked does not own the allotment in its own view.
-    not_owner = 'not-owner'
+    #: The daemon that was asked has just started and decides on nothing yet.
+    unable = 'unable'
 
 
 class TokenRequest(Struct, frozen=True, array_like=True, tag='want-token'):
-    """Asks the owner of an account for the token of one request.
+    """Asks for the token of one request of an account.
+
+    It goes to the owner of the account, or to the next daemon of its order
+    if the owner cannot be asked.
 
     ``exchange`` is that of the request at the sender.
     """
@@ -29,12 +32,14 @@
 class TokenReply(Struct, frozen=True, array_like=True, tag='token'):
     """Decision on the request of an ingress.
 
-    After a refusal, ``wait_ms`` is the time until the next token.
+    After a refusal, ``wait_ms`` is the time until the next token. ``pooled``
+    means that the sender is not the owner in its own view.
     """
 
     exchange: ExchangeId
     decision: Decision
     wait_ms: int = 0
+    pooled: bool = False
 
 
 TokenMessage = TokenRequest | TokenReply
--- a/greengagemux/allotments/shares.py
+++ b/greengagemux/allotments/shares.py
@@ -1,4 +1,4 @@
-"""Local shares: what an ingress grants while it cannot ask an owner.
+"""Local shares: what an ingress grants while it can ask no other daemon.
 
 They keep accounts served while an owner is lost or cut off, without granting
 more than the rate over all daemons together.
@@ -10,6 +10,7 @@
 from ..ids import CallerName
 from .buckets import Limit, TokenBucket
 from .messages import Decision
+from .owners import TokenDecision
 from .views import MemberView
 
 
@@ -35,19 +36,17 @@
             if account not in limits:
                 self._buckets.pop(account)
 
-    def decide(
-        self, account: CallerName, now: timedelta
-    ) -> tuple[Decision, int]:
-        """Return the decision on one request, and the wait in milliseconds."""
+    def decide(self, account: CallerName, now: timedelta) -> TokenDecision:
+        """Return the decision on one request."""
         bucket = self._bucket(account, now)
         if bucket is None or bucket.take(now):
-            return Decision.granted, 0
-        return Decision.refused, bucket.wait_ms(now)
+            return TokenDecision(Decision.granted)
+        return TokenDecision(Decision.refused, bucket.wait_ms(now))
 
     def observe(
         self, account: CallerName, decision: Decision, now: timedelta
     ) -> None:
-        """Apply a decision of the owner.
+        """Apply a decision of the owner or of a pool.
 
         A refusal means that the account has no idle time, at any daemon.
         """
--- a/greengagemux/allotments/views.py
+++ b/greengagemux/allotments/views.py
@@ -72,6 +72,20 @@
             self._owners[account] = known
         return known
 
+    def order(self, account: CallerName) -> list[DaemonId]:
+        """Return the daemons in the order of an account, the owner first."""
+        return sorted(
+            self._eligible,
+            key=lambda daemon: score(daemon, account),
+            reverse=True,
+        )
+
+    def is_new(self, now: timedelta) -> bool:
+        """Return whether this daemon has just started."""
+        if self._started_at is None:
+            return True
+        return now - self._started_at < START_WAIT
+
     def owned_since(
         self, account: CallerName, now: timedelta
     ) -> timedelta | None:
@@ -79,7 +93,8 @@
 
         It may have owned it for longer. None if it does not own it.
         """
-        if self._started_at is None or self.owner(account) != self._own:
+        if self._started_at is None or self.is_new(now):
+            return None
+        if self.owner(account) != self._own:
             return None
-        since = max(self.changed_at, self._started_at + START_WAIT)
-        return since if since <= now else None
+        return max(self.changed_at, self._started_at + START_WAIT)
--- a/greengagemux/handlers.py
+++ b/greengagemux/handlers.py
@@ -196,7 +196,7 @@
 def _token_request(
     message: TokenRequest, daemon: 'Daemon', sender: Sender, now: timedelta
 ) -> None:
-    daemon.allotments.requested(sender.stream, message, now)
+    daemon.allotments.requested(sender.daemon, sender.stream, message, now)
 
 
 @receive.register(TokenReply)
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -167,9 +167,9 @@
             retries_per_s=bounds['budget_slack']
             / max(bounds['budget_window_s'], 1),
             tolerance=Tolerance(
-                window_s=max(bounds['quota_window_s'], 0),
-                overshoot=max(bounds['quota_overshoot'], 0),
-                slack=max(bounds['quota_slack'], 0),
+                window_s=max(0, bounds['quota_window_s']),
+                overshoot=max(0, bounds['quota_overshoot']),
+                slack=max(0, bounds['quota_slack']),
             ),
         )
 
--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -14,6 +14,7 @@
 from twisted.internet.error import CannotListenError
 
 from .addresses import Address
+from .allotments.clients import Allotments
 from .clocks import Clock, SystemClock
 from .connections import UpstreamCalls
 from .effects import (
@@ -273,6 +274,7 @@
         with self._contain('slow-callers'):
             self._listener.cut_off_slow()
         self.metrics.gauge('caller_connections', self._listener.connections)
+        _measure_allotments(self.daemon.allotments, self.metrics)
         self.metrics.record_pending()
 
     def _start_timer(self, interval_s: float, work: Callable[[], None]) -> None:
@@ -469,6 +471,18 @@
         reactor.stop()
 
 
+def _measure_allotments(allotments: Allotments, metrics: Metrics) -> None:
+    metrics.gauge('allotment_buckets', allotments.owned_count)
+    metrics.gauge('allotment_requests_waiting', allotments.waiting_count)
+    for (decision, decided_by), amount in allotments.take_counts().items():
+        metrics.count(
+            'allotment_decisions_total',
+            amount,
+            decision=decision,
+            decided_by=decided_by,
+        )
+
+
 def _check_file_limit() -> None:
     limit = raise_file_limit()
     needed = CONNECTION_LIMIT + OTHER_DESCRIPTORS
--- /dev/null
+++ b/tests/test_allotments.py
@@ -0,0 +1,132 @@
+"""Guards against accounts that exceed their rate, or are refused below it."""
+
+from datetime import timedelta
+
+import msgspec
+import pytest
+from fakes_allotments import Fleet
+
+LIMITS = pytest.mark.parametrize(
+    ('rate_per_s', 'burst'), [(40, 40), (17, 17), (5, 5), (5, 0)]
+)
+#: Load far above the limit, as a multiple of the rate.
+FAR_ABOVE = 4
+SEEDS = pytest.mark.parametrize('seed', [1, 2])
+
+
+def _idle(rate_per_s: float, burst: float, seed: int) -> Fleet:
+    """Return a fleet in which the account has been idle for a minute."""
+    fleet = Fleet(rate_per_s, burst, seed=seed)
+    fleet.run(60)
+    return fleet
+
+
+@SEEDS
+@LIMITS
+def test_steady_load_stays_within_the_limit(
+    rate_per_s: float, burst: float, seed: int
+) -> None:
+    """The owner must not grant more than a full bucket and the rate."""
+    fleet = _idle(rate_per_s, burst, seed)
+    fleet.load(FAR_ABOVE * rate_per_s, 20)
+    fleet.run(20)
+    assert fleet.most_in_window() <= fleet.allowed
+    assert len(fleet.granted) >= 20 * rate_per_s
+
+
+@SEEDS
+@LIMITS
+@pytest.mark.parametrize('lead_s', [0.5, 10])
+def test_change_of_owner_stays_within_the_limit(
+    rate_per_s: float, burst: float, seed: int, lead_s: float
+) -> None:
+    """Old and new owner may not both grant a full bucket in a window."""
+    fleet = _idle(rate_per_s, burst, seed)
+    fleet.load(FAR_ABOVE * rate_per_s, lead_s + 20)
+    fleet.run(lead_s)
+    owner = fleet.owner
+    owner.record = msgspec.structs.replace(owner.record, leaving=True)
+    owner.view(fleet.hosts)
+    for host in fleet.hosts:
+        delay = timedelta(seconds=fleet.rng.random())
+        fleet.after(delay, lambda host=host: host.view(fleet.hosts))
+    fleet.run(20)
+    assert fleet.owner is not owner
+    assert fleet.most_in_window() <= fleet.allowed
+
+
+@SEEDS
+@LIMITS
+@pytest.mark.parametrize('with_owner', [True, False])
+def test_cut_stays_within_the_limit(
+    rate_per_s: float, burst: float, seed: int, *, with_owner: bool
+) -> None:
+    """Local shares of a third of the hosts add to what the owner grants."""
+    fleet = _idle(rate_per_s, burst, seed)
+    fleet.load(FAR_ABOVE * rate_per_s, 40)
+    fleet.run(10)
+    owner = fleet.owner.number
+    others = [host.number for host in fleet.hosts if host.number != owner]
+    third = fleet.rng.sample(others, fleet.size // 3)
+    fleet.part([*third, owner] if with_owner else third)
+    fleet.run(30)
+    assert fleet.most_in_window() <= fleet.allowed
+
+
+@SEEDS
+@LIMITS
+def test_restart_of_all_daemons_stays_within_the_limit(
+    rate_per_s: float, burst: float, seed: int
+) -> None:
+    """Daemons that do not know each other yet must not act as owners."""
+    fleet = _idle(rate_per_s, burst, seed)
+    fleet.load(FAR_ABOVE * rate_per_s, 40)
+    fleet.run(10)
+    for host in fleet.hosts:
+        host.start()
+        region = [
+            other
+            for other in fleet.hosts
+            if other.number % 2 == host.number % 2
+        ]
+        known = fleet.rng.sample(region, 24)
+        join_s = 0.3 + fleet.rng.random()
+        for delay_s, seen in (
+            (join_s / 2, [host, *known]),
+            (join_s, region),
+            (2 + fleet.rng.random(), fleet.hosts),
+        ):
+            fleet.after(
+                timedelta(seconds=delay_s),
+                lambda host=host, seen=seen: host.view(seen),
+            )
+    fleet.run(30)
+    assert fleet.most_in_window() <= fleet.allowed
+
+
+@SEEDS
+@LIMITS
+def test_lost_owner_costs_neither_limit_nor_all_requests(
+    rate_per_s: float, burst: float, seed: int
+) -> None:
+    """Without its owner an account is served by local shares."""
+    fleet = _idle(rate_per_s, burst, seed)
+    fleet.load(FAR_ABOVE * rate_per_s, 40)
+    fleet.run(10)
+    fleet.kill(fleet.owner)
+    before = len(fleet.granted)
+    fleet.run(30)
+    assert fleet.most_in_window() <= fleet.allowed
+    assert len(fleet.granted) - before >= 20 * rate_per_s
+
+
+@LIMITS
+def test_load_below_the_rate_is_not_refused(
+    rate_per_s: float, burst: float
+) -> None:
+    """Requests within the limit must pass in spite of bursts."""
+    fleet = _idle(rate_per_s, burst, 3)
+    fleet.load(0.6 * rate_per_s, 300, cluster=1 + int(burst // 10))
+    fleet.run(301)
+    total = len(fleet.granted) + len(fleet.refused)
+    assert len(fleet.refused) <= total / 1000
