--- a/greengagemux/allotments/buckets.py
+++ b/greengagemux/allotments/buckets.py
@@ -5,12 +5,11 @@
 from datetime import timedelta
 from typing import Final
 
-from ..clocks import ZERO, in_ms
-
 #: One token, less the rounding errors of earned fractions.
 _ONE: Final = 1 - 1e-9
 #: A wait of a bucket that earns nothing.
-_LONGEST_WAIT: Final = timedelta(hours=1)
+_LONGEST_WAIT_MS: Final = 3_600_000
+_MS_PER_S: Final = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,20 +96,20 @@
         self._tokens = 0
         self._counted_at = now
 
-    def wait(self, now: timedelta) -> timedelta:
-        """Return the time until there is a token."""
+    def wait_ms(self, now: timedelta, rate_per_s: float | None = None) -> int:
+        """Return the time until there is a token, rounded up.
+
+        ``rate_per_s`` is that of the bucket, unless it is given.
+        """
         self._earn(now)
         missing = 1 - self._tokens
         if missing <= 1 - _ONE:
-            return ZERO
-        if not self._rate_per_s:
-            return _LONGEST_WAIT
-        wait_s = missing / self._rate_per_s
-        return min(_LONGEST_WAIT, timedelta(seconds=wait_s))
-
-    def wait_ms(self, now: timedelta) -> int:
-        """Return the time until there is a token, rounded up."""
-        return math.ceil(in_ms(self.wait(now)))
+            return 0
+        rate_per_s = self._rate_per_s if rate_per_s is None else rate_per_s
+        if not rate_per_s:
+            return _LONGEST_WAIT_MS
+        wait_ms = math.ceil(missing / rate_per_s * _MS_PER_S)
+        return min(_LONGEST_WAIT_MS, wait_ms)
 
     def _earn(self, now: timedelta) -> None:
         elapsed_s = (now - self._counted_at).total_seconds()
--- a/greengagemux/allotments/clients.py
+++ b/greengagemux/allotments/clients.py
@@ -23,9 +23,9 @@
 #: A request that a daemon has not decided on after this time goes to the next.
 REPLY_LIMIT: Final = timedelta(milliseconds=150)
 #: Daemons that are asked before the local share decides.
-ASK_LIMIT: Final = 3
+ASK_LIMIT: Final = 5
 #: A daemon that has not replied in time is not asked for this long.
-SILENT_TIME: Final = timedelta(seconds=1)
+SILENT_TIME: Final = timedelta(seconds=2)
 #: Interval at which the members that can be reached are counted.
 REACH_INTERVAL: Final = timedelta(milliseconds=500)
 #: Minimum time between two log lines about the refusals of an account.
@@ -39,7 +39,7 @@
     pending: PendingRequest
     account: CallerName
     due: timedelta | None = None
-    #: Daemons that were asked; the last one has not decided yet.
+    #: Daemons that were asked and have not decided; the first reply counts.
     asked: list[DaemonId] = field(default_factory=list)
     sent: bool = False
 
@@ -147,7 +147,9 @@
         """Apply the reply of a daemon, unless it comes too late."""
         self._silent_until.pop(daemon, None)
         waiting = self._waiting.get(message.exchange)
-        if waiting is None or waiting.asked[-1:] != [daemon]:
+        if waiting is None or daemon not in waiting.asked:
+            return
+        if message.decision is Decision.unable and daemon != waiting.asked[-1]:
             return
         found = TokenDecision(message.decision, message.wait_ms, message.pooled)
         self._decided(waiting, found, now)
--- a/greengagemux/allotments/pools.py
+++ b/greengagemux/allotments/pools.py
@@ -5,15 +5,19 @@
 in a pool the tokens of all hosts together stay within half of the tolerance.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
 
-from ..clocks import ZERO
+from ..clocks import ZERO, in_ms
 from ..ids import DaemonId
 from .buckets import Limit, TokenBucket, Tolerance
 
+#: Time in which an owner notices that it cannot reach daemons, and withholds
+#: their shares of the rate: the ping interval and time-out of an idle path.
+NOTICE: Final = timedelta(milliseconds=2500)
 #: A daemon that has not asked for this long asks the owner again.
 MEMBER_LEASE: Final = timedelta(seconds=30)
 
@@ -40,6 +44,11 @@
         self._tolerance = tolerance
         self._bucket = TokenBucket(0, tolerance.half(limit), tokens, now)
         self._members: dict[DaemonId, timedelta] = {}
+        #: Until then the owner may still grant the shares of the members.
+        self._earns_from = ZERO
+        #: Until then the bucket earns nothing, and afterwards at this rate.
+        self._paused_until = ZERO
+        self._rate_per_s: float = 0
         #: Tokens that the members have brought.
         self._brought: float = 0
         self._grants: deque[timedelta] = deque()
@@ -64,6 +73,8 @@
         """
         self._expire(now)
         is_new = member not in self._members
+        if not self._members:
+            self._earns_from = now + NOTICE
         self._members[member] = now
         share = max(1, limit.burst / fleet.size)
         self._change(limit, share, fleet, now)
@@ -75,8 +86,11 @@
         return granted
 
     def wait_ms(self, now: timedelta) -> int:
-        """Return the time until there is a token."""
-        return self._bucket.wait_ms(now)
+        """Return the time until there is a token, rounded up."""
+        pause = max(ZERO, self._paused_until - now)
+        return math.ceil(in_ms(pause)) + self._bucket.wait_ms(
+            now, self._rate_per_s
+        )
 
     def granted_lately(self, now: timedelta) -> int:
         """Return the tokens that were taken within the last window."""
@@ -92,11 +106,14 @@
     ) -> None:
         """Apply the number of daemons that have pooled their shares."""
         half = self._tolerance.half(limit)
-        rate_per_s = limit.rate_per_s * max(
+        self._rate_per_s = limit.rate_per_s * max(
             fleet.share, min(1, len(self._members) / fleet.size)
         )
-        if now < self._closed_until:
-            rate_per_s = 0
+        self._paused_until = self._closed_until
+        if not fleet.share:
+            self._paused_until = max(self._closed_until, self._earns_from)
+        is_paused = now < self._paused_until
+        rate_per_s = 0 if is_paused else self._rate_per_s
         self._bucket.change(rate_per_s, max(share, half), now)
 
     def _bring(self, tokens: float) -> None:
@@ -112,7 +129,6 @@
     def _expire(self, now: timedelta) -> None:
         while self._grants and self._grants[0] <= now - self._window:
             self._grants.popleft()
-        # The order of the first request is kept, so all are looked at.
         for member, asked_at in tuple(self._members.items()):
             if now - asked_at >= MEMBER_LEASE:
                 self._members.pop(member)
