Divide rates between parts of the fleet that lost each other

A cut longer than the membership keeps lost members (60 s) left two owners that granted the whole rate each. Members that were lost without leaving now count for 10 min, and capacity and rate of an owner are scaled to the live ones.

--- a/greengagemux/allotments/clients.py
+++ b/greengagemux/allotments/clients.py
@@ -246,7 +246,7 @@
             if path.state is PathState.failed and path.daemon in self._view.live
         ]
         ended = frozenset(path.daemon for path in failed if path.refused)
-        share = 1 - len(failed) / self._view.size
+        share = (len(self._view.live) - len(failed)) / self._view.size
         self._owned.reach(share, ended, now)
 
     def _check_paths(self, now: timedelta) -> None:
--- a/greengagemux/allotments/owners.py
+++ b/greengagemux/allotments/owners.py
@@ -72,6 +72,7 @@
             pool = Pool(self._limits[account], self._tolerance, left, now)
             pool.close(now)
             self._pools[account] = pool
+        self._change_buckets(now)
 
     def reach(
         self, share: float, ended: frozenset[DaemonId], now: timedelta
@@ -139,11 +140,12 @@
         daemon has granted.
         """
         pool = self._pools.pop(account, None)
+        live_share = self._view.live_share
         pooled = 0 if pool is None else pool.granted_lately(now)
         return TokenBucket(
             limit.rate_per_s * self._reachable_share,
-            self._tolerance.capacity(limit),
-            max(0, self._tolerance.half(limit) - pooled),
+            self._capacity(limit),
+            max(0, self._tolerance.half(limit) * live_share - pooled),
             max(since, self._configured_at),
         )
 
@@ -152,6 +154,14 @@
             limit = self._limits[account]
             bucket.change(
                 limit.rate_per_s * self._reachable_share,
-                self._tolerance.capacity(limit),
+                self._capacity(limit),
                 now,
             )
+
+    def _capacity(self, limit: Limit) -> float:
+        """Return the capacity of a bucket.
+
+        Members that were lost may have an owner of their own.
+        """
+        capacity = self._tolerance.capacity(limit) * self._view.live_share
+        return max(1, capacity)
--- a/greengagemux/allotments/views.py
+++ b/greengagemux/allotments/views.py
@@ -17,6 +17,12 @@
 START_WAIT: Final = timedelta(seconds=4)
 
 
+#: A member that was lost without leaving may be cut off and grant its share,
+#: so the share is withheld for this long. Partitions that last longer are
+#: rarer than hosts that never return.
+LOST_TIME: Final = timedelta(minutes=10)
+
+
 class MemberView:
     """Live members, and the owner of each account among them."""
 
@@ -28,20 +34,31 @@
         self.changed_at = timedelta()
         #: Time since which this daemon knows the fleet; None before.
         self.joined_at: timedelta | None = None
+        #: Members that were lost without leaving, and when.
+        self._lost: dict[DaemonId, timedelta] = {}
         self._eligible: frozenset[DaemonId] = frozenset()
         self._owners: dict[CallerName, DaemonId] = {}
         self._started_at: timedelta | None = None
 
     @property
     def size(self) -> int:
-        """Number of live members, this daemon included."""
-        return max(1, len(self.live))
+        """Number of members that share the rates, this daemon included.
+
+        Members that were lost lately are among them.
+        """
+        return max(1, len(self.live) + len(self._lost))
+
+    @property
+    def live_share(self) -> float:
+        """Share of these members that are live."""
+        return max(1, len(self.live)) / self.size
 
     def update(
         self, live: Mapping[DaemonId, MemberRecord], now: timedelta
     ) -> bool:
         """Apply the live members; return whether owners may have changed."""
         self.live = live
+        self._note_lost(live, now)
         eligible = frozenset(
             daemon for daemon, record in live.items() if not record.leaving
         )
@@ -56,12 +73,25 @@
         """Note whether this daemon knows the fleet by now."""
         if self._started_at is None:
             self._started_at = now
+        for daemon, lost_at in tuple(self._lost.items()):
+            if now - lost_at >= LOST_TIME:
+                self._lost.pop(daemon)
         if self.joined_at is not None:
             return
         quiet = len(self.live) > 1 and now - self.changed_at >= QUIET
         if quiet or now - self._started_at >= START_WAIT:
             self.joined_at = now
 
+    def _note_lost(
+        self, live: Mapping[DaemonId, MemberRecord], now: timedelta
+    ) -> None:
+        for daemon in self._eligible:
+            if daemon not in live:
+                self._lost[daemon] = now
+        for returned in tuple(self._lost):
+            if returned in live:
+                self._lost.pop(returned)
+
     def owner(self, account: CallerName) -> DaemonId | None:
         """Return the owner of an account; None without a member."""
         known = self._owners.get(account)
