--- a/tests/test_allotment_fleets.py
+++ b/tests/test_allotment_fleets.py
@@ -14,7 +14,7 @@
 )
 from greengagemux.bundles import ANONYMOUS
 from greengagemux.codecs import decode, encode
-from greengagemux.events import CallerDisconnected
+from greengagemux.events import CallerDisconnected, StopRequested
 from greengagemux.ids import CallerName, ExchangeId, Incarnation
 from greengagemux.messages import Message
 from greengagemux.platform import daemons
@@ -216,3 +216,76 @@
 def test_default_bounds(tmp_path: Path) -> None:
     """Without bounds in the settings the documented figures hold."""
     assert _settings(tmp_path).bounds.tolerance == Tolerance(5, 0.1, 20)
+
+
+def test_refusals_are_summed_in_the_log() -> None:
+    """A flood of refusals must not flood the log."""
+    fleet = _limited()
+    ingress = next(name for name in fleet.nodes if name != _owner(fleet))
+    fleet.records[ingress].clear()
+    _load(fleet, [ingress], 200, 3)
+    fleet.run(1500)
+    records = fleet.records[ingress]
+    summaries = [each for each in records if each.name == 'allotment-refused']
+    granted = [each for each in records if each.name == 'allotment-granted']
+    answered = [
+        each.fields['reason']
+        for each in records
+        if each.name == 'request-answered'
+    ]
+    refused = answered.count('allotment')
+    assert 1 <= len(summaries) <= 5
+    assert sum(each.fields['requests'] for each in summaries) == refused
+    assert len(granted) == len(answered) - refused
+    assert all(each.detail for each in granted)
+
+
+def test_lowered_limit_binds_after_a_window() -> None:
+    """Tokens of the old limit must not outlast the window."""
+    fleet = _limited()
+    names = list(fleet.nodes)
+    _load(fleet, names, 60, 3)
+    lower = LIMITED.replace('rate_per_s = 20', 'rate_per_s = 4')
+    fleet.publish(
+        lower.replace('version = 1', 'version = 3').replace(
+            'follows = 0', 'follows = 2'
+        )
+    )
+    _load(fleet, names, 60, 3)
+    fleet.run_times.clear()
+    _load(fleet, names, 60, 12)
+    fleet.run(1000)
+    assert _most_in_window(fleet) <= (4 * 5 + BURST) * 1.1 + 20
+
+
+def test_restarted_owner_stays_within_the_limit() -> None:
+    """A new process must not grant a full bucket again."""
+    fleet = _limited()
+    owner = _owner(fleet)
+    names = [name for name in fleet.nodes if name != owner]
+    _load(fleet, names, 60, 3)
+    fleet.kill(owner)
+    _load(fleet, names, 60, 1)
+    fleet.nodes[owner].start()
+    first = _load(fleet, list(fleet.nodes), 60, 8)
+    fleet.run(3000)
+    asked = range(first, fleet.exchanges + 1)
+    assert all(exchange in fleet.answers for exchange in asked)
+    assert _most_in_window(fleet) <= ALLOWED
+    counts = fleet.nodes[owner].daemon.allotments.take_counts()
+    assert counts[('granted', 'owner')]
+
+
+def test_planned_stop_of_the_owner_stays_within_the_limit() -> None:
+    """A daemon that leaves hands its accounts over at once."""
+    fleet = _limited()
+    owner = _owner(fleet)
+    names = [name for name in fleet.nodes if name != owner]
+    _load(fleet, names, 60, 3)
+    fleet.nodes[owner].submit(StopRequested())
+    first = _load(fleet, names, 60, 8)
+    fleet.run(3000)
+    asked = range(first, fleet.exchanges + 1)
+    assert all(exchange in fleet.answers for exchange in asked)
+    assert _owner(fleet) != owner
+    assert _most_in_window(fleet) <= ALLOWED
