--- a/tests/test_allotment_fleets.py
+++ b/tests/test_allotment_fleets.py
@@ -97,6 +97,23 @@
     assert _most_in_window(fleet) <= ALLOWED
 
 
+def test_owner_withholds_shares_of_daemons_it_cannot_reach() -> None:
+    """An owner without other use for its paths must notice a cut too."""
+    fleet = _limited()
+    owner = _owner(fleet)
+    names = [name for name in fleet.nodes if name != owner]
+    for name in names[:2]:
+        fleet.cut(name, owner)
+        fleet.cut(owner, name)
+    _load(fleet, names, 60, 8)
+    fleet.run_times.clear()
+    fleet.nodes[owner].daemon.allotments.take_counts()
+    _load(fleet, names[2:], 60, 5)
+    # 3 of 5 members can be reached.
+    granted = sum(len(runs) for runs in fleet.run_times.values())
+    assert granted <= RATE_PER_S * 5 * 3 / 5 + 2
+
+
 def test_refusal_names_the_wait_for_the_next_token() -> None:
     """A caller beyond its rate must learn when it may try again."""
     fleet = _limited()
