Bound second attempts to a part of the requests of a service

Second attempts against slow answers follow a fixed multiple of the expected time and share the retry budget with failures, so operators can neither allow nor bound their extra work. With hedge_extra_pct above 0 they follow the observed times of the route and take at most that many for each 100 requests.

--- a/greengagemux/attempts.py
+++ b/greengagemux/attempts.py
@@ -128,6 +128,7 @@
         attempt.queue_ms = candidate.wait_ms()
         attempt.waits = selected.waits
         attempt.free_slot_only = selected.free_slot_only
+        attempt.hedge = pending.seeks_hedge
         if selected.waits:
             attempt.queue_ms += self._limited.wait_ms(candidate, now)
         self._limited.sent(candidate, now)
@@ -172,6 +173,7 @@
             rate_limit_per_s=self._limited.limit_per_s(candidate),
             free_slot_only=selected.free_slot_only,
             queue_turn_ms=queue_turn_ms(pending, selected, now),
+            hedge=attempt.hedge,
         )
 
     def _record_placement(
--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -166,7 +166,9 @@
     starts once the first has lasted ``hedge_pct`` of its expected time. With
     ``fair`` the accounts of callers get equal shares of the slots. Before a
     request is queued, ``free_slot_tries`` upstreams of the data centre of its
-    ingress are tried for a free slot.
+    ingress are tried for a free slot. With ``hedge_extra_pct`` above 0, second
+    attempts follow the observed times of their route, and at most that many
+    for each 100 requests are made.
     """
 
     name: ServiceName
@@ -184,6 +186,9 @@
     hedge_pct: Annotated[int, Field(ge=100, le=10_000)] = HEDGE_PCT
     fair: bool = True
     free_slot_tries: Annotated[int, Field(ge=0, le=16)] = 0
+    hedge_extra_pct: Annotated[
+        float, Field(ge=0, le=100, allow_inf_nan=False)
+    ] = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -145,12 +145,14 @@
 class Record:
     """Write an event to the structured log.
 
-    A ``detail`` event has level debug, any other level info.
+    A ``detail`` event has level debug, any other level info. It is counted in
+    the metric ``counter`` at every log level, if one is named.
     """
 
     name: str
     fields: dict[str, Any] = field(default_factory=dict)
     detail: bool = False
+    counter: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -33,6 +33,7 @@
 )
 from .keyed import KeyedWrites
 from .egress import Egress
+from .hedging.second import SecondAttempts
 from .messages import (
     Answer,
     Dispatch,
@@ -120,6 +121,7 @@
         self._outbox = outbox
         self._keyed = keyed
         self._accounts = Accounts()
+        self._seconds = SecondAttempts(outbox)
         self.candidates = Candidates(own, paths, rng)
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._steady_retries = SteadyRetries()
@@ -153,6 +155,7 @@
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle; pending requests keep their old route."""
         self._accounts.configure(bundle)
+        self._seconds.configure(bundle.services)
         self._link.configure(bundle.region_link_kbit_s)
         self._steady_retries.per_s = bundle.retries_per_s
         for name, service in bundle.services.items():
@@ -227,6 +230,7 @@
         heapq.heappush(self._deadlines, (pending.deadline, event.exchange))
         self._accounts.count(caller, 1)
         self._budgets[route.service].earn()
+        self._seconds.earn(route.service)
         self._begin(pending, now)
 
     def request_failed(self, event: CallerRequest, now: timedelta) -> None:
@@ -388,8 +392,8 @@
                 self._expire_contained(pending, now)
         for slow in tuple(self._pending.values()):
             with contain('hedge'):
-                if _is_slow(slow, now) and _spend_retry(self._budgets, slow):
-                    self._retry(slow, now)
+                if _starts_second(slow, self._seconds, self._budgets, now):
+                    self._retry(slow, now, hedged=self._seconds.covers(slow))
 
     def stop(self, now: timedelta) -> None:
         """Answer the requests that are pending when the daemon ends.
@@ -507,7 +511,7 @@
 
     def _no_candidate(self, pending: PendingRequest, now: timedelta) -> None:
         if pending.attempts:
-            _give_up_second(pending, self._budgets)
+            _give_up_second(pending, self._seconds, self._budgets, now)
             return
         # Counts as a move; at the limit of moves, the upstreams that refused
         # the request are candidates again.
@@ -561,6 +565,8 @@
             if _spend_retry(self._budgets, pending):
                 self._retry(pending, now)
                 return
+        if message.status < _HTTP_ERROR:
+            self._seconds.succeeded(pending, attempt, now)
         self._attempts.cancel(pending, now)
         self._end(pending, message)
 
@@ -580,13 +586,14 @@
                 now,
                 limit_refused=message.reason is Reason.rate_limited,
             )
-        if message.reason is Reason.rate_limited:
-            self._limit_refused(pending, attempt, now)
-            return
-        if attempt.free_slot_only and message.reason is Reason.busy:
+        is_full = attempt.free_slot_only and message.reason is Reason.busy
+        if self._seconds.refused(pending, attempt, message, now) or is_full:
             pending.full.append(attempt.candidate)
             self._place(pending, now)
             return
+        if message.reason is Reason.rate_limited:
+            self._limit_refused(pending, attempt, now)
+            return
         if message.reason is Reason.busy and pending.service.free_slot_tries:
             pending.end_queue_turn(attempt.candidate)
             self._place(pending, now)
@@ -744,8 +751,11 @@
             return
         self._attempts.reattach(attempt, path)
 
-    def _retry(self, pending: PendingRequest, now: timedelta) -> None:
+    def _retry(
+        self, pending: PendingRequest, now: timedelta, *, hedged: bool = False
+    ) -> None:
         pending.retries += 1
+        pending.hedged = hedged
         pending.forget_full()
         self._place(pending, now)
 
@@ -767,6 +777,7 @@
         if pending.permit is not None and pending.attempts:
             self._await_record(pending)
             return
+        self._seconds.expired(pending, now)
         self._attempts.cancel(pending, now)
         self._end_failed(pending, Reason.deadline)
 
@@ -968,9 +979,15 @@
 
 
 def _give_up_second(
-    pending: PendingRequest, budgets: Mapping[ServiceName, RetryBudget]
+    pending: PendingRequest,
+    seconds: SecondAttempts,
+    budgets: Mapping[ServiceName, RetryBudget],
+    now: timedelta,
 ) -> None:
     """Keep the retry of a request whose second attempt found no place."""
+    if pending.hedged:
+        seconds.give_up(pending, budgets[pending.route.service], now)
+        return
     for attempt in pending.attempts.values():
         attempt.hedge_failed = True
     if pending.service.free_slot_tries and pending.retries:
@@ -984,17 +1001,32 @@
     return pending.retries < limit - 1
 
 
-def _is_slow(pending: PendingRequest, now: timedelta) -> bool:
+def _starts_second(
+    pending: PendingRequest,
+    seconds: SecondAttempts,
+    budgets: Mapping[ServiceName, RetryBudget],
+    now: timedelta,
+) -> bool:
+    """Return whether a second attempt starts, and count it."""
     if len(pending.attempts) != 1 or not _may_attempt_again(pending):
         return False
     attempt = next(iter(pending.attempts.values()))
     if attempt.hedge_failed:
         return False
-    factor = pending.service.hedge_pct / 100
-    age = now - attempt.sent_at
+    rule = _slow_after(pending, attempt)
+    if not seconds.covers(pending):
+        is_slow = now - attempt.sent_at >= rule
+        return is_slow and _spend_retry(budgets, pending)
+    if not pending.idempotent:
+        return False
+    return seconds.start(pending, rule, budgets[pending.route.service], now)
+
+
+def _slow_after(pending: PendingRequest, attempt: Attempt) -> timedelta:
+    """Return the age at which an attempt is slow by its expected time."""
     if not attempt.expected_ms:
-        return age >= _hedge_unknown_after(pending.route)
-    return age >= _hedge_after(attempt, factor)
+        return _hedge_unknown_after(pending.route)
+    return _hedge_after(attempt, pending.service.hedge_pct / 100)
 
 
 def _hedge_unknown_after(route: Route) -> timedelta:
--- a/greengagemux/jobs.py
+++ b/greengagemux/jobs.py
@@ -264,6 +264,8 @@
     upstream receives does not depend on their number. A first call earns when
     it starts, as one request may be offered to several upstreams.
     """
+    if message.hedge:
+        return upstream.retries.spend_spare()
     return not message.retry or upstream.retries.spend()
 
 
--- a/greengagemux/messages.py
+++ b/greengagemux/messages.py
@@ -175,7 +175,8 @@
     refused. ``rate_limit_per_s`` is that limit as the sender knows it, for an egress
     that has not heard from the upstream yet. With ``free_slot_only`` the
     request is refused rather than queued; after ``queue_turn_ms`` in a queue it
-    is refused too, 0 for never.
+    is refused too, 0 for never. A ``hedge`` is a retry beside a running attempt
+    and leaves half of the retry budget for failures.
     """
 
     request: RequestId
@@ -206,6 +207,7 @@
     rate_limit_per_s: float | None = None
     free_slot_only: bool = False
     queue_turn_ms: int = 0
+    hedge: bool = False
 
 
 class Answer(Struct, frozen=True, array_like=True, tag='answer'):
--- a/greengagemux/overloadworlds.py
+++ b/greengagemux/overloadworlds.py
@@ -87,6 +87,9 @@
     far: int = 0
     service_ms: float = 40
     sigma: float = 0.5
+    #: Part of the calls that take ``tail_factor`` times as long.
+    tail_share: float = 0
+    tail_factor: float = 7
     answer_bytes: int = 2000
     link_kbit_s: int = 30_000
     service: ServiceName = ServiceName('dispatch')
@@ -108,6 +111,8 @@
     ended: timedelta
     slot_ms: float
     finished: bool
+    #: Number of the request that it ran.
+    exchange: int = -1
 
 
 @dataclass(slots=True)
@@ -150,11 +155,15 @@
 
 @dataclass(slots=True)
 class Upstream:
-    """A simulated upstream; ``fault`` is ``refuse``, ``hang`` or empty."""
+    """A simulated upstream; ``fault`` is ``refuse``, ``hang`` or empty.
+
+    Calls that start take ``slowness`` times as long.
+    """
 
     name: str
     slots: int
     fault: str = ''
+    slowness: float = 1
     running: dict[CallId, _Call] = field(default_factory=dict)
     attempts: int = 0
     most_running: int = 0
@@ -426,7 +435,7 @@
         if upstream.fault == 'refuse':
             self.after(REFUSED_AFTER, partial(self._fail, host, effect.call))
             return
-        service_ms = self._draw_service_ms()
+        service_ms = self._draw_service_ms() * upstream.slowness
         self._calls += 1
         exchange = int(effect.target.rpartition(b'/')[2])
         call = _Call(exchange, self.now, service_ms, self._calls)
@@ -440,7 +449,10 @@
     def _draw_service_ms(self) -> float:
         layout = self.layout
         log_mean = math.log(layout.service_ms) - layout.sigma**2 / 2
-        return self.rng.lognormvariate(log_mean, layout.sigma)
+        drawn_ms = self.rng.lognormvariate(log_mean, layout.sigma)
+        if layout.tail_share and self.rng.random() < layout.tail_share:
+            drawn_ms *= layout.tail_factor
+        return drawn_ms
 
     def _fail(self, host: Host, call: CallId) -> None:
         failure = Failure(Step.call, 'upstream', 'connection refused')
@@ -470,7 +482,7 @@
 
     def _record_run(self, call: _Call, *, finished: bool) -> None:
         slot_ms = in_ms(self.now - call.started)
-        run = Run(call.number, self.now, slot_ms, finished)
+        run = Run(call.number, self.now, slot_ms, finished, call.exchange)
         self.runs.append(run)
 
     def _respond(self, effect: Respond) -> None:
--- a/greengagemux/placements.py
+++ b/greengagemux/placements.py
@@ -24,6 +24,8 @@
 #: Refusals because of a rate limit after which a request waits for one, unless
 #: an upstream without a limit is left.
 LIMIT_REFUSALS = 4
+#: Upstreams that are offered one second attempt; each offer costs a message.
+HEDGE_OFFERS = 3
 #: Part of the time left until the target latency that a request may wait at a
 #: near upstream while a more distant one of the region could take it.
 WAIT_SHARE = 0.5
@@ -77,6 +79,8 @@
         refusal because of overload, the request waits where its turn comes
         first.
         """
+        if pending.seeks_hedge:
+            return Placement(self._place_hedge(pending, now))
         service = pending.route.service
         view = self._candidates.view_of(service, pending.priority)
         usable_set = view.current()
@@ -113,6 +117,30 @@
             far_only=not remote and has_other_region(usable_set),
         )
 
+    def _place_hedge(
+        self, pending: PendingRequest, now: timedelta
+    ) -> Selection | None:
+        """Select an upstream of the region that may have a free slot."""
+        if len(pending.full) >= HEDGE_OFFERS:
+            return None
+        service = pending.route.service
+        view = self._candidates.view_of(service, pending.priority)
+        closed = self._candidates.limited.closed(service, now, every=False)
+        selected = choose_within(
+            view.current(),
+            self._rng,
+            pending.excluded | closed,
+            SelectionLimits(
+                idempotent=False, remote=False, spill=1, patience_ms=math.inf
+            ),
+        )
+        if selected is None or selected.forced:
+            return None
+        candidate = selected.candidate
+        if candidate.placed() >= candidate.slots:
+            return None
+        return replace(selected, free_slot_only=True)
+
     def _wait_for_limit(
         self, bounds: _Bounds, closed: set[UpstreamId], now: timedelta
     ) -> Selection | None:
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -134,6 +134,7 @@
         """Use the service as the caller's name, and the bounds."""
         self._caller_name = CallerName(settings.service)
         self._bounds = settings.bounds
+        self._hedge_extra_pct = settings.hedge_extra_pct
 
     def __call__(self, payload: bytes) -> Bundle:
         """Return the bundle for the JSON configuration in a log record.
@@ -198,6 +199,7 @@
                 # other upstreams; which host they enter at says nothing.
                 fair=False,
                 free_slot_tries=FREE_SLOT_TRIES,
+                hedge_extra_pct=self._hedge_extra_pct,
             )
             for service in configuration.services
         }
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file of the platform: lines of the form ``a.b=value``."""
 
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -15,6 +16,10 @@
 PATH_VARIABLE: Final = 'GREENGAGEMUX_BOOT'
 DEFAULT_PATH: Final = '/etc/greengagemux/settings.conf'
 FILE_LIMIT_BYTES: Final = 1024 * 1024
+#: Environment variable with the limit of second attempts in percent of the
+#: requests of a service.
+HEDGE_EXTRA_VARIABLE: Final = 'GREENGAGEMUX_HEDGE_EXTRA_PCT'
+HEDGE_EXTRA_PCT_MAX: Final = 100
 
 #: The platform's documented values, used where ``bounds`` lacks one.
 DEFAULT_BOUNDS: Final = MappingProxyType(
@@ -70,13 +75,18 @@
     #: Peer addresses of some daemons; they may have ended since.
     seeds: tuple[Address, ...]
     bounds: Bounds
+    #: Second attempts of slow requests, in percent of the requests of each
+    #: service (``GREENGAGEMUX_HEDGE_EXTRA_PCT``).
+    hedge_extra_pct: float = 0
 
 
 def read_settings(path: Path | None = None) -> PlatformSettings:
     """Return the settings in a file.
 
     The default path is in ``GREENGAGEMUX_BOOT``, or else ``DEFAULT_PATH``.
-    Raises ``FailureError`` at step ``settings`` that names file and key.
+    The limit of second attempts comes from the environment. Raises
+    ``FailureError`` at step ``settings`` that names file and key, or the
+    environment variable.
     """
     if path is None:
         path = Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
@@ -112,6 +122,7 @@
             log_address=self._address('platform.address'),
             seeds=self._seeds(peer_address.port),
             bounds=self._bounds(),
+            hedge_extra_pct=_hedge_extra_pct(),
         )
 
     def _text(self, key: str) -> str:
@@ -163,6 +174,19 @@
         )
 
 
+def _hedge_extra_pct() -> float:
+    text = os.environ.get(HEDGE_EXTRA_VARIABLE, '').strip() or '0'
+    try:
+        percent = float(text)
+    except ValueError:
+        percent = math.nan
+    # Not a number compares as outside of the range.
+    if 0 <= percent <= HEDGE_EXTRA_PCT_MAX:
+        return percent
+    detail = f'{text!r}: allowed is a number from 0 to {HEDGE_EXTRA_PCT_MAX}'
+    raise FailureError(Failure(Step.settings, HEDGE_EXTRA_VARIABLE, detail))
+
+
 def _pairs(path: Path, text: str) -> dict[str, str]:
     if len(text) > FILE_LIMIT_BYTES:
         raise _failure(path, f'larger than {FILE_LIMIT_BYTES} bytes')
--- a/greengagemux/requests.py
+++ b/greengagemux/requests.py
@@ -9,7 +9,7 @@
 from .answers import Origin
 from .assignments import Slot
 from .bundles import Caller, Route, Service
-from .clocks import ms
+from .clocks import ZERO, ms
 from .selection import Candidate
 from .effects import Respond
 from .ids import (
@@ -87,6 +87,8 @@
     free_slot_only: bool = False
     #: Whether a second attempt beside it found no place.
     hedge_failed: bool = False
+    #: Whether it is a second attempt within the limit of extra attempts.
+    hedge: bool = False
     link_bytes: float = 0
 
     @property
@@ -156,6 +158,12 @@
     #: Those excluded because they had no budget for a retry of it.
     retry_refusers: set[UpstreamId] = field(default_factory=set)
     retries: int = 0
+    #: Whether its last retry is a second attempt within ``hedge_extra_pct``.
+    hedged: bool = False
+    #: When a second attempt that found no place may be tried again.
+    hedge_again_at: timedelta = ZERO
+    #: Whether the limit of extra attempts has refused it a second attempt.
+    hedge_limited: bool = False
     #: Upstreams that were called for it and may have run it.
     runs: int = 0
     moves: int = 0
@@ -206,6 +214,11 @@
             tries = min(tries, LATER_FULL)
         return len(self.full) < tries
 
+    @property
+    def seeks_hedge(self) -> bool:
+        """Whether its next attempt is a second one beside another."""
+        return self.hedged and bool(self.attempts)
+
     @property
     def waits_for_path(self) -> bool:
         """Whether it has no attempt and waits for a path to open."""
--- a/greengagemux/retries.py
+++ b/greengagemux/retries.py
@@ -35,6 +35,18 @@
         self.saved -= amount
         return True
 
+    @property
+    def has_spare(self) -> bool:
+        """Whether half of what may be saved is left after one more retry.
+
+        Second attempts spend only this part; the rest is kept for failures.
+        """
+        return self.saved - 1 >= self.saved_limit / 2
+
+    def spend_spare(self) -> bool:
+        """Take one retry if half of what may be saved is left after it."""
+        return self.has_spare and self.spend()
+
     def add(self, amount: float) -> None:
         """Add retries that are allowed whatever the first attempts are."""
         self.saved = min(self.saved_limit, self.saved + amount)
--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -360,6 +360,8 @@
 
     @_carry_out.register
     def _record(self, effect: Record) -> None:
+        if effect.counter:
+            self.metrics.count(effect.counter)
         level = logging.DEBUG if effect.detail else logging.INFO
         if not logger.isEnabledFor(level):
             return
