--- a/greengagemux/hedging/delays.py
+++ b/greengagemux/hedging/delays.py
@@ -40,15 +40,15 @@
     basis: Basis
 
 
-def percentile_for(extra_pct: float, saved_share: float) -> float:
+def percentile_for(extra_pct: float, spare_share: float) -> float:
     """Return the percentile above which requests get a second attempt.
 
     A limit of extra attempts in percent covers that many of the slowest
-    requests. The less of it is saved, 0 to 1, the higher the percentile, so
-    that the slowest requests still find a part of it.
+    requests. The less is saved of it (``spare_share``, 0 to 1), the higher the
+    percentile, so that the slowest requests still find a part of it.
     """
     lowest = min(max(_PERCENT - extra_pct, PERCENTILE_MIN), PERCENTILE_MAX)
-    return lowest + (PERCENTILE_MAX - lowest) * (1 - saved_share)
+    return lowest + (PERCENTILE_MAX - lowest) * (1 - spare_share)
 
 
 def delay_of(observed_ms: float, rule: timedelta, queueing: timedelta) -> Delay:
--- a/greengagemux/hedging/second.py
+++ b/greengagemux/hedging/second.py
@@ -19,10 +19,15 @@
 #: Most extra attempts of a service that an ingress saves up. All ingress
 #: daemons together may spend them in one burst.
 SAVED_LIMIT: Final = 5.0
+#: Extra attempts that are kept for the slowest requests. Without them an
+#: ingress that had just used its allowance left some requests of an episode
+#: without a second attempt, and the 99.9th percentile was above that without
+#: the option.
+RESERVED: Final = 2.0
 #: Extra attempts from which the delay is not raised to save them.
-AMPLE: Final = 2.5
+AMPLE: Final = 4.0
 #: Time after which a second attempt that found no place is tried again.
-GIVE_UP_FOR: Final = ms(500)
+GIVE_UP_FOR: Final = ms(200)
 #: Weight of the expected queueing time in the age of a second attempt.
 QUEUE_FACTOR: Final = 3
 #: Routes of which times are kept; their names come from the bundle.
@@ -206,8 +211,9 @@
         route = pending.route
         times = self._times.get((route.service, route.name))
         saved = self._allowances[route.service].saved
+        spare_share = (saved - RESERVED) / (AMPLE - RESERVED)
         percentile = percentile_for(
-            pending.service.hedge_extra_pct, min(1, saved / AMPLE)
+            pending.service.hedge_extra_pct, min(max(spare_share, 0), 1)
         )
         observed_ms = times.percentile_ms(percentile) if times else 0
         return delay_of(observed_ms, rule, ms(attempt.queue_ms * QUEUE_FACTOR))
