--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -170,7 +170,9 @@
     nearly all refuse, and then upstreams of other regions. With ``calls_wait``
     requests that other upstreams make while they run one may wait until their
     deadline instead of the target latency. With ``time_shares`` the share of
-    less urgent classes is one of slot time instead of requests.
+    less urgent classes is one of slot time instead of requests. With
+    ``hedge_extra_pct`` above 0, second attempts follow the observed times of
+    their route, and at most that many for each 100 requests are made.
     """
 
     name: ServiceName
@@ -191,6 +193,9 @@
     overflow: bool = False
     calls_wait: bool = False
     time_shares: bool = False
+    hedge_extra_pct: Annotated[
+        float, Field(ge=0, le=100, allow_inf_nan=False)
+    ] = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -140,6 +140,7 @@
         self._caller_name = CallerName(settings.service)
         self._bounds = settings.bounds
         self._overflow = len(settings.regions) >= OVERFLOW_REGIONS
+        self._hedge_extra_pct = settings.hedge_extra_pct
 
     def __call__(self, payload: bytes) -> Bundle:
         """Return the bundle for the JSON configuration in a log record.
@@ -212,6 +213,7 @@
                 calls_wait=has_downloads,
                 time_shares=has_downloads,
                 overflow=self._overflow,
+                hedge_extra_pct=self._hedge_extra_pct,
             )
             for service in configuration.services
         }
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the settings file of the platform: lines of the form ``a.b=value``."""
 
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -18,6 +19,10 @@
 FILE_LIMIT_BYTES: Final = 1024 * 1024
 #: Start of the keys that state the region of a data centre.
 ZONE_PREFIX: Final = 'zones.'
+#: Environment variable with the limit of second attempts in percent of the
+#: requests of a service.
+HEDGE_EXTRA_VARIABLE: Final = 'GREENGAGEMUX_HEDGE_EXTRA_PCT'
+HEDGE_EXTRA_PCT_MAX: Final = 100
 
 #: The platform's documented values, used where ``bounds`` lacks one.
 DEFAULT_BOUNDS: Final = MappingProxyType(
@@ -80,13 +85,18 @@
     bounds: Bounds
     #: Regions of the listed data centres (``zones.NAME``).
     regions: frozenset[Region] = frozenset()
+    #: Second attempts of slow requests, in percent of the requests of each
+    #: service (``GREENGAGEMUX_HEDGE_EXTRA_PCT``).
+    hedge_extra_pct: float = 0
 
 
 def read_settings(path: Path | None = None) -> PlatformSettings:
     """Return the settings in a file.
 
     The default path is in ``GREENGAGEMUX_BOOT``, or else ``DEFAULT_PATH``.
-    Raises ``FailureError`` at step ``settings`` that names file and key.
+    The limit of second attempts comes from the environment. Raises
+    ``FailureError`` at step ``settings`` that names file and key, or the
+    environment variable.
     """
     if path is None:
         path = Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
@@ -123,6 +133,7 @@
             seeds=self._seeds(peer_address.port),
             bounds=self._bounds(),
             regions=self._regions(),
+            hedge_extra_pct=_hedge_extra_pct(),
         )
 
     def _text(self, key: str) -> str:
@@ -187,6 +198,19 @@
         )
 
 
+def _hedge_extra_pct() -> float:
+    text = os.environ.get(HEDGE_EXTRA_VARIABLE, '').strip() or '0'
+    try:
+        percent = float(text)
+    except ValueError:
+        percent = math.nan
+    # Not a number compares as outside of the range.
+    if 0 <= percent <= HEDGE_EXTRA_PCT_MAX:
+        return percent
+    detail = f'{text!r}: allowed is a number from 0 to {HEDGE_EXTRA_PCT_MAX}'
+    raise FailureError(Failure(Step.settings, HEDGE_EXTRA_VARIABLE, detail))
+
+
 def _pairs(path: Path, text: str) -> dict[str, str]:
     if len(text) > FILE_LIMIT_BYTES:
         raise _failure(path, f'larger than {FILE_LIMIT_BYTES} bytes')
--- a/greengagemux/retries.py
+++ b/greengagemux/retries.py
@@ -35,6 +35,21 @@
         self.saved -= amount
         return True
 
+    @property
+    def has_spare(self) -> bool:
+        """Whether half of what may be saved is left after one more retry.
+
+        Second attempts spend only this part; the rest is kept for failures. An
+        upstream of a large service saves up less than two retries; one of
+        them may be spent while all that may be saved is saved.
+        """
+        kept = min(self.saved_limit / 2, self.saved_limit - 1)
+        return self.saved - 1 >= kept
+
+    def spend_spare(self) -> bool:
+        """Take one retry if ``has_spare``."""
+        return self.has_spare and self.spend()
+
     def add(self, amount: float) -> None:
         """Add retries that are allowed whatever the first attempts are."""
         self.saved = min(self.saved_limit, self.saved + amount)
