--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -51,6 +51,7 @@
         store: Store | None = None,
         name: str = 'one',
         upstream: Any = None,
+        limits: str = '',
     ) -> None:
         self.store = store or configured_store()
         self._port = reactor.listenTCP(
@@ -65,6 +66,7 @@
         path = folder / f'{name}.conf'
         path.write_text(
             settings_text(name, 'a', self.ports, self.upstream.address, store)
+            + limits
         )
         # A file, as a full pipe would lose lines.
         self._log_path = folder / f'{name}.log'
