Bound the bytes of requests, and the time to parse chunks

Requests are counted from the first byte of a body until they are answered, at the listener, under reassembly and at the egress. Above the limit the largest unfinished one is refused with 503; a receiver discards the fragments of its message and refuses it with the new reason 'memory', and a sender refuses a request that would not fit into the unsent bytes. Large bodies are written to upstreams in parts, and messages are decoded with one copy less. Chunked bodies are parsed in turns with those of other connections.

--- a/greengagemux/answers.py
+++ b/greengagemux/answers.py
@@ -34,7 +34,7 @@
 
     def __init__(self, limit_bytes: int = RETAINED_LIMIT_BYTES) -> None:
         """Bound the bytes of kept answers."""
-        self._limit_bytes = limit_bytes
+        self.limit_bytes = limit_bytes
         self._messages: dict[Origin, Answer | Refusal] = {}
         self._expiries: list[tuple[timedelta, int, Origin]] = []
         self._size_bytes = 0
@@ -57,7 +57,7 @@
         because a request that ran must never be reported as not seen.
         """
         size = _size_bytes(message)
-        if self._size_bytes + size > self._limit_bytes:
+        if self._size_bytes + size > self.limit_bytes:
             message = Refusal(
                 request=origin.request,
                 reason=Reason.connection_lost,
--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -17,9 +17,10 @@
 from twisted.internet.error import (
     ConnectionRefusedError as UpstreamRefusedError,
 )
-from twisted.internet.interfaces import IAddress
+from twisted.internet.interfaces import IAddress, IPullProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
+from zope.interface import implementer
 
 from .addresses import Address
 from .effects import CallUpstream, CheckListening, ProbeUpstream
@@ -64,6 +65,8 @@
 #: very small chunks takes 100 ms, a quarter of a short deadline. All connections
 #: whose input has yielded share this time in each turn of the reactor.
 PARSE_TURN_S: Final = 0.005
+#: Part of a request body that is passed to a transport at once.
+WRITTEN_BYTES: Final = 128 * 1024
 #: Start of every response, without its minor version.
 STATUS_LINE_START: Final = b'HTTP/1.'
 #: Longest text of a failure; longer ones are cut.
@@ -181,9 +184,10 @@
     may leave any number of them unfinished.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limit_bytes: int = HELD_LIMIT_BYTES) -> None:
         """Start without responses."""
         self.size_bytes = 0
+        self._limit_bytes = limit_bytes
         self._holders: dict[UpstreamConnection, int] = {}
 
     def add(self, connection: 'UpstreamConnection', size_bytes: int) -> None:
@@ -191,7 +195,7 @@
         known = self._holders.get(connection, 0)
         self._holders[connection] = known + size_bytes
         self.size_bytes += size_bytes
-        while self.size_bytes > HELD_LIMIT_BYTES:
+        while self.size_bytes > min(HELD_LIMIT_BYTES, self._limit_bytes):
             largest = max(self._holders, key=self._holders.__getitem__)
             largest.give_up()
 
@@ -200,6 +204,32 @@
         self.size_bytes -= self._holders.pop(connection, 0)
 
 
+@implementer(IPullProducer)
+class _BodyWriter:
+    """Writes a large body in parts, as the transport copies what it holds."""
+
+    def __init__(self, transport: Any, body: bytes) -> None:
+        self._transport = transport
+        self._rest = memoryview(body)
+
+    @property
+    def unfinished(self) -> bool:
+        """Whether a part of the body has not been written."""
+        return bool(self._rest)
+
+    def resumeProducing(self) -> None:
+        """Write the next part."""
+        part = self._rest[:WRITTEN_BYTES]
+        self._rest = self._rest[WRITTEN_BYTES:]
+        self._transport.write(bytes(part))
+        if not self._rest:
+            self._transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        """Write nothing more, as the connection has closed."""
+        self._rest = memoryview(b'')
+
+
 @dataclass(frozen=True, slots=True)
 class SharedLimits:
     """What the connections to all upstreams share."""
@@ -229,6 +259,7 @@
         self.closed = False
         #: Whether a request was sent before the current one.
         self._used_before = False
+        self._writing: _BodyWriter | None = None
         #: Called if bytes arrive that belong to no response.
         self.on_unasked_input: Callable[[], None] = _ignore_input
         #: Ids of requests that were refused on this connection. A repeated
@@ -263,12 +294,18 @@
         Raises ``h11.LocalProtocolError``, before anything is sent, if it is
         not valid HTTP.
         """
-        wire = self._parser.send(exchange.request) or b''
+        head = self._parser.send(exchange.request) or b''
         if exchange.body:
-            wire += self._parser.send(h11.Data(exchange.body)) or b''
-        wire += self._parser.send(h11.EndOfMessage()) or b''
+            # The body is sent unchanged, as its length is in the head.
+            self._parser.send(h11.Data(exchange.body))
+        self._parser.send(h11.EndOfMessage())
         self._exchange = exchange
-        self.transport.write(wire)
+        if len(exchange.body) <= WRITTEN_BYTES:
+            self.transport.write(head + exchange.body)
+            return
+        self.transport.write(head)
+        self._writing = _BodyWriter(self.transport, exchange.body)
+        self.transport.registerProducer(self._writing, False)
 
     def close(self) -> None:
         """Abort the connection; its exchange ends without a callback."""
@@ -280,7 +317,7 @@
     def give_up(self) -> None:
         """Fail the exchange: all responses together take too much memory."""
         self._held.release(self)
-        detail = f'unfinished responses above {HELD_LIMIT_BYTES} bytes'
+        detail = 'unfinished responses of all calls take too much memory'
         self._fail(CallFault.too_large, detail)
 
     def dataReceived(self, data: bytes) -> None:
@@ -404,6 +441,9 @@
         self._used_before = True
         self._read_keep_alive(exchange.headers)
         ready = self._parser.their_state is h11.DONE
+        if self._writing is not None and self._writing.unfinished:
+            # The rest of the body would precede the next request.
+            ready = False
         if ready and not self._parser.trailing_data[0]:
             self._parser.start_next_cycle()
             self._on_idle(self)
@@ -542,11 +582,21 @@
     #: cannot be distinguished from a truncated one.
     accepts_close_delimited = False
 
-    def __init__(self, reactor: Any, submit: Submit) -> None:
-        """Build a client that passes results to ``submit``."""
+    def __init__(
+        self,
+        reactor: Any,
+        submit: Submit,
+        held_limit_bytes: int = HELD_LIMIT_BYTES,
+    ) -> None:
+        """Build a client that passes results to ``submit``.
+
+        ``held_limit_bytes`` is for the unfinished responses of all calls.
+        """
         self._reactor = reactor
         self._submit = submit
-        self._shared = SharedLimits(ParseTurns(reactor), HeldResponses())
+        self._shared = SharedLimits(
+            ParseTurns(reactor), HeldResponses(held_limit_bytes)
+        )
         self._pools: dict[str, _Pool] = {}
         #: Cancels a call: its connection attempt or its open connection.
         self._running: dict[CallId, Callable[[], None]] = {}
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -13,6 +13,7 @@
 from .listeners import listen
 from .logclients import LogClient, build_agent
 from .logs import log_event
+from .memory.limits import host_limits
 from .messages import MemberRecord
 from .outcomes import FailureError
 from .reducers import Daemon, DaemonOptions
@@ -48,7 +49,12 @@
             )
         incarnation = new_incarnation(process.clock)
         daemon = _build_daemon(settings, incarnation)
-        super().__init__(process, daemon, certificates)
+        super().__init__(
+            process,
+            daemon,
+            certificates,
+            limits=host_limits(settings.daemon.memory_mb),
+        )
         if settings.log is not None:
             agent = build_agent(self._reactor)
             self._log = LogClient(
@@ -125,6 +131,7 @@
         seeds=tuple(str(seed) for seed in daemon.seeds),
         stop_limit=ms(daemon.stop_limit_ms),
         retention=retention,
+        retained_bytes=host_limits(daemon.memory_mb).retained_bytes,
     )
     rollout = Rollout(
         KeyRing.from_settings(settings.operators),
--- a/greengagemux/egress.py
+++ b/greengagemux/egress.py
@@ -138,7 +138,10 @@
         self.local_upstreams = Upstreams(outbox, health_tracker, lease)
         self._jobs: dict[Origin, Job] = {}
         self._calls: dict[CallId, Job] = {}
-        self._finished = FinishedJobs()
+        #: Answers kept for ingress daemons that lost their stream.
+        self.finished = FinishedJobs()
+        #: Bytes of the requests of other daemons that are queued or run.
+        self.held_bytes = 0
         self._next_call = 1
         self._stopping = False
         #: Newest stream of each peer; dispatches on older ones are refused.
@@ -258,7 +261,7 @@
 
         A request on a superseded stream is refused.
         """
-        if origin in self._jobs or origin in self._finished:
+        if origin in self._jobs or origin in self.finished:
             return False
         if stream is None or self.epochs.is_newest(origin.daemon, stream):
             return True
@@ -282,7 +285,7 @@
         reply = structs.replace(message, request=origin.request)
         if stream is not None:
             self._outbox.emit(Send(stream, reply))
-        self._finished.keep(origin, reply, until)
+        self.finished.keep(origin, reply, until)
 
     def cancel(self, origin: Origin, now: timedelta) -> None:
         """Stop a request whose caller no longer waits.
@@ -303,7 +306,7 @@
 
     def inquire(self, origin: Origin, stream: StreamId, now: timedelta) -> None:
         """Report the state of a request to its ingress on a new stream."""
-        finished = self._finished.get(origin)
+        finished = self.finished.get(origin)
         if finished is not None:
             self._outbox.emit(Send(stream, finished))
             return
@@ -469,7 +472,7 @@
                 self._preempt(startable, now)
                 if self.health_tracker.may_probe(startable.upstream, now):
                     self.local_upstreams.probe(startable)
-        self._finished.trim(now)
+        self.finished.trim(now)
 
     def _observe(
         self,
@@ -566,6 +569,8 @@
             self._refuse(job.origin, job.stream, Reason.rate_limited, upstream)
             return
         self._jobs[job.origin] = job
+        if job.origin.daemon != self._own:
+            self.held_bytes += job.size_bytes
         if job.isolated:
             upstream.isolation_queue.append(job)
             self._start_queued(upstream, now)
@@ -771,7 +776,9 @@
         job.call = None
 
     def _end(self, job: Job, message: Answer | Refusal, now: timedelta) -> None:
-        self._jobs.pop(job.origin, None)
+        if self._jobs.pop(job.origin, None) is not None:
+            if job.origin.daemon != self._own:
+                self.held_bytes -= job.size_bytes
         refund_retry(job)
         if job.aborted_calls and isinstance(message, Refusal):
             # The upstream may have run the aborted call.
@@ -784,7 +791,7 @@
         until = max(job.deadline, now)
         if not job.dispatch.idempotent:
             until += WRITE_GRACE + RECORD_MARGIN
-        self._finished.keep(job.origin, message, until)
+        self.finished.keep(job.origin, message, until)
 
     def _refuse(
         self,
--- a/greengagemux/frames.py
+++ b/greengagemux/frames.py
@@ -9,6 +9,7 @@
 
 import struct
 from collections import deque
+from typing import Protocol
 
 from .outcomes import Failure, FailureError, Step
 
@@ -23,7 +24,11 @@
 MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024
 #: Most messages under reassembly on one stream.
 PARTIAL_LIMIT = 64
-#: Most bytes under reassembly on one stream.
+#: Long messages of one stream that are written by turns; the others wait, as a
+#: reader ends a stream with more than ``PARTIAL_LIMIT``.
+INTERLEAVED_LIMIT = PARTIAL_LIMIT // 2
+#: Most bytes under reassembly on one stream, except those of requests, which
+#: have a limit over all streams.
 PARTIAL_LIMIT_BYTES = 4 * MESSAGE_LIMIT_BYTES
 
 _MORE_FRAGMENTS = 1 << 31
@@ -36,6 +41,7 @@
     def __init__(self) -> None:
         """Start without a message to write."""
         self._long_messages: deque[tuple[int, memoryview]] = deque()
+        self._waiting: deque[tuple[int, memoryview]] = deque()
         self._next_number = 1
         #: Bytes of long messages that are still to be written.
         self.pending_bytes = 0
@@ -54,7 +60,10 @@
         if len(payload) + MESSAGE_NUMBER_BYTES <= FRAGMENT_BYTES:
             size = len(payload) + MESSAGE_NUMBER_BYTES
             return b''.join((_HEADER.pack(size), _NUMBER.pack(0), payload))
-        self._long_messages.append((self._next_number, memoryview(payload)))
+        started = self._long_messages
+        if len(started) >= INTERLEAVED_LIMIT:
+            started = self._waiting
+        started.append((self._next_number, memoryview(payload)))
         self.pending_bytes += len(payload)
         self._next_number = self._next_number % _LENGTH_MASK + 1
         return b''
@@ -75,15 +84,37 @@
         if remaining:
             header |= _MORE_FRAGMENTS
             self._long_messages.append((number, remaining))
+        elif self._waiting:
+            self._long_messages.append(self._waiting.popleft())
         return b''.join((_HEADER.pack(header), _NUMBER.pack(number), piece))
 
 
+class Reassembly(Protocol):
+    """Counts the bytes of messages that are being reassembled."""
+
+    def grew(self, number: int, start: bytearray, size_bytes: int) -> None:
+        """Count a fragment that is not the last; ``start`` has it and those
+        before it.
+
+        It may discard messages of the reader, also this one.
+        """
+
+    def ended(self, number: int) -> None:
+        """Count no bytes of a message that is complete or discarded."""
+
+    def is_counted_elsewhere(self, number: int) -> bool:
+        """Return whether the limit of the stream does not apply to it."""
+
+
 class FrameReader:
     """Reassembles messages from a byte stream."""
 
-    def __init__(self, peer: str) -> None:
+    def __init__(self, peer: str, reassembly: Reassembly | None = None) -> None:
         """Start empty; failures name ``peer``, which may be set later."""
         self.peer = peer
+        self._reassembly = reassembly
+        #: Messages whose remaining fragments are discarded.
+        self._discarded: set[int] = set()
         self._buffer = bytearray()
         self._partial_messages: dict[int, bytearray] = {}
 
@@ -100,14 +131,19 @@
         )
         return partial_bytes + len(self._buffer)
 
-    def feed(self, received: bytes) -> list[bytes]:
+    def discard(self, number: int) -> None:
+        """Discard a partial message and the fragments that follow."""
+        if self._partial_messages.pop(number, None) is not None:
+            self._discarded.add(number)
+
+    def feed(self, received: bytes) -> list[bytes | bytearray]:
         """Return the payloads of the messages that are now complete.
 
         Raises ``FailureError`` at step ``frame`` when a frame is malformed
         or a limit is exceeded.
         """
         self._buffer += received
-        payloads: list[bytes] = []
+        payloads: list[bytes | bytearray] = []
         position = 0
         while len(self._buffer) - position >= HEADER_BYTES:
             header = _HEADER.unpack_from(self._buffer, position)[0]
@@ -125,18 +161,30 @@
         return payloads
 
     def _add_fragment(
-        self, start: int, end: int, more: bool, payloads: list[bytes]
+        self,
+        start: int,
+        end: int,
+        more: bool,
+        payloads: list[bytes | bytearray],
     ) -> None:
         number = _NUMBER.unpack_from(self._buffer, start)[0]
         piece = self._buffer[start + MESSAGE_NUMBER_BYTES : end]
         if not number and not more:
             payloads.append(bytes(piece))
             return
+        if number in self._discarded:
+            if not more:
+                self._discarded.discard(number)
+            return
         message = self._partial_messages.setdefault(number, bytearray())
         message += piece
+        if more and self._reassembly is not None:
+            self._reassembly.grew(number, message, len(piece))
         self._check_partial(message)
         if not more:
-            payloads.append(bytes(self._partial_messages.pop(number)))
+            payloads.append(self._partial_messages.pop(number))
+            if self._reassembly is not None:
+                self._reassembly.ended(number)
 
     def _check_length(self, length: int) -> None:
         if length < MESSAGE_NUMBER_BYTES:
@@ -149,10 +197,19 @@
     def _check_partial(self, message: bytearray) -> None:
         if len(message) > MESSAGE_LIMIT_BYTES:
             raise self._failure(f'message above {MESSAGE_LIMIT_BYTES} bytes')
-        if len(self._partial_messages) > PARTIAL_LIMIT:
+        count = len(self._partial_messages) + len(self._discarded)
+        if count > PARTIAL_LIMIT:
             raise self._failure(f'more than {PARTIAL_LIMIT} partial messages')
-        if self.buffered_bytes - len(self._buffer) > PARTIAL_LIMIT_BYTES:
+        if self._limited_bytes() > PARTIAL_LIMIT_BYTES:
             raise self._failure(f'partial messages above {PARTIAL_LIMIT_BYTES}')
 
+    def _limited_bytes(self) -> int:
+        reassembly = self._reassembly
+        return sum(
+            len(message)
+            for number, message in self._partial_messages.items()
+            if reassembly is None or not reassembly.is_counted_elsewhere(number)
+        )
+
     def _failure(self, detail: str) -> FailureError:
         return FailureError(Failure(Step.frame, self.peer, detail))
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.interfaces import IAddress, ISSLTransport
 from twisted.internet.protocol import connectionDone
+from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web import http
 from twisted.web.iweb import INonQueuedRequestFactory
@@ -17,10 +18,13 @@
 
 from .addresses import Address
 from .clocks import Clock
+from .connections import ParseTurns
 from .effects import Respond
 from .events import CallerDisconnected, CallerRequest, Event
 from .ids import ExchangeId
 from .logs import log_event
+from .memory.limits import HostLimits, host_limits
+from .memory.requests import RequestBytes
 from .outcomes import Outcome, Reason
 from .requests import refusal
 
@@ -48,6 +52,13 @@
 BACKLOG: Final = 1024
 #: Caller connections beyond this are closed at once.
 CONNECTION_LIMIT: Final = 20_000
+#: Bytes of a request are counted in steps of this size, as a chunk of one byte
+#: would otherwise cost as much as a large one.
+COUNTED_BYTES: Final = 4096
+#: Part of a chunked body that is parsed before the time is checked. In chunks of
+#: one byte it takes about 1 ms.
+PARSED_BYTES: Final = 2048
+DEFAULT_LIMITS: Final = host_limits()
 
 Submit = Callable[[Event], None]
 
@@ -73,6 +84,7 @@
     idle = 'idle'
     unread = 'unread'
     too_many = 'too_many'
+    memory = 'memory'
 
 
 # Twisted keeps requests of other factories in the list of their channel after
@@ -90,6 +102,7 @@
         self._listener = channel.listener
         self.exchange = self._listener.next_exchange()
         self._received_bytes = 0
+        self._counted_bytes = 0
         self._refused = False
         #: Whether the request was received whole and submitted.
         self.complete = False
@@ -99,7 +112,7 @@
         # twisted.web would spool large bodies to a file; hosts have no disk.
         self.content = BytesIO()
         if length is not None and length > BODY_LIMIT_BYTES:
-            self._refuse_body()
+            self._refuse(Reason.body_too_large, Cutoff.body_too_large)
 
     def handleContentChunk(self, data: bytes) -> None:
         """Collect the body up to the limit."""
@@ -107,9 +120,17 @@
             return
         self._received_bytes += len(data)
         if self._received_bytes > BODY_LIMIT_BYTES:
-            self._refuse_body()
+            self._refuse(Reason.body_too_large, Cutoff.body_too_large)
             return
-        self.content.write(data)
+        if self._received_bytes > self._counted_bytes:
+            size_bytes = max(
+                COUNTED_BYTES, self._received_bytes - self._counted_bytes
+            )
+            self._counted_bytes += size_bytes
+            # This may refuse any request that is unfinished, also this one.
+            self._listener.requests.add(self, size_bytes)
+        if not self._refused:
+            self.content.write(data)
 
     def requestReceived(
         self, command: bytes, path: bytes, version: bytes
@@ -118,6 +139,7 @@
         if self._refused:
             return
         self.complete = True
+        self._listener.requests.complete(self)
         self.channel.request_completed()
         self.method = command
         self.uri = path
@@ -126,6 +148,7 @@
 
     def connectionLost(self, reason: TwistedFailure) -> None:
         """Submit that the caller has disconnected."""
+        self._listener.requests.release(self)
         self._listener.caller_disconnected(self.exchange)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
@@ -150,6 +173,7 @@
 
     def write_response(self, effect: Respond, *, close: bool) -> None:
         """Write a complete response."""
+        self.release()
         self.setResponseCode(effect.status)
         headers = self.responseHeaders
         for name, content in effect.headers:
@@ -167,11 +191,25 @@
             return ''
         return values[0].decode('latin-1').partition(':')[0]
 
-    def _refuse_body(self) -> None:
+    def hold_unparsed(self, size_bytes: int) -> None:
+        """Count input of the body that waits to be parsed, or does no more."""
+        if not self._refused:
+            self._listener.requests.add(self, size_bytes)
+
+    def give_up(self) -> None:
+        """Refuse it as not run: all requests take too much memory."""
+        self._refuse(Reason.memory, Cutoff.memory)
+
+    def release(self) -> None:
+        """Discard the body, as the request is answered or refused."""
+        self._listener.requests.release(self)
+        self.content = BytesIO()
+
+    def _refuse(self, reason: Reason, why: Cutoff) -> None:
         self._refused = True
+        self.release()
         self.channel.refuse(
-            refusal(self.exchange, Outcome.not_run, Reason.body_too_large),
-            Cutoff.body_too_large,
+            refusal(self.exchange, Outcome.not_run, reason), why
         )
 
 
@@ -199,11 +237,18 @@
         self._ends_after_requests = False
         #: Whether the close of the connection has begun.
         self._close_begun = False
+        #: Input that waits for its turn to be parsed; None if none does.
+        self._unparsed: bytearray | None = None
 
     def dataReceived(self, data: bytes) -> None:
         """Read requests; input after a refusal is discarded."""
         if self._input_discarded:
             return
+        if self._unparsed is not None:
+            self._unparsed += data
+            self._networkProducer.pauseProducing()  # type: ignore[misc]
+            self.requests[-1].hold_unparsed(len(data))
+            return
         # Some callers send a line end after a body; it starts no request.
         if not self._response_pending and data.strip(b'\r\n'):
             self.listener.request_started(self)
@@ -215,10 +260,58 @@
             super().lineReceived(line)  # type: ignore[no-untyped-call]
 
     def rawDataReceived(self, data: bytes) -> None:
-        """Collect a body or later requests, unless input is discarded."""
-        if not self._input_discarded:
+        """Collect a body or later requests, unless input is discarded.
+
+        A chunked body is parsed in turns with those of other connections.
+        """
+        if self._input_discarded:
+            return
+        if self._handlingRequest:
+            super().rawDataReceived(data)
+            self.listener.requests.add(self, len(data))
+        elif self.length is None:
+            self._parse_chunks(data)
+        else:
             super().rawDataReceived(data)
 
+    def _parse_chunks(self, data: bytes) -> None:
+        decoder = self._transferDecoder
+        turns = self.listener.turns
+        until_s = turns.until_s()
+        for place in range(0, len(data), PARSED_BYTES):
+            if self._input_discarded:
+                return
+            if self._transferDecoder is not decoder:
+                # The body has ended, and other requests follow it.
+                LineReceiver.dataReceived(self, data[place:])
+                return
+            if turns.is_over(until_s):
+                self._unparsed = bytearray(data[place:])
+                self._networkProducer.pauseProducing()  # type: ignore[misc]
+                turns.yield_turn(self._resume_parsing)
+                self.requests[-1].hold_unparsed(len(data) - place)
+                return
+            piece = data[place : place + PARSED_BYTES]
+            http.HTTPChannel.rawDataReceived(self, piece)
+
+    def _resume_parsing(self) -> None:
+        """Parse more of a chunked body, unless the connection has closed."""
+        unparsed = self._unparsed
+        self._unparsed = None
+        if unparsed is None:
+            return
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()  # type: ignore[misc]
+        if self._input_discarded:
+            return
+        self.requests[-1].hold_unparsed(-len(unparsed))
+        try:
+            LineReceiver.dataReceived(self, bytes(unparsed))
+        except Exception:
+            # As the reactor does after an exception in ``dataReceived``.
+            self.transport.abortConnection()
+            raise
+
     def lineLengthExceeded(self, line: bytes) -> None:
         """Refuse a request with an overlong header line."""
         self._respondToBadRequestAndDisconnect()
@@ -250,6 +343,7 @@
 
     def requestDone(self, request: http.Request) -> None:
         """Remove the oldest request after its response was written."""
+        self.listener.requests.release(self)
         last = len(self.requests) == 1
         if self._handlingRequest and (self.persistent or last):
             super().requestDone(request)  # type: ignore[no-untyped-call]
@@ -385,7 +479,7 @@
 
     def cut_off(self, why: Cutoff) -> None:
         """Abort the connection at once and count it."""
-        self._input_discarded = True
+        self._discard_input()
         self.listener.count_cutoff(why)
         self.transport.abortConnection()
 
@@ -393,7 +487,7 @@
         """Respond before the request is complete, and disconnect."""
         if self._input_discarded:
             return
-        self._input_discarded = True
+        self._discard_input()
         self.listener.count_cutoff(why)
         self.listener.request_ended(self)
         if any(each.complete for each in self.requests):
@@ -413,6 +507,19 @@
             LINGER_S, self.transport.abortConnection
         )
 
+    def give_up(self) -> None:
+        """Cut off a caller that sends much behind a request that runs."""
+        self.cut_off(Cutoff.memory)
+
+    def _discard_input(self) -> None:
+        """Discard input; it is still read, so that the caller can send it."""
+        self._input_discarded = True
+        self._dataBuffer: list[bytes] = []
+        self.listener.requests.release(self)
+        if self._unparsed is not None:
+            self._unparsed = None
+            self._networkProducer.resumeProducing()  # type: ignore[misc]
+
     def _log_exchanges(self, event: str, exchanges: Sequence[Exchange]) -> None:
         fields = {
             'connection': self.connection,
@@ -433,6 +540,8 @@
             self._linger_timer.cancel()
         if self.requests or self._withheld:
             self._log_exchanges('caller-connection-lost', self.requests)
+        self._unparsed = None
+        self.listener.requests.release(self)
         self.listener.disconnected(self)
         super().connectionLost(reason)  # type: ignore[no-untyped-call]
 
@@ -453,9 +562,18 @@
         clock: Clock,
         submit: Submit,
         count_cutoff: Callable[[Cutoff], None],
+        limits: HostLimits = DEFAULT_LIMITS,
+        requests: RequestBytes | None = None,
     ) -> None:
-        """Build a listener that passes requests to ``submit``."""
+        """Build a listener that passes requests to ``submit``.
+
+        ``requests`` also counts requests that are not those of callers.
+        """
         super().__init__(reactor=reactor)
+        self._limits = limits
+        self.requests = requests or RequestBytes(limits.request_bytes)
+        #: Divides the time to parse chunked bodies.
+        self.turns = ParseTurns(reactor)
         self.clock = clock
         self.count_cutoff = count_cutoff
         self._submit = submit
@@ -484,7 +602,7 @@
 
     def buildProtocol(self, addr: IAddress | None) -> Any:
         """Accept a connection unless there are too many."""
-        if len(self._channels) >= CONNECTION_LIMIT:
+        if len(self._channels) >= self.connection_limit:
             self.count_cutoff(Cutoff.too_many)
             return None
         channel = CallerChannel(self)
@@ -540,7 +658,8 @@
         held_bytes = self._held_bytes.get(channel, 0) + size_bytes
         self._held_bytes[channel] = held_bytes
         self.unread_bytes += size_bytes
-        while self.unread_bytes > UNREAD_TOTAL_LIMIT_BYTES:
+        limit_bytes = min(UNREAD_TOTAL_LIMIT_BYTES, self._limits.unread_bytes)
+        while self.unread_bytes > limit_bytes:
             largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
             self._release_held(largest)
             largest.cut_off(Cutoff.unread)
@@ -592,6 +711,11 @@
         """Number of open caller connections."""
         return len(self._channels)
 
+    @property
+    def connection_limit(self) -> int:
+        """Most caller connections."""
+        return min(CONNECTION_LIMIT, self._limits.connections)
+
     def release(self, *, accept: bool) -> None:
         """Close each connection with its next response.
 
--- a/greengagemux/outcomes.py
+++ b/greengagemux/outcomes.py
@@ -44,6 +44,8 @@
     retry_budget = 'retry-budget'
     rate_limited = 'rate-limited'
     internal_error = 'internal-error'
+    #: A daemon has no room for the request.
+    memory = 'memory'
 
 
 class Step(Enum):
--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -13,6 +13,7 @@
 from ..ids import Incarnation
 from ..listeners import CallerListener, listen
 from ..logclients import build_agent
+from ..memory.limits import HostLimits, host_limits
 from ..messages import MemberRecord
 from ..outcomes import FailureError
 from ..reducers import STOP_NOTICE, Daemon, DaemonOptions
@@ -76,6 +77,7 @@
             build_daemon(settings, incarnation),
             tick=TICK,
             gc_interval_s=GC_INTERVAL_S,
+            limits=_limits_of(settings),
         )
         self._log = StoreClient(
             build_agent(self._reactor),
@@ -121,11 +123,18 @@
 
     def _build_listener(self) -> CallerListener:
         return PlatformListener(
-            self._reactor, self._clock, self.submit, self._count_cutoff
+            self._reactor,
+            self._clock,
+            self.submit,
+            self._count_cutoff,
+            self._limits,
+            self._requests,
         )
 
     def _build_calls(self) -> UpstreamCalls:
-        return PlatformCalls(self._reactor, self.submit)
+        return PlatformCalls(
+            self._reactor, self.submit, self._limits.response_bytes
+        )
 
 
 def main(path: Path | None = None) -> None:
@@ -164,6 +173,11 @@
         tick=TICK,
         announce_lease=ANNOUNCE_LEASE,
         leave_after=STOP_NOTICE - LEAVE_LEAD,
+        retained_bytes=_limits_of(settings).retained_bytes,
     )
     source = ApprovedSource(ConfigurationDecoder(settings))
     return Daemon(options, source, Random(f'{own.daemon}/{incarnation}'))
+
+
+def _limits_of(settings: PlatformSettings) -> HostLimits:
+    return host_limits(settings.memory_mb, settings.max_fds)
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -9,12 +9,15 @@
 
 from ..addresses import Address
 from ..ids import DaemonId, DataCentre, Region, ServiceName
+from ..memory.limits import DEFAULT_MEMORY_MB
 from ..outcomes import Failure, FailureError, Step
 
 #: Environment variable with the path of the settings file.
 PATH_VARIABLE: Final = 'GREENGAGEMUX_BOOT'
 DEFAULT_PATH: Final = '/etc/greengagemux/settings.conf'
 FILE_LIMIT_BYTES: Final = 1024 * 1024
+#: Longest limit of the host; longer ones are errors.
+LIMIT_DIGITS: Final = 9
 
 #: The platform's documented values, used where ``bounds`` lacks one.
 DEFAULT_BOUNDS: Final = MappingProxyType(
@@ -70,6 +73,10 @@
     #: Peer addresses of some daemons; they may have ended since.
     seeds: tuple[Address, ...]
     bounds: Bounds
+    #: Memory of the host (``limits.memory_mb``).
+    memory_mb: int = DEFAULT_MEMORY_MB
+    #: File descriptors of the host (``limits.max_fds``); None if not known.
+    max_fds: int | None = None
 
 
 def read_settings(path: Path | None = None) -> PlatformSettings:
@@ -112,6 +119,8 @@
             log_address=self._address('platform.address'),
             seeds=self._seeds(peer_address.port),
             bounds=self._bounds(),
+            memory_mb=self._limit('limits.memory_mb') or DEFAULT_MEMORY_MB,
+            max_fds=self._limit('limits.max_fds'),
         )
 
     def _text(self, key: str) -> str:
@@ -143,6 +152,16 @@
             for part in listed
         )
 
+    def _limit(self, key: str) -> int | None:
+        """Return a limit of the host, None if the settings lack it."""
+        text = self._values.get(key, '').strip()
+        if not text:
+            return None
+        if not text.isdecimal() or len(text) > LIMIT_DIGITS or not int(text):
+            detail = f'{key} = {text!r}: allowed is a whole number above 0'
+            raise _failure(self._path, detail)
+        return int(text)
+
     def _bounds(self) -> Bounds:
         bounds = dict(DEFAULT_BOUNDS)
         for part in self._values.get('bounds', '').split(','):
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -7,6 +7,7 @@
 from random import Random
 from types import MappingProxyType
 
+from .answers import RETAINED_LIMIT_BYTES
 from .clocks import ZERO
 from .poisonrequests import PoisonRequests
 from .crashes import CrashReports
@@ -110,6 +111,8 @@
     #: A stopping daemon announces after this time that it is leaving; until
     #: then its upstreams get new requests.
     leave_after: timedelta = ZERO
+    #: Most bytes of answers kept for ingress daemons that lost their stream.
+    retained_bytes: int = RETAINED_LIMIT_BYTES
 
 
 class Daemon:
@@ -134,6 +137,7 @@
             self.crashes,
             options.announce_lease,
         )
+        self.egress.finished.limit_bytes = options.retained_bytes
         self.egress.local_upstreams.separate_health = options.episodes
         self.keyed = KeyedWrites(
             own,
--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -41,6 +41,8 @@
 from .limits import raise_file_limit
 from .listeners import CONNECTION_LIMIT, CallerListener, Cutoff
 from .logs import BufferedHandler, DescriptorSink, install_handler, log_event
+from .memory.limits import HostLimits, host_limits
+from .memory.requests import RequestBytes
 from .messages import PROTOCOL_VERSION, Hello
 from .metrics import Metrics
 from .outcomes import Failure
@@ -66,6 +68,7 @@
 #: At most this many log lines are written after each tick. A separate timer
 #: would wake an idle process 50 times a second, which takes 0.5% of a core.
 FLUSH_LINES_PER_TICK: Final = 60
+DEFAULT_LIMITS: Final = host_limits()
 #: Time for the last responses to be sent before the reactor stops.
 EXIT_DELAY_S: Final = 0.1
 #: Most time for peers to receive the last messages and end their streams. With
@@ -162,8 +165,14 @@
         *,
         tick: timedelta = TICK,
         gc_interval_s: float = GC_INTERVAL_S,
+        limits: HostLimits = DEFAULT_LIMITS,
     ) -> None:
         """Build all parts; no address is listened on yet."""
+        self._limits = limits
+        egress = daemon.egress
+        self._requests = RequestBytes(
+            limits.request_bytes, lambda: egress.held_bytes
+        )
         self._tick_interval_s = tick.total_seconds()
         self._collect_interval_s = gc_interval_s
         self.metrics = Metrics()
@@ -193,6 +202,8 @@
             ),
             self._handler.hybrid_clock,
             certificates,
+            limits,
+            self._requests,
         )
         self._turn_timer = self.metrics.timer('reducer_turn_us')
 
@@ -236,11 +247,18 @@
 
     def _build_listener(self) -> CallerListener:
         return CallerListener(
-            self._reactor, self._clock, self.submit, self._count_cutoff
+            self._reactor,
+            self._clock,
+            self.submit,
+            self._count_cutoff,
+            self._limits,
+            self._requests,
         )
 
     def _build_calls(self) -> UpstreamCalls:
-        return UpstreamCalls(self._reactor, self.submit)
+        return UpstreamCalls(
+            self._reactor, self.submit, self._limits.response_bytes
+        )
 
     def _apply(self, event: Event) -> None:
         started = self._clock.monotonic()
@@ -272,7 +290,15 @@
             self._garbage.collect(has_bundle)
         with self._contain('slow-callers'):
             self._listener.cut_off_slow()
-        self.metrics.gauge('caller_connections', self._listener.connections)
+        levels = _levels(
+            self._limits,
+            self._requests,
+            self._listener,
+            self._hub,
+            self._upstream_calls,
+        )
+        for name, level in levels.items():
+            self.metrics.gauge(name, level)
         self.metrics.record_pending()
 
     def _start_timer(self, interval_s: float, work: Callable[[], None]) -> None:
@@ -413,6 +439,30 @@
         self._reactor.stop()
 
 
+def _levels(
+    limits: HostLimits,
+    requests: RequestBytes,
+    listener: CallerListener,
+    hub: StreamHub,
+    calls: UpstreamCalls,
+) -> dict[str, int]:
+    """Return what is held, each beside its limit."""
+    return {
+        'caller_connections': listener.connections,
+        'caller_connections_limit': listener.connection_limit,
+        'request_bytes': requests.held_bytes,
+        'request_bytes_limit': limits.request_bytes,
+        'incoming_bytes': hub.incoming.held_bytes,
+        'incoming_bytes_limit': limits.incoming_bytes,
+        'unsent_bytes': hub.unsent.total_bytes,
+        'unsent_bytes_limit': hub.unsent.limit_bytes,
+        'response_bytes': calls.held_bytes,
+        'response_bytes_limit': limits.response_bytes,
+        'unread_bytes': listener.unread_bytes,
+        'unread_bytes_limit': limits.unread_bytes,
+    }
+
+
 def build_process(daemon: DaemonId, level: str) -> Process:
     """Return the process after installing its log, which goes to stdout."""
     # The import installs the reactor, which only a daemon process needs.
--- a/greengagemux/settings.py
+++ b/greengagemux/settings.py
@@ -27,6 +27,7 @@
     Address,
     parse_integer,
 )
+from .memory.limits import DEFAULT_MEMORY_MB
 
 DEFAULT_STOP_LIMIT_MS: Final = 30_000
 DEFAULT_POLL_WAIT_MS: Final = 2000
@@ -156,6 +157,11 @@
     BeforeValidator(_integer_parser(0, 3_600_000)),
     Field(description='a whole number of milliseconds from 0 to 3600000'),
 ]
+_Memory = Annotated[
+    int,
+    BeforeValidator(_integer_parser(100, 1_000_000)),
+    Field(description='a whole number of megabytes from 100 to 1000000'),
+]
 _PollWait = Annotated[
     int,
     BeforeValidator(_integer_parser(0, 60_000)),
@@ -195,6 +201,7 @@
         default=None, description=f'a SHA-256 of {HEX_RULE}'
     )
     stop_limit_ms: _StopLimit = DEFAULT_STOP_LIMIT_MS
+    memory_mb: _Memory = DEFAULT_MEMORY_MB
 
 
 class LogSettings(_Section):
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -21,7 +21,7 @@
 from zope.interface import implementer
 
 from .addresses import NAME_PATTERN, NAME_RULE, Address
-from .codecs import decode, encode
+from .codecs import decode, encode, request_of
 from .events import (
     Event,
     PeerMessage,
@@ -29,19 +29,23 @@
     StreamClosed,
     StreamOpened,
 )
-from .frames import FrameReader, FrameWriter
-from .ids import DaemonId, StreamId
+from .frames import FRAGMENT_BYTES, FrameReader, FrameWriter
+from .ids import DaemonId, RequestId, StreamId
 from .listeners import listen
 from .logs import HybridClock
+from .memory.limits import HostLimits, host_limits
+from .memory.requests import RequestBytes
 from .messages import (
     PROTOCOL_VERSION,
+    Answer,
     Cancel,
     Dispatch,
     Hello,
     Inquire,
     Message,
+    Refusal,
 )
-from .outcomes import Failure, FailureError, Step
+from .outcomes import Failure, FailureError, Outcome, Reason, Step
 from .sockets import enable_keep_alive
 
 if TYPE_CHECKING:
@@ -56,6 +60,9 @@
 #: Most unsent bytes of all streams; above it, the stream with most of them is
 #: closed.
 UNSENT_TOTAL_LIMIT_BYTES = 64 * 1024 * 1024
+#: Part of the limits of unsent bytes, in percent, that requests may use. A
+#: request without room is refused, while anything else would end the stream.
+UNSENT_REQUESTS_PCT = 75
 #: Pause between two fragments of a long message, so that other messages are
 #: written in between.
 FRAGMENT_PAUSE_S = 0.001
@@ -74,6 +81,8 @@
 #: Each message starts with the hybrid logical time of its sender.
 _TIMESTAMP = struct.Struct('>Q')
 
+DEFAULT_LIMITS = host_limits()
+
 Submit = Callable[[Event], None]
 
 
@@ -86,6 +95,35 @@
     received_bytes: Callable[[int], None]
 
 
+class _Part:
+    """A message of a peer that is being reassembled."""
+
+    def __init__(
+        self,
+        stream: 'PeerStream',
+        number: int,
+        known: tuple[type[Dispatch] | type[Answer], RequestId] | None,
+    ) -> None:
+        self.is_request = known is not None and known[0] is Dispatch
+        #: Whether it can be given up, which ends only one request.
+        self.is_exchange = known is not None
+        self._stream = stream
+        self._number = number
+        self._request = known[1] if known else RequestId(0)
+
+    def give_up(self) -> None:
+        """Discard it; its request is refused, or its response is lost."""
+        self._stream.discard(self._number)
+        if self.is_request:
+            self._stream.send(
+                Refusal(self._request, Reason.memory, Outcome.not_run)
+            )
+            return
+        self._stream.report(
+            Refusal(self._request, Reason.answer_too_large, Outcome.unknown)
+        )
+
+
 @implementer(IPushProducer)
 class PeerStream(Protocol):
     """One stream between two daemons."""
@@ -106,6 +144,7 @@
         self._own_hello: Hello | None = None
         self._writer = FrameWriter()
         self._reader = FrameReader('unknown')
+        self._parts: dict[int, _Part] = {}
         self._hello: Hello | None = None
         self._failure: Failure | None = None
         self._hello_timer: Any = None
@@ -131,7 +170,7 @@
         self.transport.setTcpNoDelay(True)
         enable_keep_alive(self.transport)
         self.transport.registerProducer(self, True)
-        self._reader = FrameReader(self._peer_name())
+        self._reader = FrameReader(self._peer_name(), self)
         self._hello_timer = self._hub.reactor.callLater(
             HELLO_TIMEOUT_S, self._hello_timed_out
         )
@@ -162,6 +201,8 @@
         if self._failure is None:
             self._count_abrupt_end(failure)
         self._hub.unsent.forget(self)
+        for number in tuple(self._parts):
+            self.ended(number)
         self._hub.lost(self, self._hello, failure)
         if self._hello is None and self._address:
             self._hub.submit(
@@ -172,6 +213,11 @@
         """Write a message, a long one in fragments; ignored after a failure."""
         if self._failure is not None:
             return
+        if isinstance(message, Dispatch) and not self._has_room(message):
+            self.report(
+                Refusal(message.request, Reason.memory, Outcome.not_run)
+            )
+            return
         stamp = _TIMESTAMP.pack(self._hub.stamp())
         frames = self._writer.frames(stamp + encode(message))
         if frames:
@@ -180,6 +226,40 @@
         self._check_unsent()
         self._write_fragment()
 
+    def report(self, message: Message) -> None:
+        """Report a message as if the peer had sent it."""
+        self._hub.submit(PeerMessage(self.stream, message))
+
+    def grew(self, number: int, start: bytearray, size_bytes: int) -> None:
+        """Count a fragment of a message; there may be no room for it."""
+        part = self._parts.get(number)
+        if part is None:
+            known = request_of(memoryview(start)[_TIMESTAMP.size :])
+            part = _Part(self, number, known)
+            self._parts[number] = part
+        counted = self._hub.bytes_of(part)
+        if part.is_exchange:
+            counted.add(part, size_bytes)
+        else:
+            # Its loss would affect more than one request.
+            counted.keep(part, size_bytes)
+
+    def ended(self, number: int) -> None:
+        """Count a message no more that is complete or lost."""
+        part = self._parts.pop(number, None)
+        if part is not None:
+            self._hub.bytes_of(part).release(part)
+
+    def is_counted_elsewhere(self, number: int) -> bool:
+        """Return whether a message is a request."""
+        part = self._parts.get(number)
+        return part is not None and part.is_request
+
+    def discard(self, number: int) -> None:
+        """Discard a message under reassembly."""
+        self._parts.pop(number, None)
+        self._reader.discard(number)
+
     def fail_unsent(self, detail: str) -> None:
         """Abort the connection, as its peer does not read."""
         self.fail(Failure(Step.frame, self._peer_name(), detail))
@@ -251,11 +331,12 @@
                 Step.decode, f'{kind} from the accepting side'
             )
 
-    def _decode(self, payload: bytes) -> Message:
+    def _decode(self, payload: bytes | bytearray) -> Message:
         if len(payload) < _TIMESTAMP.size:
             raise self._protocol_error(Step.frame, 'message without timestamp')
         self._hub.observe(_TIMESTAMP.unpack_from(payload)[0])
-        return decode(payload[_TIMESTAMP.size :], self._peer_name())
+        content = memoryview(payload)[_TIMESTAMP.size :]
+        return decode(content, self._peer_name())
 
     def _receive_hello(self, message: Message) -> None:
         if not isinstance(message, Hello):
@@ -314,11 +395,19 @@
 
     def _check_unsent(self) -> None:
         unsent_bytes = self._unsent_bytes + self._writer.pending_bytes
-        if unsent_bytes > UNSENT_LIMIT_BYTES:
-            self.fail_unsent(f'more than {UNSENT_LIMIT_BYTES} bytes unsent')
+        limit_bytes = self._hub.unsent.stream_limit_bytes
+        if unsent_bytes > limit_bytes:
+            self.fail_unsent(f'more than {limit_bytes} bytes unsent')
         elif self._failure is None:
             self._hub.unsent.update(self, unsent_bytes)
 
+    def _has_room(self, message: Dispatch) -> bool:
+        """Return whether a request fits into the bytes that may be unsent."""
+        if len(message.body) <= FRAGMENT_BYTES:
+            return True
+        unsent_bytes = self._unsent_bytes + self._writer.pending_bytes
+        return self._hub.unsent.has_room(unsent_bytes, len(message.body))
+
     def _write_fragment(self) -> None:
         if self._paused or not self.connected or self._fragment_due:
             return
@@ -360,11 +449,33 @@
 class UnsentBytes:
     """Bytes that the peers of all streams have not read."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit_bytes: int) -> None:
         """Start without streams."""
         self.total_bytes = 0
+        self._limit_bytes = limit_bytes
         self._by_stream: dict[PeerStream, int] = {}
 
+    @property
+    def limit_bytes(self) -> int:
+        """Most bytes of all streams."""
+        return min(UNSENT_TOTAL_LIMIT_BYTES, self._limit_bytes)
+
+    @property
+    def stream_limit_bytes(self) -> int:
+        """Most bytes of one stream."""
+        return min(UNSENT_LIMIT_BYTES, self._limit_bytes // 2)
+
+    def has_room(self, stream_bytes: int, size_bytes: int) -> bool:
+        """Return whether a request may be sent on a stream.
+
+        ``stream_bytes`` are those that are unsent on the stream.
+        """
+        stream_part = self.stream_limit_bytes * UNSENT_REQUESTS_PCT // 100
+        total_part = self.limit_bytes * UNSENT_REQUESTS_PCT // 100
+        if stream_bytes + size_bytes > stream_part:
+            return False
+        return self.total_bytes + size_bytes <= total_part
+
     def update(self, stream: PeerStream, unsent_bytes: int) -> None:
         """Count those of a stream; above the limit, end the largest."""
         self.forget(stream)
@@ -372,10 +483,10 @@
             return
         self._by_stream[stream] = unsent_bytes
         self.total_bytes += unsent_bytes
-        while self.total_bytes > UNSENT_TOTAL_LIMIT_BYTES:
+        while self.total_bytes > self.limit_bytes:
             largest = max(self._by_stream, key=self._by_stream.__getitem__)
             largest.fail_unsent(
-                f'more than {UNSENT_TOTAL_LIMIT_BYTES} bytes unsent to all'
+                f'more than {self.limit_bytes} bytes unsent to all'
             )
 
     def forget(self, stream: PeerStream) -> None:
@@ -394,10 +505,13 @@
         counters: Counters,
         hybrid_clock: HybridClock,
         certificates: 'Certificates | None' = None,
+        limits: HostLimits = DEFAULT_LIMITS,
+        requests: RequestBytes | None = None,
     ) -> None:
         """Start without streams; events are reported through ``submit``.
 
         With ``certificates`` both ends of each stream must have one.
+        ``requests`` also counts requests that are not on streams.
         """
         self.certificates = certificates
         self._hybrid = hybrid_clock
@@ -405,7 +519,11 @@
         self.submit = submit
         self.next_hello = next_hello
         self.counters = counters
-        self.unsent = UnsentBytes()
+        self.unsent = UnsentBytes(limits.unsent_bytes)
+        self._requests = requests or RequestBytes(limits.request_bytes)
+        #: Responses and other messages of peers under reassembly.
+        self.incoming = RequestBytes(limits.incoming_bytes)
+        self._limits = limits
         self._streams: dict[StreamId, PeerStream] = {}
         self._last_stream = 0
         self._opening_addresses: set[str] = set()
@@ -487,7 +605,8 @@
 
     def accept(self) -> PeerStream | None:
         """Return a new inbound stream, or None if there are too many."""
-        if self._inbound_count >= INBOUND_LIMIT:
+        limit = min(INBOUND_LIMIT, self._limits.inbound_streams)
+        if self._inbound_count >= limit:
             self.counters.failed(
                 Failure(Step.listen, 'peers', 'too many inbound streams')
             )
@@ -495,6 +614,10 @@
         self._inbound_count += 1
         return PeerStream(self, '', DaemonId(''))
 
+    def bytes_of(self, part: _Part) -> RequestBytes:
+        """Return where a message under reassembly is counted."""
+        return self._requests if part.is_request else self.incoming
+
     def stamp(self) -> int:
         """Return the packed hybrid logical time for an outgoing message."""
         return self._hybrid.tick_packed()
