--- a/greengagemux/frames.py
+++ b/greengagemux/frames.py
@@ -20,8 +20,8 @@
 
 #: Largest payload of one frame; 32 KiB take about 9 ms at 30 Mbit/s.
 FRAGMENT_BYTES = 32 * 1024
-#: Largest message after reassembly.
-MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024
+#: Largest message after reassembly: the largest body and the rest of a request.
+MESSAGE_LIMIT_BYTES = 11 * 1024 * 1024
 #: Most messages under reassembly on one stream.
 PARTIAL_LIMIT = 64
 #: Long messages of one stream that are written by turns; the others wait, as a
@@ -29,19 +29,23 @@
 INTERLEAVED_LIMIT = PARTIAL_LIMIT // 2
 #: Most bytes under reassembly on one stream, except those of requests, which
 #: have a limit over all streams.
-PARTIAL_LIMIT_BYTES = 4 * MESSAGE_LIMIT_BYTES
+PARTIAL_LIMIT_BYTES = 32 * 1024 * 1024
 
 _MORE_FRAGMENTS = 1 << 31
 _LENGTH_MASK = _MORE_FRAGMENTS - 1
 
 
+#: Number of a message, bytes that precede it, and what is still to be written.
+_Unwritten = tuple[int, bytes, memoryview]
+
+
 class FrameWriter:
     """Splits messages into frames and interleaves the long ones."""
 
     def __init__(self) -> None:
         """Start without a message to write."""
-        self._long_messages: deque[tuple[int, memoryview]] = deque()
-        self._waiting: deque[tuple[int, memoryview]] = deque()
+        self._long_messages: deque[_Unwritten] = deque()
+        self._waiting: deque[_Unwritten] = deque()
         self._next_number = 1
         #: Bytes of long messages that are still to be written.
         self.pending_bytes = 0
@@ -51,20 +55,22 @@
         """Whether a long message still has fragments to write."""
         return bool(self._long_messages)
 
-    def frames(self, payload: bytes) -> bytes:
+    def frames(self, payload: bytes, prefix: bytes = b'') -> bytes:
         """Return the bytes to write now for a message.
 
         A payload that does not fit into one frame is queued, and the result
-        is empty; ``next_fragment`` returns its fragments.
+        is empty; ``next_fragment`` returns its fragments. ``prefix`` precedes
+        it; joining both would copy a large payload.
         """
-        if len(payload) + MESSAGE_NUMBER_BYTES <= FRAGMENT_BYTES:
-            size = len(payload) + MESSAGE_NUMBER_BYTES
-            return b''.join((_HEADER.pack(size), _NUMBER.pack(0), payload))
+        size = len(prefix) + len(payload) + MESSAGE_NUMBER_BYTES
+        if size <= FRAGMENT_BYTES:
+            header = _HEADER.pack(size)
+            return b''.join((header, _NUMBER.pack(0), prefix, payload))
         started = self._long_messages
         if len(started) >= INTERLEAVED_LIMIT:
             started = self._waiting
-        started.append((self._next_number, memoryview(payload)))
-        self.pending_bytes += len(payload)
+        started.append((self._next_number, prefix, memoryview(payload)))
+        self.pending_bytes += len(prefix) + len(payload)
         self._next_number = self._next_number % _LENGTH_MASK + 1
         return b''
 
@@ -75,18 +81,21 @@
         """
         if not self._long_messages:
             return b''
-        number, remaining = self._long_messages.popleft()
-        room = FRAGMENT_BYTES - MESSAGE_NUMBER_BYTES
+        number, prefix, remaining = self._long_messages.popleft()
+        room = FRAGMENT_BYTES - MESSAGE_NUMBER_BYTES - len(prefix)
         piece = remaining[:room]
         remaining = remaining[room:]
-        self.pending_bytes -= len(piece)
-        header = len(piece) + MESSAGE_NUMBER_BYTES
+        size = len(prefix) + len(piece)
+        self.pending_bytes -= size
+        header = size + MESSAGE_NUMBER_BYTES
         if remaining:
             header |= _MORE_FRAGMENTS
-            self._long_messages.append((number, remaining))
+            self._long_messages.append((number, b'', remaining))
         elif self._waiting:
             self._long_messages.append(self._waiting.popleft())
-        return b''.join((_HEADER.pack(header), _NUMBER.pack(number), piece))
+        return b''.join(
+            (_HEADER.pack(header), _NUMBER.pack(number), prefix, piece)
+        )
 
 
 class Reassembly(Protocol):
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -23,21 +23,21 @@
 from .events import CallerDisconnected, CallerRequest, Event
 from .ids import ExchangeId
 from .logs import log_event
-from .memory.limits import HostLimits, host_limits
+from .memory.limits import BODY_LIMIT_BYTES, HostLimits, host_limits
 from .memory.requests import RequestBytes
 from .outcomes import Outcome, Reason
 from .requests import refusal
 
 logger = logging.getLogger(__name__)
 
-#: Largest request body that is accepted; routes set lower limits.
-BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
 #: A connection that sends nothing for this long is closed, unless its caller
 #: waits for a response.
 IDLE_LIMIT: Final = timedelta(seconds=60)
-#: A request must be complete this long after its first byte. The check runs
-#: every second.
+#: A request must be complete this long after its first byte, or after each
+#: further ``READ_STEP_BYTES`` of its body. The check runs every second.
 READ_LIMIT: Final = timedelta(seconds=10)
+#: At 5.5 Mbit/s, the slowest link of a host, this takes 1.5 s.
+READ_STEP_BYTES: Final = 1024 * 1024
 #: Input is read and discarded for this long after the last response, unless the
 #: caller closes the connection. Closing it with unread input would reset it, and
 #: the caller might lose the response.
@@ -111,17 +111,20 @@
         """Refuse a request whose ``Content-Length`` exceeds the limit."""
         # twisted.web would spool large bodies to a file; hosts have no disk.
         self.content = BytesIO()
-        if length is not None and length > BODY_LIMIT_BYTES:
+        if length is not None and length > self._listener.body_limit_bytes:
             self._refuse(Reason.body_too_large, Cutoff.body_too_large)
 
     def handleContentChunk(self, data: bytes) -> None:
         """Collect the body up to the limit."""
         if self._refused:
             return
+        steps = self._received_bytes // READ_STEP_BYTES
         self._received_bytes += len(data)
-        if self._received_bytes > BODY_LIMIT_BYTES:
+        if self._received_bytes > self._listener.body_limit_bytes:
             self._refuse(Reason.body_too_large, Cutoff.body_too_large)
             return
+        if self._received_bytes // READ_STEP_BYTES > steps:
+            self._listener.restart_read_limit(self.channel)
         if self._received_bytes > self._counted_bytes:
             size_bytes = max(
                 COUNTED_BYTES, self._received_bytes - self._counted_bytes
@@ -689,6 +692,11 @@
         """Start the read time limit unless a request is being received."""
         self._receiving.setdefault(channel, self.clock.monotonic())
 
+    def restart_read_limit(self, channel: CallerChannel) -> None:
+        """Restart the read time limit of a large body that makes progress."""
+        if self._receiving.pop(channel, None) is not None:
+            self._receiving[channel] = self.clock.monotonic()
+
     def is_receiving(self, channel: CallerChannel) -> bool:
         """Return whether a request has been received in part."""
         return channel in self._receiving
@@ -711,6 +719,11 @@
         """Number of open caller connections."""
         return len(self._channels)
 
+    @property
+    def body_limit_bytes(self) -> int:
+        """Largest request body that is accepted; routes set lower limits."""
+        return min(BODY_LIMIT_BYTES, self._limits.body_bytes)
+
     @property
     def connection_limit(self) -> int:
         """Most caller connections."""
--- a/greengagemux/memory/limits.py
+++ b/greengagemux/memory/limits.py
@@ -25,15 +25,21 @@
 UNREAD_SHARE: Final = 0.146
 RETAINED_SHARE: Final = 0.073
 INCOMING_SHARE: Final = 0.07
-#: The rest is for requests, except for copies that exist while a request is
+#: The rest is for requests, except for copies that exist while one of them is
 #: decoded or encoded.
-REQUESTS_SHARE: Final = 0.85
+REQUESTS_SHARE: Final = 0.65
+#: Part of the room for copies that the largest body takes; a buffer that grows
+#: is up to an eighth larger than its content.
+BODY_SHARE: Final = 0.85
 _MEBIBYTE: Final = 1024 * 1024
 UNSENT_LIMIT_BYTES: Final = 64 * _MEBIBYTE
 RESPONSES_LIMIT_BYTES: Final = 32 * _MEBIBYTE
 UNREAD_LIMIT_BYTES: Final = 32 * _MEBIBYTE
 RETAINED_LIMIT_BYTES: Final = 16 * _MEBIBYTE
 INCOMING_LIMIT_BYTES: Final = 32 * _MEBIBYTE
+#: Largest body of a request on any host. It is the largest that fits on a host
+#: of 200 MB, as a request may run beside any host.
+BODY_LIMIT_BYTES: Final = 10 * _MEBIBYTE
 
 #: Descriptors of a host that are for files.
 FILE_DESCRIPTORS: Final = 200
@@ -54,6 +60,8 @@
 
     #: Requests from the first byte of a body until they are answered.
     request_bytes: int
+    #: Body of one request.
+    body_bytes: int
     #: Frames that peers have not read.
     unsent_bytes: int
     #: Unfinished responses of upstreams.
@@ -93,8 +101,12 @@
         retained_bytes,
         incoming_bytes,
     )
+    left_bytes = spare_bytes - sum(others)
+    request_bytes = int(REQUESTS_SHARE * left_bytes)
+    copies_bytes = left_bytes - request_bytes
     return HostLimits(
-        int(REQUESTS_SHARE * (spare_bytes - sum(others))),
+        request_bytes,
+        min(BODY_LIMIT_BYTES, int(BODY_SHARE * copies_bytes)),
         *others,
         connections=_part(max_fds, CALLERS_PCT, CONNECTION_LIMIT),
         inbound_streams=_part(max_fds, INBOUND_PCT, INBOUND_LIMIT),
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -17,13 +17,14 @@
     WeightedService,
 )
 from ..ids import BundleVersion, CallerName, RouteName, ServiceName
+from ..memory.limits import BODY_LIMIT_BYTES
 from ..messages import Priority
 from ..outcomes import Failure, FailureError, Step
 from ..routes import RouteTable
 from .settings import PlatformSettings
 
-#: Upper bound of the configured body limit: bodies are held in memory.
-BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
+#: Body limit of a configuration that states none.
+DEFAULT_BODY_LIMIT_BYTES: Final = 4 * 1024 * 1024
 #: Requests in flight from the callers of one host. The platform configures
 #: no such limit, so this one is high.
 IN_FLIGHT_LIMIT: Final = 100_000
@@ -113,7 +114,7 @@
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_body_bytes: int = BODY_LIMIT_BYTES
+    max_body_bytes: int = DEFAULT_BODY_LIMIT_BYTES
 
 
 class _Configuration(msgspec.Struct, frozen=True):
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -219,7 +219,7 @@
             )
             return
         stamp = _TIMESTAMP.pack(self._hub.stamp())
-        frames = self._writer.frames(stamp + encode(message))
+        frames = self._writer.frames(encode(message), stamp)
         if frames:
             self._write(frames)
             return
