Release refused bodies, and submit no earlier request again

Cause: a chunked body that was refused while its last bytes were parsed ended the request before it a second time, as the refused one had left the list of its connection. A body refused behind a running request stayed counted.

Evidence: test_refused_body_behind_a_running_request, seen failing (the first request was submitted again as that of the body).

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -325,6 +325,10 @@
         twisted.web would read it only after the response, so that pipelined
         requests would run one after another.
         """
+        if self._input_discarded:
+            # The request was refused while its last bytes were parsed, and the
+            # newest one left is an earlier one.
+            return
         super().allContentReceived()  # type: ignore[no-untyped-call]
         if self._ends_after_requests:
             self._input_discarded = True
@@ -493,6 +497,9 @@
         self._discard_input()
         self.listener.count_cutoff(why)
         self.listener.request_ended(self)
+        for unfinished in self.requests:
+            if not unfinished.complete:
+                unfinished.release()
         if any(each.complete for each in self.requests):
             # The responses to earlier requests come first, and the last one
             # tells the caller that later requests have not run.
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -397,6 +397,22 @@
         each.socket.close()
 
 
+@pytest.mark.parametrize('end', [b'\r\n0\r\n\r\n', b'zz'])
+def test_refused_body_behind_a_running_request(edge: _Edge, end: bytes) -> None:
+    """It must neither submit that request again nor count for ever."""
+    edge.listener.pipeline_limit = 4
+    edge.answers = False
+    size = edge.listener.body_limit_bytes + (1 if end != b'zz' else 0)
+    wire = b'GET /first HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a'
+    wire += b'\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n' % size
+    caller = Client(edge.port).send(wire + b'x' * size + end)
+    run_reactor_until(lambda: edge.cutoffs)
+    turn()
+    assert [each.target for each in edge.requests] == [b'/first']
+    assert not edge.listener.requests.held_bytes
+    caller.socket.close()
+
+
 def test_input_behind_a_running_request_is_counted(edge: _Edge) -> None:
     """Bytes behind a request that waits must not be without a bound."""
     edge.answers = False
