--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -11,6 +11,7 @@
 from ..addresses import Address
 from ..allotments.buckets import Tolerance
 from ..ids import DaemonId, DataCentre, Region, ServiceName
+from ..memory.limits import DEFAULT_MEMORY_MB
 from ..outcomes import Failure, FailureError, Step
 
 #: Environment variable with the path of the settings file.
@@ -23,6 +24,8 @@
 #: requests of a service.
 HEDGE_EXTRA_VARIABLE: Final = 'GREENGAGEMUX_HEDGE_EXTRA_PCT'
 HEDGE_EXTRA_PCT_MAX: Final = 100
+#: Longest limit of the host; longer ones are errors.
+LIMIT_DIGITS: Final = 9
 
 #: The platform's documented values, used where ``bounds`` lacks one.
 DEFAULT_BOUNDS: Final = MappingProxyType(
@@ -88,6 +91,10 @@
     #: Second attempts of slow requests, in percent of the requests of each
     #: service (``GREENGAGEMUX_HEDGE_EXTRA_PCT``).
     hedge_extra_pct: float = 0
+    #: Memory of the host (``limits.memory_mb``).
+    memory_mb: int = DEFAULT_MEMORY_MB
+    #: File descriptors of the host (``limits.max_fds``); None if not known.
+    max_fds: int | None = None
 
 
 def read_settings(path: Path | None = None) -> PlatformSettings:
@@ -134,6 +141,8 @@
             bounds=self._bounds(),
             regions=self._regions(),
             hedge_extra_pct=_hedge_extra_pct(),
+            memory_mb=self._limit('limits.memory_mb') or DEFAULT_MEMORY_MB,
+            max_fds=self._limit('limits.max_fds'),
         )
 
     def _text(self, key: str) -> str:
@@ -173,6 +182,16 @@
             if key.startswith(ZONE_PREFIX)
         )
 
+    def _limit(self, key: str) -> int | None:
+        """Return a limit of the host, None if the settings lack it."""
+        text = self._values.get(key, '').strip()
+        if not text:
+            return None
+        if not text.isdecimal() or len(text) > LIMIT_DIGITS or not int(text):
+            detail = f'{key} = {text!r}: allowed is a whole number above 0'
+            raise _failure(self._path, detail)
+        return int(text)
+
     def _bounds(self) -> Bounds:
         bounds = dict(DEFAULT_BOUNDS)
         for part in self._values.get('bounds', '').split(','):
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -9,6 +9,7 @@
 
 from .allotments.buckets import Tolerance
 from .allotments.clients import Allotments
+from .answers import RETAINED_LIMIT_BYTES
 from .clocks import ZERO
 from .poisonrequests import PoisonRequests
 from .crashes import CrashReports
@@ -114,6 +115,8 @@
     leave_after: timedelta = ZERO
     #: How far accounts may exceed their rates.
     tolerance: Tolerance = Tolerance()
+    #: Most bytes of answers kept for ingress daemons that lost their stream.
+    retained_bytes: int = RETAINED_LIMIT_BYTES
 
 
 class Daemon:
@@ -138,6 +141,7 @@
             self.crashes,
             options.announce_lease,
         )
+        self.egress.finished.limit_bytes = options.retained_bytes
         self.egress.local_upstreams.separate_health = options.episodes
         self.keyed = KeyedWrites(
             own,
