--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -579,6 +579,8 @@
             self._link.settle(
                 pending.route.name, attempt.link_bytes, len(message.body)
             )
+        elif pending.service.overflow:
+            self._link.observe(pending.route.name, len(message.body))
         if attempt.free_slot_only:
             self._overflow.found(attempt.candidate)
         self._throttles.accepted(throttle_key(pending), now)
--- a/greengagemux/placements.py
+++ b/greengagemux/placements.py
@@ -155,6 +155,8 @@
         pending = bounds.pending
         if not pending.service.overflow or not bounds.remote:
             return None
+        if not self._link.suits_overflow(pending.route.name):
+            return None
         if not far_tries_left(
             pending.full, pending.unopened, pending.queue_turns
         ):
--- a/greengagemux/regionlinks.py
+++ b/greengagemux/regionlinks.py
@@ -12,6 +12,10 @@
 OVERHEAD_BYTES: Final = 500
 #: Size assumed for the first response of a route.
 INITIAL_RESPONSE_BYTES: Final = 4096
+#: Mean response size of a route above which its requests do not overflow to
+#: another region. The link is billed by the byte, and a larger response takes as
+#: much of it as ten calls.
+OVERFLOW_RESPONSE_BYTES: Final = 40 * 1024
 #: Weight of the newest response in the mean response size of a route.
 SIZE_WEIGHT: Final = 0.2
 #: Unused budget accumulates up to the budget of this time.
@@ -76,10 +80,19 @@
     ) -> None:
         """Correct a charge of ``expected`` bytes by the response's size."""
         self._balance_bytes += expected - answer_bytes
+        self.observe(route, answer_bytes)
+
+    def observe(self, route: RouteName, answer_bytes: int) -> None:
+        """Update the mean response size of a route."""
         mean_bytes = self._mean_bytes.get(route, float(answer_bytes))
         mean_bytes += SIZE_WEIGHT * (answer_bytes - mean_bytes)
         self._mean_bytes[route] = mean_bytes
 
+    def suits_overflow(self, route: RouteName) -> bool:
+        """Return whether the responses of a route are small enough."""
+        mean_bytes = self._mean_bytes.get(route, INITIAL_RESPONSE_BYTES)
+        return mean_bytes <= OVERFLOW_RESPONSE_BYTES
+
     def _update_rate(self) -> None:
         self._bytes_per_ms = (
             self._region_kbit_s / _BITS_PER_BYTE / self._members
