--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -579,12 +579,7 @@
         now: timedelta,
     ) -> None:
         self._attempts.drop(pending, attempt)
-        if attempt.link_bytes:
-            self._link.settle(
-                pending.route.name, attempt.link_bytes, len(message.body)
-            )
-        elif pending.service.overflow:
-            self._link.observe(pending.route.name, len(message.body))
+        _settle_link(self._link, pending, attempt, len(message.body))
         if attempt.free_slot_only:
             self._overflow.found(attempt.candidate)
         self._throttles.accepted(throttle_key(pending), now)
@@ -987,6 +982,19 @@
     return max(1, min(route.deadline_ms, int(requested)))
 
 
+def _settle_link(
+    link: LinkBudget,
+    pending: PendingRequest,
+    attempt: Attempt,
+    response_bytes: int,
+) -> None:
+    """Correct the charge of an attempt, and note the size of its response."""
+    if attempt.link_bytes:
+        link.settle(pending.route.name, attempt.link_bytes, response_bytes)
+    elif pending.service.overflow:
+        link.observe(pending.route.name, response_bytes)
+
+
 def _upstream_headers(
     event: CallerRequest, admitted: Admitted, origin: str
 ) -> Headers:
