Place no request whose token comes after its deadline

After a pause of the ingress process the reply of the owner may be read before the tick that ends the request. It was then dispatched to an upstream with 1 ms left, and a write ended as unknown.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -255,6 +255,11 @@
         pending = verdict.pending
         if pending.done:
             return
+        if verdict.granted and now >= pending.deadline:
+            # After a pause of this process, the token may come before the
+            # tick that ends the request.
+            self._end_failed(pending, Reason.deadline)
+            return
         pending.awaits_token = False
         if verdict.granted:
             self._budgets[pending.route.service].earn()
--- a/tests/test_allotment_fleets.py
+++ b/tests/test_allotment_fleets.py
@@ -188,6 +188,27 @@
     assert not fleet.runs(b'late')
 
 
+def test_token_after_the_deadline_places_nothing() -> None:
+    """A paused daemon may read a token after the deadline of its request."""
+    short = LIMITED.replace('deadline_ms = 2000', 'deadline_ms = 80')
+    fleet = _limited(text=short)
+    owner = _owner(fleet)
+    ingress = next(name for name in fleet.nodes if name != owner)
+    fleet.cut(ingress, owner)
+    exchange = fleet.ask(ingress, b'late', b'/intake/1')
+    fleet.nodes[ingress].daemon.allotments.take_counts()
+    fleet.pause(ingress)
+    fleet.heal()
+    fleet.run(200)
+    fleet.resume(ingress)
+    counts = fleet.nodes[ingress].daemon.allotments.take_counts()
+    assert counts == {('granted', 'owner'): 1}
+    fleet.run(500)
+    assert not fleet.runs(b'late')
+    assert fleet.outcome(exchange) == 'not-run'
+    assert fleet.reason(exchange) == 'deadline'
+
+
 def test_account_without_a_rate_asks_nobody() -> None:
     """Without a rate nothing may change for an account."""
     fleet = started(3)
