Answer keyed writes without a token with an unknown outcome

At its deadline, and when the daemon ended, a keyed write that waited for a token was answered as not run. An earlier attempt with its key may have run; only the owner of the key knows.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -841,7 +841,8 @@
             self._end(pending, pending.fallback)
             return
         outcome = Outcome.not_run
-        if pending.may_have_run:
+        if pending.may_have_run or (pending.key and pending.awaits_token):
+            # Only the owner of its key knows whether an earlier attempt ran.
             outcome = Outcome.unknown
         retry_after_ms = self._throttles.retry_after_ms(throttle_key(pending))
         if reason is Reason.rate_limited:
--- a/tests/test_allotment_fleets.py
+++ b/tests/test_allotment_fleets.py
@@ -14,7 +14,7 @@
 )
 from greengagemux.bundles import ANONYMOUS
 from greengagemux.codecs import decode, encode
-from greengagemux.events import CallerDisconnected, StopRequested
+from greengagemux.events import CallerDisconnected, StopRequested, Tick
 from greengagemux.ids import CallerName, ExchangeId, Incarnation
 from greengagemux.messages import Message
 from greengagemux.platform import daemons
@@ -209,6 +209,27 @@
     assert fleet.reason(exchange) == 'deadline'
 
 
+def test_keyed_write_without_token_has_an_unknown_outcome() -> None:
+    """Only the owner of a key knows whether the write has run before."""
+    short = LIMITED.replace('deadline_ms = 2000', 'deadline_ms = 80')
+    fleet = _limited(text=short)
+    owner = _owner(fleet)
+    ingress = next(name for name in fleet.nodes if name != owner)
+    fleet.cut(ingress, owner)
+    late = fleet.ask(ingress, b'late', b'/intake/1', key=b'k1')
+    fleet.run(120)
+    assert fleet.reason(late) == 'deadline'
+    assert fleet.outcome(late) == 'unknown'
+    stopped = fleet.ask(ingress, b'stopped', b'/intake/1', key=b'k2')
+    plain = fleet.ask(ingress, b'plain', b'/intake/1')
+    fleet.nodes[ingress].daemon.ingress.stop(fleet.now)
+    fleet.nodes[ingress].submit(Tick(fleet.clock.wall()))
+    assert fleet.reason(stopped) == fleet.reason(plain) == 'draining'
+    assert fleet.outcome(stopped) == 'unknown'
+    assert fleet.outcome(plain) == 'not-run'
+    assert not fleet.nodes[ingress].daemon.allotments.waiting_count
+
+
 def test_account_without_a_rate_asks_nobody() -> None:
     """Without a rate nothing may change for an account."""
     fleet = started(3)
