--- a/greengagemux/allotments/clients.py
+++ b/greengagemux/allotments/clients.py
@@ -107,6 +107,7 @@
             for name, caller in bundle.callers.items()
             if caller.rate_per_s
         }
+        self._view.keep(limits)
         self._owned.configure(limits, now)
         self._shares.configure(limits, now)
 
--- a/greengagemux/allotments/views.py
+++ b/greengagemux/allotments/views.py
@@ -1,6 +1,6 @@
 """The members as one daemon sees them, and the owners that follow from it."""
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from datetime import timedelta
 from typing import Final
 
@@ -102,6 +102,12 @@
             self._owners[account] = known
         return known
 
+    def keep(self, accounts: Container[CallerName]) -> None:
+        """Forget the owners of all other accounts."""
+        for account in tuple(self._owners):
+            if account not in accounts:
+                self._owners.pop(account)
+
     def order(self, account: CallerName) -> list[DaemonId]:
         """Return the daemons in the order of an account, the owner first."""
         return sorted(
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -6,6 +6,9 @@
 import pytest
 from fakes_allotments import Fleet
 
+from greengagemux.bundles import Bundle, Caller
+from greengagemux.ids import BundleVersion, CallerName
+
 LIMITS = pytest.mark.parametrize(
     ('rate_per_s', 'burst'), [(40, 40), (5, 5), (5, 0)]
 )
@@ -205,3 +208,27 @@
     fleet.run(301)
     total = len(fleet.granted) + len(fleet.refused)
     assert len(fleet.refused) <= total / 1000
+
+
+def test_state_of_removed_accounts_is_dropped() -> None:
+    """Many configurations with changing accounts must not use up memory."""
+    fleet = Fleet(5, 5, size=3)
+    fleet.run(5)
+    host = fleet.hosts[0]
+    for number in range(20):
+        account = CallerName(f'account-{number}')
+        fleet.caller = Caller(account, rate_per_s=5, burst=5)
+        bundle = Bundle(
+            BundleVersion(2), BundleVersion(1), callers={account: fleet.caller}
+        )
+        for each in fleet.hosts:
+            each.allotments.configure(bundle, fleet.now)
+        fleet.ask(host)
+        fleet.run(1)
+    assert len(fleet.granted) == 20
+    for each in fleet.hosts:
+        assert not each.allotments.waiting_count
+        assert len(each.allotments._view._owners) <= 1
+        assert each.allotments.owned_count <= 1
+        assert len(each.allotments._owned._pools) <= 1
+        assert len(each.allotments._shares._buckets) <= 1
