Withhold no share of a rate for daemons that have left

A daemon stays among the live members for up to a minute after its planned stop. Its path had failed, so the owners withheld its share: a fifth of the rate in a fleet of five.

--- a/greengagemux/allotments/clients.py
+++ b/greengagemux/allotments/clients.py
@@ -11,7 +11,7 @@
 from ..effects import Outbox, Record, Send
 from ..ids import CallerName, DaemonId, ExchangeId, StreamId
 from ..messages import MemberRecord
-from ..paths import Paths, PathState
+from ..paths import Path, Paths, PathState
 from ..requests import PendingRequest
 from .buckets import Limit, Tolerance
 from .messages import Decision, TokenReply, TokenRequest
@@ -237,19 +237,30 @@
         return path is not None and path.state is PathState.failed
 
     def _count_reachable(self, now: timedelta) -> None:
-        """Count the live members without a failed path."""
+        """Count the live members that need no share of their own."""
         if self._owned.exhausted:
             self._owned.exhausted = False
             self._check_paths(now)
         failed = [
             path
             for path in self._paths.by_daemon.values()
-            if path.state is PathState.failed and path.daemon in self._view.live
+            if path.state is PathState.failed and self._may_grant(path)
         ]
         ended = frozenset(path.daemon for path in failed if path.refused)
         share = (len(self._view.live) - len(failed)) / self._view.size
         self._owned.reach(share, ended, now)
 
+    def _may_grant(self, path: Path) -> bool:
+        """Return whether a peer that cannot be reached may use its share.
+
+        A daemon that was leaving and refuses connections has ended. It stays
+        among the live members until its heartbeat expires.
+        """
+        record = self._view.live.get(path.daemon)
+        if record is None:
+            return False
+        return not (record.leaving and path.refused)
+
     def _check_paths(self, now: timedelta) -> None:
         """Let the paths to the members of the region be checked for silence.
 
--- a/tests/test_allotment_fleets.py
+++ b/tests/test_allotment_fleets.py
@@ -15,7 +15,7 @@
 from greengagemux.bundles import ANONYMOUS
 from greengagemux.codecs import decode, encode
 from greengagemux.events import CallerDisconnected, StopRequested, Tick
-from greengagemux.ids import CallerName, ExchangeId, Incarnation
+from greengagemux.ids import CallerName, DaemonId, ExchangeId, Incarnation
 from greengagemux.messages import Message
 from greengagemux.platform import daemons
 
@@ -348,3 +348,20 @@
     assert all(exchange in fleet.answers for exchange in asked)
     assert _owner(fleet) != owner
     assert _most_in_window(fleet) <= ALLOWED
+
+
+def test_daemon_that_left_costs_no_share_of_the_rate() -> None:
+    """The share of a process that has left and ended is not withheld."""
+    fleet = _limited()
+    owner = _owner(fleet)
+    names = [name for name in fleet.nodes if name != owner]
+    fleet.nodes[names[0]].submit(StopRequested())
+    fleet.run(5000)
+    assert not fleet.nodes[names[0]].alive
+    daemon = fleet.nodes[owner].daemon
+    assert daemon.members.live()[DaemonId(names[0])].leaving
+    _load(fleet, names[1:], 60, 6)
+    fleet.run_times.clear()
+    _load(fleet, names[1:], 60, 5)
+    granted = sum(len(runs) for runs in fleet.run_times.values())
+    assert RATE_PER_S * 5 * 0.95 <= granted <= ALLOWED
