Forget the tries and skipped regions of services that are gone

The memory of overflow was kept for every service that any configuration had named. The doc comment of the service options names the region, as tries cover it since.

--- a/greengagemux/bundles.py
+++ b/greengagemux/bundles.py
@@ -165,7 +165,7 @@
     internal queries that run. A second attempt of an idempotent request
     starts once the first has lasted ``hedge_pct`` of its expected time. With
     ``fair`` the accounts of callers get equal shares of the slots. Before a
-    request is queued, ``free_slot_tries`` upstreams of the data centre of its
+    request is queued, ``free_slot_tries`` upstreams of the region of its
     ingress are tried for a free slot. With ``overflow`` fewer are tried while
     nearly all refuse, and then upstreams of other regions. With ``calls_wait``
     requests that other upstreams make while they run one may wait until their
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -164,6 +164,7 @@
         """Apply a new bundle; pending requests keep their old route."""
         self._accounts.configure(bundle)
         self._call_routes.keep(bundle.routes)
+        self._overflow.keep(bundle.services)
         self._link.configure(bundle.region_link_kbit_s)
         self._steady_retries.per_s = bundle.retries_per_s
         for name, service in bundle.services.items():
--- a/greengagemux/overflow/decisions.py
+++ b/greengagemux/overflow/decisions.py
@@ -4,7 +4,7 @@
 is remembered here is lost with the process. Holds no transport.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Container, Iterable
 from datetime import timedelta
 from random import Random
 from typing import Final
@@ -71,6 +71,13 @@
         if candidate.nearness is Nearness.other_region:
             self._regions.lost(candidate.service, candidate.region, now)
 
+    def keep(self, services: Container[ServiceName]) -> None:
+        """Forget all other services."""
+        self._regions.keep(services)
+        for service in tuple(self._trials):
+            if service not in services:
+                self._trials.pop(service)
+
     def choose_far(
         self, candidates: Iterable[Candidate], now: timedelta
     ) -> Candidate | None:
--- a/greengagemux/overflow/regions.py
+++ b/greengagemux/overflow/regions.py
@@ -4,6 +4,7 @@
 would cost messages between regions. Holds no transport.
 """
 
+from collections.abc import Container
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
@@ -63,3 +64,9 @@
     def found(self, service: ServiceName, region: Region) -> None:
         """Stop skipping a region in which a slot was free."""
         self._pauses.pop((service, region), None)
+
+    def keep(self, services: Container[ServiceName]) -> None:
+        """Forget the pauses of all other services."""
+        for service, region in tuple(self._pauses):
+            if service not in services:
+                self._pauses.pop((service, region))
--- a/tests/test_overflow.py
+++ b/tests/test_overflow.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from fakes_fleet import BUNDLE, started
 
 from greengagemux.bundles import Service
 from greengagemux.clocks import ZERO, ms
@@ -213,3 +214,38 @@
     for _ in range(100):
         link.refund(link.charge('route', 0))
     assert link.allows(Priority.waiting, timedelta(seconds=1))
+
+
+def test_state_of_removed_services_is_dropped() -> None:
+    """Many configurations with changing services must not use up memory."""
+    overflow = Overflow(Random(1))
+    far = _candidate('a')
+    near = _candidate('b', NEAR)
+    for _ in range(100):
+        overflow.tries(SERVICE, ZERO)
+        overflow.sent(near, ZERO)
+        overflow.refused(near, ZERO)
+    overflow.refused(far, ZERO)
+    overflow.keep({SERVICE.name})
+    assert overflow.tries(SERVICE, ZERO) < TRIES
+    assert not _is_tried(overflow, far, 0)
+    overflow.keep(set())
+    assert overflow.tries(SERVICE, ZERO) == TRIES
+    assert _is_tried(overflow, far, 0)
+
+
+def test_bundle_without_a_service_drops_its_state() -> None:
+    """The ingress must pass on which services are left."""
+    fleet = started(1)
+    overflow = fleet.nodes['d0'].daemon.ingress._overflow
+    overflow.sent(_candidate('b', NEAR), ZERO)
+    overflow.refused(_candidate('a'), ZERO)
+    fleet.publish(
+        BUNDLE.replace('version = 1', 'version = 2').replace(
+            'follows = 0', 'follows = 1'
+        )
+    )
+    fleet.run(3000)
+    assert fleet.nodes['d0'].daemon.distribution.bundle.version == 2
+    assert not overflow._trials
+    assert not overflow._regions._pauses
