Open the buckets of an owner anew after a long pause of its process

A paused owner is lost after a minute, and another daemon owns its accounts. When it ran again its buckets were full besides: 492 requests in 5 s with 20 a second and burst 200, 350 allowed.

--- a/greengagemux/allotments/clients.py
+++ b/greengagemux/allotments/clients.py
@@ -10,6 +10,7 @@
 from ..clocks import ZERO
 from ..effects import Outbox, Record, Send
 from ..ids import CallerName, DaemonId, ExchangeId, StreamId
+from ..membertables import HEARTBEAT_EXPIRY
 from ..messages import MemberRecord
 from ..paths import Path, Paths, PathState
 from ..requests import PendingRequest
@@ -26,6 +27,9 @@
 ASK_LIMIT: Final = 5
 #: A daemon that has not replied in time is not asked for this long.
 SILENT_TIME: Final = timedelta(seconds=2)
+#: A pause of the process after which others may have taken it for lost and
+#: owned its accounts: half of the time in which a heartbeat expires.
+LONG_PAUSE: Final = HEARTBEAT_EXPIRY / 2
 #: Interval at which the members that can be reached are counted.
 REACH_INTERVAL: Final = timedelta(milliseconds=500)
 #: Minimum time between two log lines about the refusals of an account.
@@ -74,6 +78,7 @@
         self._silent_until: dict[DaemonId, timedelta] = {}
         self._waiting: dict[ExchangeId, _Waiting] = {}
         self._refusals: dict[CallerName, _Refusals] = {}
+        self._active_at = ZERO
         self._reach_due = ZERO
         self._summary_due = ZERO
         #: Decisions that have not been applied yet.
@@ -123,6 +128,7 @@
 
     def ask(self, pending: PendingRequest, now: timedelta) -> None:
         """Begin to decide on a request; ``verdicts`` gets the decision."""
+        self._notice(now)
         waiting = _Waiting(pending, pending.caller.name)
         self._waiting[pending.exchange] = waiting
         if self._view.joined_at is not None:
@@ -136,6 +142,7 @@
         now: timedelta,
     ) -> None:
         """Decide on a request of another ingress."""
+        self._notice(now)
         found = self._owned.decide(message.account, sender, now)
         reply = TokenReply(
             message.exchange, found.decision, found.wait_ms, found.pooled
@@ -164,6 +171,7 @@
 
     def tick(self, now: timedelta) -> None:
         """Decide on requests that have waited too long, and log refusals."""
+        self._notice(now)
         self._view.tick(now)
         if now >= self._reach_due:
             self._reach_due = now + REACH_INTERVAL
@@ -175,6 +183,12 @@
             self._summary_due = now + SUMMARY_INTERVAL
             self._log_refusals()
 
+    def _notice(self, now: timedelta) -> None:
+        """Note that the process runs, and whether it was paused before."""
+        if now - self._active_at >= LONG_PAUSE:
+            self._owned.resumed(now)
+        self._active_at = now
+
     def _check(self, waiting: _Waiting, now: timedelta) -> None:
         if waiting.pending.done:
             self._waiting.pop(waiting.pending.exchange)
--- a/greengagemux/allotments/owners.py
+++ b/greengagemux/allotments/owners.py
@@ -32,7 +32,8 @@
         self._view = view
         self._tolerance = tolerance
         self._limits: Mapping[CallerName, Limit] = {}
-        self._configured_at = timedelta()
+        #: Time from which a new bucket earns tokens at the earliest.
+        self._earns_from = timedelta()
         self._reachable_share: float = 1
         self._ended: frozenset[DaemonId] = frozenset()
         self._buckets: dict[CallerName, TokenBucket] = {}
@@ -51,7 +52,7 @@
         if limits == self._limits:
             return
         self._limits = limits
-        self._configured_at = now
+        self._earns_from = now
         for account in tuple(self._buckets):
             if account not in limits:
                 self._buckets.pop(account)
@@ -74,6 +75,14 @@
             self._pools[account] = pool
         self._change_buckets(now)
 
+    def resumed(self, now: timedelta) -> None:
+        """Drop all buckets after a pause in which others may have owned them.
+
+        Each is opened again as after a change of owner.
+        """
+        self._buckets.clear()
+        self._earns_from = now
+
     def reach(
         self, share: float, ended: frozenset[DaemonId], now: timedelta
     ) -> None:
@@ -146,7 +155,7 @@
             limit.rate_per_s * self._reachable_share,
             self._capacity(limit),
             max(0, self._tolerance.half(limit) * live_share - pooled),
-            max(since, self._configured_at),
+            max(since, self._earns_from),
         )
 
     def _change_buckets(self, now: timedelta) -> None:
--- a/tests/test_allotment_fleets.py
+++ b/tests/test_allotment_fleets.py
@@ -365,3 +365,21 @@
     _load(fleet, names[1:], 60, 5)
     granted = sum(len(runs) for runs in fleet.run_times.values())
     assert RATE_PER_S * 5 * 0.95 <= granted <= ALLOWED
+
+
+def test_owner_that_was_paused_stays_within_the_limit() -> None:
+    """Another daemon may have granted the burst during the pause."""
+    burst = 200
+    fleet = _limited(text=LIMITED.replace('burst = 10', f'burst = {burst}'))
+    owner = _owner(fleet)
+    names = [name for name in fleet.nodes if name != owner]
+    fleet.run(10_000)
+    _load(fleet, list(fleet.nodes), 1, 2)
+    fleet.pause(owner)
+    fleet.run(67_000)
+    _load(fleet, names, 200, 3)
+    fleet.resume(owner)
+    _load(fleet, list(fleet.nodes), 200, 6)
+    fleet.run(1000)
+    allowed = (RATE_PER_S * 5 + burst) * 1.1 + 20
+    assert _most_in_window(fleet) <= allowed
