--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -167,6 +167,7 @@
         self._accounts.configure(bundle)
         self._call_routes.keep(bundle.routes)
         self._seconds.configure(bundle.services)
+        self._overflow.keep(bundle.services)
         self._link.configure(bundle.region_link_kbit_s)
         self._steady_retries.per_s = bundle.retries_per_s
         for name, service in bundle.services.items():
@@ -259,6 +260,11 @@
         pending = verdict.pending
         if pending.done:
             return
+        if verdict.granted and now >= pending.deadline:
+            # After a pause of this process, the token may come before the
+            # tick that ends the request.
+            self._end_failed(pending, Reason.deadline)
+            return
         pending.awaits_token = False
         if verdict.granted:
             self._budgets[pending.route.service].earn()
@@ -841,7 +847,8 @@
             self._end(pending, pending.fallback)
             return
         outcome = Outcome.not_run
-        if pending.may_have_run:
+        if pending.may_have_run or (pending.key and pending.awaits_token):
+            # Only the owner of its key knows whether an earlier attempt ran.
             outcome = Outcome.unknown
         retry_after_ms = self._throttles.retry_after_ms(throttle_key(pending))
         if reason is Reason.rate_limited:
--- a/tests/test_allotment_fleets.py
+++ b/tests/test_allotment_fleets.py
@@ -14,8 +14,8 @@
 )
 from greengagemux.bundles import ANONYMOUS
 from greengagemux.codecs import decode, encode
-from greengagemux.events import CallerDisconnected, StopRequested
-from greengagemux.ids import CallerName, ExchangeId, Incarnation
+from greengagemux.events import CallerDisconnected, StopRequested, Tick
+from greengagemux.ids import CallerName, DaemonId, ExchangeId, Incarnation
 from greengagemux.messages import Message
 from greengagemux.platform import daemons
 
@@ -188,6 +188,48 @@
     assert not fleet.runs(b'late')
 
 
+def test_token_after_the_deadline_places_nothing() -> None:
+    """A paused daemon may read a token after the deadline of its request."""
+    short = LIMITED.replace('deadline_ms = 2000', 'deadline_ms = 80')
+    fleet = _limited(text=short)
+    owner = _owner(fleet)
+    ingress = next(name for name in fleet.nodes if name != owner)
+    fleet.cut(ingress, owner)
+    exchange = fleet.ask(ingress, b'late', b'/intake/1')
+    fleet.nodes[ingress].daemon.allotments.take_counts()
+    fleet.pause(ingress)
+    fleet.heal()
+    fleet.run(200)
+    fleet.resume(ingress)
+    counts = fleet.nodes[ingress].daemon.allotments.take_counts()
+    assert counts == {('granted', 'owner'): 1}
+    fleet.run(500)
+    assert not fleet.runs(b'late')
+    assert fleet.outcome(exchange) == 'not-run'
+    assert fleet.reason(exchange) == 'deadline'
+
+
+def test_keyed_write_without_token_has_an_unknown_outcome() -> None:
+    """Only the owner of a key knows whether the write has run before."""
+    short = LIMITED.replace('deadline_ms = 2000', 'deadline_ms = 80')
+    fleet = _limited(text=short)
+    owner = _owner(fleet)
+    ingress = next(name for name in fleet.nodes if name != owner)
+    fleet.cut(ingress, owner)
+    late = fleet.ask(ingress, b'late', b'/intake/1', key=b'k1')
+    fleet.run(120)
+    assert fleet.reason(late) == 'deadline'
+    assert fleet.outcome(late) == 'unknown'
+    stopped = fleet.ask(ingress, b'stopped', b'/intake/1', key=b'k2')
+    plain = fleet.ask(ingress, b'plain', b'/intake/1')
+    fleet.nodes[ingress].daemon.ingress.stop(fleet.now)
+    fleet.nodes[ingress].submit(Tick(fleet.clock.wall()))
+    assert fleet.reason(stopped) == fleet.reason(plain) == 'draining'
+    assert fleet.outcome(stopped) == 'unknown'
+    assert fleet.outcome(plain) == 'not-run'
+    assert not fleet.nodes[ingress].daemon.allotments.waiting_count
+
+
 def test_account_without_a_rate_asks_nobody() -> None:
     """Without a rate nothing may change for an account."""
     fleet = started(3)
@@ -306,3 +348,38 @@
     assert all(exchange in fleet.answers for exchange in asked)
     assert _owner(fleet) != owner
     assert _most_in_window(fleet) <= ALLOWED
+
+
+def test_daemon_that_left_costs_no_share_of_the_rate() -> None:
+    """The share of a process that has left and ended is not withheld."""
+    fleet = _limited()
+    owner = _owner(fleet)
+    names = [name for name in fleet.nodes if name != owner]
+    fleet.nodes[names[0]].submit(StopRequested())
+    fleet.run(5000)
+    assert not fleet.nodes[names[0]].alive
+    daemon = fleet.nodes[owner].daemon
+    assert daemon.members.live()[DaemonId(names[0])].leaving
+    _load(fleet, names[1:], 60, 6)
+    fleet.run_times.clear()
+    _load(fleet, names[1:], 60, 5)
+    granted = sum(len(runs) for runs in fleet.run_times.values())
+    assert RATE_PER_S * 5 * 0.95 <= granted <= ALLOWED
+
+
+def test_owner_that_was_paused_stays_within_the_limit() -> None:
+    """Another daemon may have granted the burst during the pause."""
+    burst = 200
+    fleet = _limited(text=LIMITED.replace('burst = 10', f'burst = {burst}'))
+    owner = _owner(fleet)
+    names = [name for name in fleet.nodes if name != owner]
+    fleet.run(10_000)
+    _load(fleet, list(fleet.nodes), 1, 2)
+    fleet.pause(owner)
+    fleet.run(67_000)
+    _load(fleet, names, 200, 3)
+    fleet.resume(owner)
+    _load(fleet, list(fleet.nodes), 200, 6)
+    fleet.run(1000)
+    allowed = (RATE_PER_S * 5 + burst) * 1.1 + 20
+    assert _most_in_window(fleet) <= allowed
