Explain where a request would go without sending it

Command explain and GET /explain show route, account, priority, services, tiers and candidates, and the reason if none would be selected. The decision reads copies and functions without side effects, and simulates selections with random numbers of its own, so that counters, budgets, cached medians, paths and the random state of the daemon stay as they are.

The daemon of the users' platform gets no such endpoint: its page has no authentication, and account names and limits would be open to anyone.

--- a/greengagemux/accounts/admission.py
+++ b/greengagemux/accounts/admission.py
@@ -37,6 +37,16 @@
         """Version of the bundle in force, 0 before the first one."""
         return self._bundle.version if self._bundle else 0
 
+    @property
+    def bundle(self) -> Bundle | None:
+        """Bundle in force, None before the first one."""
+        return self._bundle
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Index of the bundle in force, None before the first one."""
+        return self._table
+
     def configure(self, bundle: Bundle) -> None:
         """Apply a new bundle."""
         self._bundle = bundle
@@ -76,7 +86,7 @@
             return Reason.unauthorized
         if len(event.body) > route.body_limit_bytes:
             return Reason.body_too_large
-        if self._over_limit(caller):
+        if self.over_limit(caller):
             return Reason.caller_limit
         return Admitted(
             caller, route, priority(caller, route), self._account_of(caller)
@@ -116,7 +126,8 @@
             # Thousands of accounts are idle at any time and need no entry.
             self._in_flight.pop(key)
 
-    def _over_limit(self, caller: Caller) -> bool:
+    def over_limit(self, caller: Caller) -> bool:
+        """Return whether a caller or its team has too many in flight."""
         if self._in_flight[caller.name] >= caller.max_in_flight:
             return True
         if self._bundle is None or caller.team is None:
--- a/greengagemux/administration.py
+++ b/greengagemux/administration.py
@@ -9,7 +9,7 @@
 import json
 import logging
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from http import HTTPStatus
 from ipaddress import IPv6Address, ip_address
 from typing import Any, Final, Literal, Protocol
@@ -21,6 +21,7 @@
 from twisted.web.resource import Resource
 
 from .addresses import ADDRESS_RULE, NAME_PATTERN, NAME_RULE, Address
+from .explanations.decisions import Explanation, Question
 from .events import Announced, Event, StopRequested
 from .ids import BundleVersion, LogOffset, ServiceName, UpstreamId
 from .messages import UpstreamState
@@ -85,6 +86,9 @@
     def bundle(self) -> BundleView:
         """Return the bundle in force and the newest rejected records."""
 
+    def explain(self, question: Question) -> Explanation:
+        """Return where a request would be placed, without sending it."""
+
     def submit(self, event: Event) -> None:
         """Hand an event to the reducer."""
 
@@ -200,6 +204,7 @@
             '/metrics': (_GET, self._show_metrics),
             '/state': (_GET, self._state),
             '/bundle': (_GET, self._bundle),
+            '/explain': (_GET, self._explain),
             '/announce': (_POST, self._announce),
             '/drain': (_POST, self._drain),
         }
@@ -267,6 +272,10 @@
         self._check_read_access(request)
         return _json(self._daemon.bundle())
 
+    def _explain(self, request: server.Request) -> _Response:
+        self._check_read_access(request)
+        return _json(self._daemon.explain(_parse_question(request)))
+
     def _announce(self, request: server.Request) -> _Response:
         if not self._is_own_host(_client_host(request)):
             self._check_token(request)
@@ -356,6 +365,27 @@
     return b'' if request.content is None else request.content.read()
 
 
+def _parse_question(request: server.Request) -> Question:
+    """Return the request to explain.
+
+    An error shows no name or value that was sent, as it may be an API key.
+    """
+    try:
+        return Question(
+            **{
+                name.decode(): text.decode()
+                for name, (text,) in request.args.items()
+            }
+        )
+    except (TypeError, ValueError) as error:
+        allowed = ', '.join(each.name for each in fields(Question))
+        raise _RequestError(
+            HTTPStatus.BAD_REQUEST,
+            f'the parameters are {allowed}, each at most once; '
+            'host and path are required',
+        ) from error
+
+
 def _parse_announcement(body: bytes) -> Announcement:
     try:
         content = json.loads(body)
@@ -370,9 +400,9 @@
     try:
         announced = Announcement.model_validate(content)
     except ValidationError as error:
-        fields = [str(detail['loc'][0]) for detail in error.errors()]
+        names = [str(detail['loc'][0]) for detail in error.errors()]
         raise _bad_announcement(
-            _problem(name, content.get(name)) for name in fields
+            _problem(name, content.get(name)) for name in names
         ) from error
     try:
         Address.parse(announced.address)
--- a/greengagemux/baselines.py
+++ b/greengagemux/baselines.py
@@ -69,6 +69,13 @@
             self._medians[excluding] = median
         return median
 
+    def current_median(self) -> float:
+        """Return the same as ``median`` without caching it."""
+        known = self._medians.get(None)
+        if known is not None:
+            return known
+        return _median(self._latest, None, MEDIAN_MIN)
+
     def forget(self, upstream: UpstreamId) -> None:
         remaining = [each for each in self._latest if each[0] != upstream]
         self._latest = deque(remaining, maxlen=MEDIAN_WINDOW)
@@ -177,6 +184,16 @@
         median_ms = times.median() if times else 0
         return median_ms or self._reported_ms.get(route, 0)
 
+    def shown_usual_ms(self, route: RouteName) -> float:
+        """Return the same as ``usual_ms`` without a change of state.
+
+        A cached median stays in use until the next refresh, so caching one
+        early would change later results.
+        """
+        times = self._routes.get(route)
+        median_ms = times.current_median() if times else 0
+        return median_ms or self._reported_ms.get(route, 0)
+
     def forget(self, upstream: UpstreamId) -> None:
         """Remove the service times of an upstream that has left."""
         for times in self._routes.values():
--- a/greengagemux/candidates.py
+++ b/greengagemux/candidates.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -85,6 +86,22 @@
                 self._set_queued(candidate, priority)
         return view
 
+    def copies(
+        self, service: ServiceName, priority: Priority
+    ) -> tuple[Candidate, ...]:
+        """Return copies of the candidates as ``view_of`` would show them.
+
+        The candidates keep their queue lengths, and an unknown service is not
+        added.
+        """
+        view = self.views.get(service)
+        copied = (
+            [replace(each) for each in view.candidates.values()] if view else []
+        )
+        for candidate in copied:
+            self._set_queued(candidate, priority)
+        return tuple(copied)
+
     def receive_health(self, update: HealthUpdate, now: timedelta) -> None:
         """Apply the health states that an egress reports."""
         for entry in update.entries:
--- a/greengagemux/cli.py
+++ b/greengagemux/cli.py
@@ -1,9 +1,11 @@
 """Command line of the daemon and its operators."""
 
+from collections.abc import Callable
 from importlib import import_module, util
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Final
+from urllib.parse import urlencode
 
 import click
 
@@ -128,6 +130,42 @@
         commands.print_content({str(admin): state}, as_json=as_json)
 
 
+def _explain_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that name the daemon and describe the request."""
+    options = (
+        commands.admin_option,
+        click.option(
+            '--host', required=True, help='Virtual host, without a port.'
+        ),
+        click.option('--path', required=True, help='Path of the request.'),
+        click.option('--method', default='GET', show_default=True),
+        click.option(
+            '--account', default='', help='Name of the account, never a key.'
+        ),
+    )
+    for option in reversed(options):
+        command = option(command)
+    return command
+
+
+@main.command(epilog=commands.EXIT_CODES)
+@_explain_options
+@commands.authority_option
+@commands.token_option
+@commands.json_option
+def explain(
+    admin: Address,
+    token_file: Path | None,
+    as_json: bool,
+    **question: str,
+) -> None:
+    """Print where a request would go now, and why, without sending it."""
+    token = commands.read_token(token_file)
+    query = urlencode(question)
+    content = commands.call_daemon('GET', admin, f'/explain?{query}', token)
+    commands.print_content(content, as_json=as_json)
+
+
 main.add_command(bundlecommands.bundle)
 main.add_command(timeline)
 main.add_command(verify)
--- a/greengagemux/daemons.py
+++ b/greengagemux/daemons.py
@@ -9,6 +9,8 @@
 from .certificates import Certificates
 from .clocks import ms
 from .effects import Record
+from .explanations.decisions import Explanation, Question, explain
+from .explanations.views import IngressView
 from .ids import DaemonId, DataCentre, Incarnation, Region
 from .listeners import listen
 from .logclients import LogClient, build_agent
@@ -85,6 +87,12 @@
         """Return upstreams with reasons, bundle, members and streams."""
         return state_of(self.daemon, self._clock.monotonic())
 
+    def explain(self, question: Question) -> Explanation:
+        """Return where a request would be placed, without sending it."""
+        parts = self.daemon.ingress.placement_parts
+        view = IngressView(parts, self._clock.monotonic())
+        return explain(view, question)
+
     def bundle(self) -> BundleView:
         """Return the bundle in force and the newest rejected records."""
         return bundle_of(self.daemon)
--- /dev/null
+++ b/greengagemux/explanations/__init__.py
@@ -0,0 +1,1 @@
+"""Explanations of where a request would be placed, without sending it."""
--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -34,6 +34,7 @@
 )
 from .keyed import KeyedWrites
 from .egress import Egress
+from .explanations.views import PlacementParts
 from .hedging.second import SecondAttempts
 from .nestedcalls.detection import CallRoutes
 from .messages import (
@@ -154,6 +155,16 @@
         self._deadlines: list[tuple[timedelta, ExchangeId]] = []
         #: New requests of accounts with a limited rate.
         self.without_token: list[PendingRequest] = []
+        #: What decides on placements, for explanations.
+        self.placement_parts = PlacementParts(
+            self._accounts,
+            self.candidates,
+            self._link,
+            paths,
+            self._baselines,
+            self._throttles,
+            own.daemon,
+        )
         #: Set once a planned stop has begun and its notice is over.
         self.stop_window: StopWindow | None = None
 
--- a/greengagemux/placements.py
+++ b/greengagemux/placements.py
@@ -295,12 +295,18 @@
     A part of what is left until its target latency after its service time;
     without a target or a known service time, any wait is accepted.
     """
-    target_ms = pending.route.target_ms
-    if not target_ms or not pending.usual_ms:
+    return patience_left_ms(
+        pending.route.target_ms, pending.usual_ms, in_ms(now - pending.arrived)
+    )
+
+
+def patience_left_ms(
+    target_ms: float, usual_ms: float, waited_ms: float = 0
+) -> float:
+    """Return the accepted wait of a request that has waited ``waited_ms``."""
+    if not target_ms or not usual_ms:
         return math.inf
-    waited_ms = in_ms(now - pending.arrived)
-    left_ms = target_ms - waited_ms - pending.usual_ms
-    return max(0, left_ms * WAIT_SHARE)
+    return max(0, (target_ms - waited_ms - usual_ms) * WAIT_SHARE)
 
 
 def has_other_region(usable_set: UsableSet) -> bool:
--- a/greengagemux/regionlinks.py
+++ b/greengagemux/regionlinks.py
@@ -57,10 +57,14 @@
     def allows(self, priority: Priority, now: timedelta) -> bool:
         """Return whether a priority class may use the link now."""
         self._refill(now)
+        return self.would_allow(priority, now)
+
+    def would_allow(self, priority: Priority, now: timedelta) -> bool:
+        """Return the same as ``allows`` without a change of state."""
         reserved_bytes = (
             RESERVED_SHARES[priority] * self._bytes_per_ms * BURST_MS
         )
-        return self._balance_bytes > reserved_bytes
+        return self._balance_at(now) > reserved_bytes
 
     def charge(self, route: RouteName, body_bytes: int) -> float:
         """Charge a request and its response.
@@ -102,9 +106,11 @@
         )
 
     def _refill(self, now: timedelta) -> None:
-        elapsed_ms = in_ms(now - self._refilled_at)
+        self._balance_bytes = self._balance_at(now)
         self._refilled_at = now
-        refill_bytes = elapsed_ms * self._bytes_per_ms
-        self._balance_bytes = min(
+
+    def _balance_at(self, now: timedelta) -> float:
+        refill_bytes = in_ms(now - self._refilled_at) * self._bytes_per_ms
+        return min(
             self._balance_bytes + refill_bytes, self._bytes_per_ms * BURST_MS
         )
--- a/greengagemux/routes.py
+++ b/greengagemux/routes.py
@@ -8,7 +8,7 @@
 from urllib.parse import unquote_to_bytes
 
 from . import headers as names
-from .accounts.keys import digest_key
+from .accounts.keys import Credentials, digest_key
 from .bundles import ANONYMOUS, Bundle, Caller, Route, Steps, finish
 from .messages import Headers, Priority
 from .outcomes import Reason
@@ -91,6 +91,12 @@
             return Reason.method_not_allowed
         return route
 
+    def needs_key(self, route: Route) -> bool:
+        """Return whether a request of a route must name an account."""
+        if self.credentials is Credentials.api_key:
+            return self._has_keys and not route.public
+        return self._anonymous is None
+
     def identify(self, headers: Headers) -> Caller | Reason:
         """Return the caller account that the bearer token belongs to.
 
--- a/greengagemux/selection.py
+++ b/greengagemux/selection.py
@@ -421,6 +421,11 @@
     return min(remaining, key=_cost, default=None)
 
 
+def by_cost(candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Return candidates in the order in which a tier prefers them."""
+    return sorted(candidates, key=_cost)
+
+
 def accepts(
     candidate: Candidate,
     excluded: Collection[UpstreamId],
--- a/greengagemux/throttles.py
+++ b/greengagemux/throttles.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Hashable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from random import Random
 from typing import Final
@@ -79,6 +79,15 @@
         counts.requests += 1
         return False
 
+    def refused_share(self, key: Hashable, now: timedelta) -> float:
+        """Return the share of requests that ``admit`` refuses, 0 to 1."""
+        counts = self._counts.get(key)
+        if counts is None:
+            return 0
+        aged = replace(counts)
+        aged.age(now)
+        return aged.excess()
+
     def accepted(self, key: Hashable, now: timedelta) -> None:
         """Count a request that no egress refused as overloaded."""
         counts = self._counts.get(key)
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -14,6 +14,7 @@
 
 from greengagemux import administration
 from greengagemux.addresses import Address
+from greengagemux.explanations.decisions import Explanation, Question
 from greengagemux.events import Announced, Event, StopRequested
 from greengagemux.ids import BundleVersion, LogOffset
 from greengagemux.messages import UpstreamState
@@ -48,6 +49,9 @@
     def bundle(self) -> administration.BundleView:
         return self.view
 
+    def explain(self, question: Question) -> Explanation:
+        return Explanation(route=question.path, priority=question.method)
+
     def submit(self, event: Event) -> None:
         self.events.append(event)
 
@@ -170,7 +174,9 @@
     assert not client.daemon.events
 
 
-@pytest.mark.parametrize('path', ['/metrics', '/state', '/bundle'])
+@pytest.mark.parametrize(
+    'path', ['/metrics', '/state', '/bundle', '/explain?host=h&path=/a']
+)
 def test_reads_need_the_token(path: str) -> None:
     """State, bundle and metrics must not be shown without the token."""
     client = _Client()
@@ -181,6 +187,35 @@
     assert client.call(f'GET {path}', basic)[0] == 401
 
 
+def test_explanation_has_the_parameters_of_the_query() -> None:
+    """Encoded parameters must reach the decision as they were meant."""
+    client = _Client()
+    target = 'GET /explain?host=h&path=%2Fa%20b&method=POST'
+    status, content = client.call(target, _BEARER)
+    assert status == 200
+    shown = json.loads(content)
+    assert (shown['route'], shown['priority']) == ('/a b', 'POST')
+
+
+@pytest.mark.parametrize(
+    'query',
+    [
+        '',
+        '?host=h',
+        '?host=h&path=/&api_key=hkmgjq',
+        '?host=h&path=/&path=/hkmgjq',
+        '?host=h&path=/hkmgjq%ff',
+    ],
+)
+def test_bad_explain_query_is_refused_without_its_values(query: str) -> None:
+    """A key that is sent by mistake must not be repeated in the error."""
+    client = _Client()
+    status, content = client.call(f'GET /explain{query}', _BEARER)
+    assert status == 400
+    assert 'host and path are required' in content
+    assert 'hkmgjq' not in content
+
+
 def test_drain_needs_the_token() -> None:
     """Only an operator may stop a daemon."""
     client = _Client()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from types import ModuleType
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 import pytest
 from click.testing import CliRunner, Result
@@ -262,6 +263,47 @@
     assert 'version: 4' in result.stdout
 
 
+def test_explain_sends_the_question_and_prints_the_reply(
+    peer: _ScriptedServer,
+) -> None:
+    """Path and host must be encoded, and the reply be safe to print."""
+    reply = {'route': 'stock', 'services': [{'why': 'slow\x1b[2J'}]}
+    peer.script_responses((200, reply), (200, reply))
+    words = ('explain', '--admin', peer.address, '--host', 'shop.example')
+    request = ('--path', '/a b?c=&d', '--method', 'POST', '--account', 'n&s')
+    result = _run(*words, *request)
+    assert result.exit_code == 0
+    assert 'route: stock' in result.stdout
+    assert '\x1b' not in result.stdout
+    target, token, _body = peer.seen[0]
+    assert token == 'Bearer secret'
+    assert parse_qs(urlsplit(target).query, strict_parsing=True) == {
+        'host': ['shop.example'],
+        'path': ['/a b?c=&d'],
+        'method': ['POST'],
+        'account': ['n&s'],
+    }
+    result = _run(*words, '--path', '/', '--json')
+    assert json.loads(result.stdout) == reply
+
+
+def test_explain_takes_no_key(peer: _ScriptedServer) -> None:
+    """Other users of the host can see the command line."""
+    words = ('explain', '--admin', peer.address, '--host', 'h', '--path', '/')
+    assert _run(*words, '--api-key', 'k').exit_code == 2
+    assert not peer.seen
+
+
+def test_explain_tells_refusal_from_outage(peer: _ScriptedServer) -> None:
+    """A refused token and a stopped daemon need different actions."""
+    peer.script_responses((401, {'error': 'a valid token is required'}))
+    stopped = _ScriptedServer()
+    stopped.stop()
+    words = ('explain', '--host', 'h', '--path', '/', '--admin')
+    assert _run(*words, peer.address).exit_code == 1
+    assert _run(*words, stopped.address).exit_code == 3
+
+
 def test_foreign_reply_is_refused_clearly(peer: _ScriptedServer) -> None:
     """A response that no daemon sends must give an error, no stack trace."""
     for content in ([], 'text', {}):
