--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -211,7 +211,9 @@
                 # other upstreams; which host they enter at says nothing.
                 fair=False,
                 free_slot_tries=FREE_SLOT_TRIES,
-                calls_wait=has_downloads,
+                # Callers that have accounts allow their requests several times
+                # the wait of a call; without that, late answers cost more.
+                calls_wait=bool(configuration.tenants),
                 time_shares=has_downloads,
                 overflow=self._overflow,
                 hedge_extra_pct=self._hedge_extra_pct,
