State each limit of held bytes and connections once

The limits of a host repeated five figures of listeners, streams, connections and answers, which had to stay equal; these modules take them from greengagemux.memory.limits now.

--- a/greengagemux/answers.py
+++ b/greengagemux/answers.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from .ids import DaemonId, Incarnation, RequestId
+from .memory import limits as memory_limits
 from .messages import Answer, Refusal
 from .outcomes import Outcome, Reason
 
@@ -17,7 +18,7 @@
 #: that passed its deadline.
 RECORD_MARGIN = timedelta(seconds=1)
 #: Most bytes of answers kept; beyond it only the outcome is kept.
-RETAINED_LIMIT_BYTES = 16 * 1024 * 1024
+RETAINED_LIMIT_BYTES = memory_limits.RETAINED_LIMIT_BYTES
 
 
 @dataclass(frozen=True, slots=True)
--- a/greengagemux/connections.py
+++ b/greengagemux/connections.py
@@ -34,6 +34,7 @@
     UpstreamStated,
 )
 from .ids import CallId, UpstreamId
+from .memory.limits import RESPONSES_LIMIT_BYTES
 from .messages import Headers
 from .outcomes import Failure, Step
 from .sockets import enable_keep_alive
@@ -57,7 +58,7 @@
 #: responses before it, which could otherwise come without end.
 HEAD_LIMIT_BYTES: Final = 64 * 1024
 #: Most bytes of unfinished responses that all connections hold together.
-HELD_LIMIT_BYTES: Final = 32 * 1024 * 1024
+HELD_LIMIT_BYTES: Final = RESPONSES_LIMIT_BYTES
 #: Responses to other requests before that to the current one. Each request gets
 #: one response, so only a few late ones can come before it.
 MAX_SKIPPED_RESPONSES: Final = 16
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -23,6 +23,7 @@
 from .events import CallerDisconnected, CallerRequest, Event
 from .ids import ExchangeId
 from .logs import log_event
+from .memory import limits as memory_limits
 from .memory.limits import BODY_LIMIT_BYTES, HostLimits, host_limits
 from .memory.requests import RequestBytes
 from .outcomes import Outcome, Reason
@@ -47,11 +48,11 @@
 UNREAD_LIMIT_BYTES: Final = 4 * 1024 * 1024
 #: Most bytes of responses that all callers together leave unread or that wait
 #: for earlier responses; above it, the connection with most of them is cut off.
-UNREAD_TOTAL_LIMIT_BYTES: Final = 32 * 1024 * 1024
+UNREAD_TOTAL_LIMIT_BYTES: Final = memory_limits.UNREAD_LIMIT_BYTES
 #: Connections that the kernel queues until this process accepts them.
 BACKLOG: Final = 1024
 #: Caller connections beyond this are closed at once.
-CONNECTION_LIMIT: Final = 20_000
+CONNECTION_LIMIT: Final = memory_limits.CONNECTION_LIMIT
 #: Bytes of a request are counted in steps of this size, as a chunk of one byte
 #: would otherwise cost as much as a large one.
 COUNTED_BYTES: Final = 4096
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -33,6 +33,7 @@
 from .ids import DaemonId, RequestId, StreamId
 from .listeners import listen
 from .logs import HybridClock
+from .memory import limits as memory_limits
 from .memory.limits import HostLimits, host_limits
 from .memory.requests import RequestBytes
 from .messages import (
@@ -59,7 +60,7 @@
 UNSENT_LIMIT_BYTES = 32 * 1024 * 1024
 #: Most unsent bytes of all streams; above it, the stream with most of them is
 #: closed.
-UNSENT_TOTAL_LIMIT_BYTES = 64 * 1024 * 1024
+UNSENT_TOTAL_LIMIT_BYTES = memory_limits.UNSENT_LIMIT_BYTES
 #: Part of the limits of unsent bytes, in percent, that requests may use. A
 #: request without room is refused, while anything else would end the stream.
 UNSENT_REQUESTS_PCT = 75
@@ -71,7 +72,7 @@
 HELLO_LIMIT_BYTES = 4096
 #: Most inbound streams; more are closed at once. Each of 650 peers needs one,
 #: and a second one while a silent stream is replaced.
-INBOUND_LIMIT = 2000
+INBOUND_LIMIT = memory_limits.INBOUND_LIMIT
 
 _NAME = re.compile(NAME_PATTERN)
 #: Types that are sent only by the ingress daemon of a request, on streams that
