Look for nested calls only where they may wait

Every request of every deployment was tested for being a call of the local upstream, although the result is used only with the option calls_wait.

--- a/greengagemux/ingress.py
+++ b/greengagemux/ingress.py
@@ -218,6 +218,7 @@
             return
         caller = admitted.caller
         route = self._splits.choose(admitted.route)
+        service = self._accounts.service(route.service)
         limit_ms = _deadline_ms(event, route)
         pending = PendingRequest(
             exchange=event.exchange,
@@ -232,11 +233,12 @@
             deadline=now + ms(limit_ms),
             host=event.host.encode(),
             tag=event.tag,
-            service=self._accounts.service(route.service),
+            service=service,
             usual_ms=self._baselines.usual_ms(route.name),
             key=_key_of(event, route) if self._keyed.enabled else '',
             key_service=admitted.route.service,
-            nested_call=self._call_routes.arrived(
+            nested_call=service.calls_wait
+            and self._call_routes.arrived(
                 route.name, self._egress.local_upstreams.running_count
             ),
         )
--- a/greengagemux/platform/configurations.py
+++ b/greengagemux/platform/configurations.py
@@ -211,8 +211,8 @@
                 # other upstreams; which host they enter at says nothing.
                 fair=False,
                 free_slot_tries=FREE_SLOT_TRIES,
-                # Callers that have accounts allow their requests several times
-                # the wait of a call; without that, late answers cost more.
+                # Served more callers only where accounts exist; see
+                # docs/design/nested-calls.md.
                 calls_wait=bool(configuration.tenants),
                 time_shares=has_downloads,
                 overflow=self._overflow,
