--- a/review/kit-2/harness.py
+++ b/review/kit-2/harness.py
@@ -339,6 +339,7 @@
             closed = asyncio.create_task(reader.read(1))
             done, _ = await asyncio.wait({closed}, timeout=min(work_s, limit_s))
             if done:
+                closed.exception()
                 self.cut.append((self.journal.now(), request))
                 self.journal(f'run {request} cut off at {self.instance}')
                 return False
@@ -347,8 +348,8 @@
             self.running -= 1
         try:
             await closed
-        except asyncio.CancelledError:
-            """No input has come; the connection is still in use."""
+        except (asyncio.CancelledError, ConnectionError):
+            """No input has come, or the next write finds the reset."""
         status = 200 if work_s <= limit_s else 504
         seal = ('Response-Seal', '3e1b.07.5a2.600.0.c9f2a4d1')
         writer.write(response(status, content, [echo, seal, load]))
@@ -615,11 +616,14 @@
         return '\r\n'.join(head).encode() + b'\r\n\r\n' + self.body
 
 
-async def ask_all(machine, calls, deadline_ms=2000, read_bytes_per_s=0):
+async def ask_all(
+    machine, calls, deadline_ms=2000, read_bytes_per_s=0, alone=0
+):
     """Send requests at once on a new connection and return their answers.
 
     With ``read_bytes_per_s`` the client reads that slowly, over a link with
-    ordinary packets and a small window.
+    ordinary packets and a small window. The first ``alone`` requests and the one
+    after them are sent only after the answer to the one before.
     """
     journal = machine.fleet.journal
     answers = [Answer() for _ in calls]
@@ -641,13 +645,17 @@
             await loop.sock_connect(
                 sock, (machine.address, machine.fleet.ports['outbound'])
             )
-            for call in calls:
-                await loop.sock_sendall(sock, call.encode(deadline_ms))
-                journal(
-                    f'sent {call.request} to {machine.name}:'
-                    f' {call.method} {call.path}'
-                )
+            sent = 0
             while place < len(calls):
+                last = place + 1 if place < alone else len(calls)
+                for call in calls[sent:last]:
+                    answers[sent].sent_at = journal.now()
+                    await loop.sock_sendall(sock, call.encode(deadline_ms))
+                    journal(
+                        f'sent {call.request} to {machine.name}:'
+                        f' {call.method} {call.path}'
+                    )
+                    sent += 1
                 size = 65536
                 if read_bytes_per_s:
                     await asyncio.sleep(0.02)
