--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,14 +23,14 @@
 WORK_S = 0.25
 DEADLINE_MS = 2000
 #: Time from the ack of the goodbye to the kill, and to the new start.
-KILL_AFTER_S = 0.3
+KILL_AFTER_S = float(os.environ.get('KILL_AFTER_S', '0.3'))
 START_AFTER_S = 1.3
 #: Time from the ack to the arrival of the late check-in.
 LATE_S = 3.5
 #: Time from the ack to the exit of the server.
 EXIT_AFTER_S = 10.0
 SEND_EVERY_S = 0.1
-#: Names of the machines that are killed; all by default.
+#: How many machines are killed, first that of the server; all by default.
 KILLED = int(os.environ.get('KILLED', '3'))
 
 
