Record departures in the log before they are acknowledged

Cause: an acknowledged departure was kept in memory and at peers only. Where all processes end, or the one that acknowledged ends before its message has left, nobody remembers.

A departure that names its boot is now appended to a topic of the store, and acknowledged once the store has it. It takes effect at once, as before. A daemon reads the records of its host when it starts; until then a check-in is held back, unless the upstream goes on to announce itself.

--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from .ids import (
+    AnnouncementId,
     CallId,
     DaemonId,
     ExchangeId,
@@ -119,12 +120,13 @@
     """Append a record to a log stream.
 
     In a stream that keeps the newest record of each key, an empty payload
-    deletes the ``key``.
+    deletes the ``key``. Without a ``timeout`` that of the client applies.
     """
 
     stream: str
     payload: bytes
     key: str = ''
+    timeout: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,13 +134,26 @@
     """Read a log stream from ``start``; wait up to ``wait`` for records.
 
     ``restores`` is that of the read which gave this offset. If the log has
-    gone back since, the newest records are read instead.
+    gone back since, the newest records are read instead. The ``timeout`` counts
+    beyond ``wait``; without it that of the client applies.
     """
 
     stream: str
     start: LogOffset
     wait: timedelta
     restores: int | None = None
+    timeout: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledge:
+    """Respond to an announcement of an upstream.
+
+    One that is not ``accepted`` is to be repeated.
+    """
+
+    announcement: AnnouncementId
+    accepted: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +210,7 @@
     | AbortCall
     | AppendLog
     | ReadLog
+    | Acknowledge
     | Record
     | StepFailed
     | Continue
--- a/greengagemux/events.py
+++ b/greengagemux/events.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from .ids import (
+    AnnouncementId,
     CallId,
     DaemonId,
     ExchangeId,
@@ -170,7 +171,8 @@
     announcement of one boot; 0 if the upstream does not number them. After
     the ``last`` one, announcements of the same boot and of earlier ones are
     ignored. A last one may come without a known boot: with ``boot_limit``, the
-    boot that has ended is not later than ``boot``.
+    boot that has ended is not later than ``boot``. One with an
+    ``announcement`` is responded to by ``Acknowledge``.
     """
 
     upstream: UpstreamId
@@ -182,6 +184,7 @@
     sequence: int = 0
     last: bool = False
     boot_limit: bool = False
+    announcement: AnnouncementId | None = None
 
     @property
     def departs(self) -> bool:
--- a/greengagemux/handlers.py
+++ b/greengagemux/handlers.py
@@ -11,7 +11,7 @@
 from .attempts import is_via_owner
 from .effects import Send
 from .events import Announced
-from .ids import DaemonId, StreamId
+from .ids import DaemonId, StreamId, UpstreamId
 from .messages import (
     Answer,
     BundleFetch,
@@ -148,19 +148,28 @@
     own = [each for each in message.records if each.daemon == daemon.own.daemon]
     for record in own:
         for each in record.upstreams:
-            known = daemon.egress.upstreams.get(each.upstream)
-            if not each.leaving or (known is not None and known.leaving):
-                continue
-            ended = Announced(
-                upstream=each.upstream,
-                service=each.service,
-                address=known.address if known else '',
-                slots=each.slots,
-                state=UpstreamState.draining,
-                boot=each.boot,
-                last=True,
-            )
-            daemon.egress.announce(ended, now)
+            if each.leaving:
+                end_boot(daemon, each.upstream, each.boot, now)
+
+
+def end_boot(
+    daemon: 'Daemon', upstream: UpstreamId, boot: int, now: timedelta
+) -> None:
+    """Apply a departure that an earlier process has acknowledged."""
+    known = daemon.egress.upstreams.get(upstream)
+    if known is None:
+        daemon.egress.local_upstreams.remember_ended(upstream, boot)
+    elif not known.leaving:
+        ended = Announced(
+            upstream=upstream,
+            service=known.service,
+            address=known.address,
+            slots=known.slots,
+            state=UpstreamState.draining,
+            boot=boot,
+            last=True,
+        )
+        daemon.egress.announce(ended, now)
 
 
 @receive.register(Suspects)
--- a/greengagemux/ids.py
+++ b/greengagemux/ids.py
@@ -22,4 +22,8 @@
 StreamId = NewType('StreamId', int)
 #: Offset of a record in a stream of the log.
 LogOffset = NewType('LogOffset', int)
+#: One announcement of an upstream, unique within a process.
+AnnouncementId = NewType('AnnouncementId', int)
+#: Place of a record among the departures beside one daemon.
+SlotNumber = NewType('SlotNumber', int)
 BundleVersion = NewType('BundleVersion', int)
--- a/greengagemux/logclients.py
+++ b/greengagemux/logclients.py
@@ -166,7 +166,7 @@
                 b'GET',
                 f'{self._address(effect.stream)}?{query}',
                 None,
-                effect.wait + RESPONSE_TIMEOUT,
+                effect.wait + (effect.timeout or RESPONSE_TIMEOUT),
             )
         except _TooLargeError:
             # A single record always fits into the limit.
@@ -180,7 +180,7 @@
             b'POST',
             self._address(effect.stream),
             effect.payload,
-            RESPONSE_TIMEOUT,
+            effect.timeout or RESPONSE_TIMEOUT,
         )
         offset = LogOffset(_receipts.decode(reply.body).offset)
         return LogAppended(effect.stream, offset, effect.payload)
--- a/greengagemux/platform/daemons.py
+++ b/greengagemux/platform/daemons.py
@@ -5,10 +5,12 @@
 from pathlib import Path
 from random import Random
 from typing import Final
+from zlib import crc32
 
 from ..approvals import ApprovedSource
 from ..clocks import ms
 from ..connections import UpstreamCalls
+from ..departures import records as departures
 from ..effects import Record
 from ..ids import Incarnation
 from ..listeners import CallerListener, listen
@@ -85,6 +87,11 @@
             f'http://{settings.log_address}',
             self.submit,
         )
+        self._log.partitions = {
+            departures.STREAM: _partition_of(settings),
+        }
+        self._announcements = Announcements(settings, self.apply, self._clock)
+        self._acknowledge = self._announcements.acknowledge
 
     def start(self) -> None:
         """Listen and start the timers; raises ``CannotListenError``."""
@@ -92,14 +99,13 @@
         self._ports.append(self._hub.listen(settings.peer_address))
         readiness = Server(self._reactor, Readiness(self.daemon.ready))
         metrics = Server(self._reactor, MetricsPage(self.metrics), METRICS_TYPE)
-        announcements = Announcements(settings, self.apply, self._clock)
         self._ports += [
             listen(self._reactor, settings.ready_address, readiness, None),
             listen(self._reactor, settings.admin_address, metrics, None),
             listen(
                 self._reactor,
                 settings.announce_address,
-                Server(self._reactor, announcements),
+                Server(self._reactor, self._announcements),
                 None,
             ),
         ]
@@ -169,6 +175,7 @@
         stop_limit=ms(1000 * STOP_SHARE * settings.bounds.grace_s),
         keyed=False,
         discovers=True,
+        records_departures=True,
         episodes=True,
         tick=TICK,
         announce_lease=ANNOUNCE_LEASE,
@@ -180,5 +187,13 @@
     return Daemon(options, source, Random(f'{own.daemon}/{incarnation}'))
 
 
+def _partition_of(settings: PlatformSettings) -> int:
+    """Return the partition of this daemon's departures.
+
+    A daemon reads a whole partition when it starts.
+    """
+    return crc32(settings.daemon.encode()) % settings.log_parts
+
+
 def _limits_of(settings: PlatformSettings) -> HostLimits:
     return host_limits(settings.memory_mb, settings.max_fds)
--- a/greengagemux/platform/servers.py
+++ b/greengagemux/platform/servers.py
@@ -2,16 +2,19 @@
 
 import logging
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from io import BytesIO
 from typing import Annotated, Any, Final
 
 import msgspec
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IAddress
 from twisted.web import http
 
 from ..clocks import Clock
+from ..effects import Acknowledge
 from ..events import Announced, Event
-from ..ids import ServiceName, UpstreamId
+from ..ids import AnnouncementId, ServiceName, UpstreamId
 from ..messages import UpstreamState
 from ..metrics import Metrics
 from .settings import PlatformSettings
@@ -65,6 +68,10 @@
 _decoder: Final = msgspec.json.Decoder(_Announcement)
 
 
+#: Status and body of a response.
+Reply = tuple[int, bytes]
+
+
 class _Exchange(http.Request):
     """One request, answered by the handler of the server."""
 
@@ -93,7 +100,17 @@
         self.uri = path
         self.clientproto = version
         handler = self.channel.factory.handler
-        status, body = handler(command, path, self.content.getvalue())
+        reply = handler(command, path, self.content.getvalue())
+        if isinstance(reply, Deferred):
+            reply.addCallback(self._respond)
+            return
+        self._respond(reply)
+
+    def _respond(self, reply: Reply) -> None:
+        """Write the response, unless the connection has closed meanwhile."""
+        if self.channel is None:
+            return
+        status, body = reply
         self.setResponseCode(status)
         for name, content in self.channel.factory.headers().items():
             self.responseHeaders.setRawHeaders(name, [content])
@@ -113,8 +130,8 @@
     requestFactory: Any = _Exchange
 
 
-#: Returns the response's status and body for a request's method, path and body.
-Handler = Callable[[bytes, bytes, bytes], tuple[int, bytes]]
+#: Returns the response to a request's method, path and body, also later.
+Handler = Callable[[bytes, bytes, bytes], Reply | Deferred[Reply]]
 
 
 class Server(http.HTTPFactory):
@@ -157,9 +174,7 @@
         """Call ``ready`` for each request; it returns the state and why."""
         self._ready = ready
 
-    def __call__(
-        self, method: bytes, path: bytes, body: bytes
-    ) -> tuple[int, bytes]:
+    def __call__(self, method: bytes, path: bytes, body: bytes) -> Reply:
         """Return 200 while the daemon accepts callers, otherwise 503."""
         if method != b'GET' or path != READY_PATH:
             return http.NOT_FOUND, b'{}'
@@ -175,9 +190,7 @@
         """Serve these metrics."""
         self._metrics = metrics
 
-    def __call__(
-        self, method: bytes, path: bytes, body: bytes
-    ) -> tuple[int, bytes]:
+    def __call__(self, method: bytes, path: bytes, body: bytes) -> Reply:
         """Return the metrics in the Prometheus text format."""
         if method != b'GET' or path != METRICS_PATH:
             return http.NOT_FOUND, b''
@@ -200,14 +213,17 @@
         self._settings = settings
         self._submit = submit
         self._clock = clock
+        self._last_announcement = 0
+        self._unanswered: dict[AnnouncementId, Deferred[Reply]] = {}
 
     def __call__(
         self, method: bytes, path: bytes, body: bytes
-    ) -> tuple[int, bytes]:
+    ) -> Reply | Deferred[Reply]:
         """Return 200 once the announcement has taken effect.
 
-        An invalid one gets 400 with the reason, another method 405, and one
-        that has failed to take effect 500.
+        For a departure that is once the log holds it, and 503 if that takes too
+        long. An invalid one gets 400 with the reason, another method 405, and
+        one that has failed to take effect 500.
         """
         if not path.startswith(INSTANCES_PATH):
             return http.NOT_FOUND, b'{}'
@@ -253,10 +269,23 @@
             )
         )
 
-    def _apply(self, event: Announced) -> tuple[int, bytes]:
+    def acknowledge(self, effect: Acknowledge) -> None:
+        """Respond to an announcement; an unknown one is ignored."""
+        answered = self._unanswered.pop(effect.announcement, None)
+        if answered is None:
+            return
+        status = http.OK if effect.accepted else http.SERVICE_UNAVAILABLE
+        answered.callback((status, b'{}'))
+
+    def _apply(self, event: Announced) -> Reply | Deferred[Reply]:
         """Acknowledge an announcement only if it has taken effect."""
-        if self._submit(event):
-            return http.OK, b'{}'
+        self._last_announcement += 1
+        announcement = AnnouncementId(self._last_announcement)
+        answered: Deferred[Reply] = Deferred()
+        self._unanswered[announcement] = answered
+        if self._submit(replace(event, announcement=announcement)):
+            return answered
+        self._unanswered.pop(announcement, None)
         return http.INTERNAL_SERVER_ERROR, b'{}'
 
     def _departure(self, upstream: UpstreamId, body: bytes) -> Announced:
@@ -277,7 +306,7 @@
             boot_limit=not born,
         )
 
-    def _reject(self, upstream: str, reason: str) -> tuple[int, bytes]:
+    def _reject(self, upstream: str, reason: str) -> Reply:
         logger.warning(
             'rejected the announcement of upstream %s: %s', upstream, reason
         )
--- a/greengagemux/platform/settings.py
+++ b/greengagemux/platform/settings.py
@@ -95,6 +95,8 @@
     memory_mb: int = DEFAULT_MEMORY_MB
     #: File descriptors of the host (``limits.max_fds``); None if not known.
     max_fds: int | None = None
+    #: Partitions of a topic of the metadata store (``platform.parts``).
+    log_parts: int = 1
 
 
 def read_settings(path: Path | None = None) -> PlatformSettings:
@@ -143,6 +145,7 @@
             hedge_extra_pct=_hedge_extra_pct(),
             memory_mb=self._limit('limits.memory_mb') or DEFAULT_MEMORY_MB,
             max_fds=self._limit('limits.max_fds'),
+            log_parts=self._limit('platform.parts') or 1,
         )
 
     def _text(self, key: str) -> str:
--- a/greengagemux/platform/stores.py
+++ b/greengagemux/platform/stores.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store, which serves as the daemon's log."""
 
 from base64 import b64decode
+from collections.abc import Mapping
 from dataclasses import replace
 from datetime import timedelta
 from struct import Struct
@@ -11,6 +12,7 @@
 import msgspec
 
 from .. import approvals, discoveries
+from ..departures import records as departures
 from ..effects import AppendLog, ReadLog
 from ..events import LogAppended, LogRead, LogRecord
 from ..ids import LogOffset
@@ -21,6 +23,7 @@
     {
         approvals.STREAM: 'keyed.op',
         discoveries.STREAM: 'keyed.greengagemux-members',
+        departures.STREAM: 'keyed.greengagemux-departures',
     }
 )
 #: The only key read from a stream; other streams are read whole.
@@ -68,12 +71,15 @@
 class StoreClient(LogClient):
     """Carries out reads and appends of the streams kept in the store."""
 
+    #: Partition of each stream that has more than one; the first one elsewhere.
+    partitions: Mapping[str, int] = MappingProxyType({})
+
     async def _read_page(self, effect: ReadLog) -> LogRead:
-        topic = TOPICS[effect.stream]
         if not effect.start:
-            return await self._newest(effect, topic)
+            return await self._newest(effect)
         wait_ms = int(effect.wait.total_seconds() * 1000)
-        query = f'topic={topic}&part=0&from={effect.start}&wait_ms={wait_ms}'
+        query = f'{self._partition(effect.stream)}&from={effect.start}'
+        query = f'{query}&wait_ms={wait_ms}'
         limit_kb = READ_LIMITS_KB.get(effect.stream)
         if limit_kb:
             query = f'{query}&max_kb={limit_kb}'
@@ -82,39 +88,39 @@
                 b'GET',
                 f'{self._url}/api/log-read?{query}',
                 None,
-                effect.wait + READ_MARGIN,
+                effect.wait + (effect.timeout or READ_MARGIN),
             )
         except StatusError as error:
             if error.status != _GONE:
                 raise
             # Records from this offset on have been compacted away or lost,
             # but the newest record of each key is still there.
-            return await self._newest(effect, topic)
+            return await self._newest(effect)
         if reply.restores != effect.restores:
             # The offset is one of the history that the store has lost.
-            return await self._newest(effect, topic)
+            return await self._newest(effect)
         return replace(
             _decode_read(effect, reply.body), restores=reply.restores
         )
 
-    async def _newest(self, effect: ReadLog, topic: str) -> LogRead:
+    async def _newest(self, effect: ReadLog) -> LogRead:
         records: list[LogRecord] = []
         end = 0
         after = ''
         restores: int | None = None
         while True:
-            query = f'topic={topic}&part=0'
+            query = self._partition(effect.stream)
             if after:
                 query = f'{query}&after={quote(after, safe="")}'
             reply = await self._call(
                 b'GET',
                 f'{self._url}/api/log-newest?{query}',
                 None,
-                RESPONSE_TIMEOUT,
+                effect.timeout or RESPONSE_TIMEOUT,
             )
             if after and reply.restores != restores:
                 # The pages before this one are of another history.
-                return await self._newest(effect, topic)
+                return await self._newest(effect)
             restores = reply.restores
             # A key of another writer may not be text.
             page = _page_decoder.decode(reply.body.decode('utf-8', 'replace'))
@@ -135,18 +141,23 @@
         key = effect.key.encode()
         content = bytes((len(key),)) + key + effect.payload
         record = _LENGTH.pack(len(content)) + content
-        topic = TOPICS[effect.stream]
+        partition = self._partition(effect.stream)
         reply = await self._call(
             b'POST',
-            f'{self._url}/api/log-append?topic={topic}&part=0',
+            f'{self._url}/api/log-append?{partition}',
             record,
-            RESPONSE_TIMEOUT,
+            effect.timeout or RESPONSE_TIMEOUT,
         )
         offset = LogOffset(_receipt_decoder.decode(reply.body).offset)
         return LogAppended(
             effect.stream, offset, effect.payload, reply.restores
         )
 
+    def _partition(self, stream: str) -> str:
+        """Return the part of a query that names the partition of a stream."""
+        part = self.partitions.get(stream, 0)
+        return f'topic={TOPICS[stream]}&part={part}'
+
     def _restores_of(self, response: Any) -> int | None:
         eras = response.headers.getRawHeaders(STORE_ERA) or []
         return int(eras[0]) if eras and eras[0].isdigit() else None
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -13,8 +13,11 @@
 from .clocks import ZERO
 from .poisonrequests import PoisonRequests
 from .crashes import CrashReports
+from .departures.recorder import DepartureRecorder
+from .departures.records import Departure
 from .discoveries import Discovery
 from .effects import (
+    Acknowledge,
     CloseStream,
     Effect,
     Exit,
@@ -60,7 +63,7 @@
 from .members import Members
 from .messages import HealthUpdate, MemberRecord, UpstreamHealth
 from .paths import Paths
-from .handlers import Sender, receive
+from .handlers import Sender, end_boot, receive
 from .requests import StopWindow
 from .sources import RETENTION, BundleSource
 from .upstreams import ANNOUNCE_LEASE
@@ -104,6 +107,8 @@
     keyed: bool = True
     #: Whether the first peers are found through the log.
     discovers: bool = False
+    #: Whether departures are kept in the log before they are acknowledged.
+    records_departures: bool = False
     #: Interval of ``Tick`` events.
     tick: timedelta = TICK
     #: Whether short gray episodes of upstreams are common.
@@ -165,6 +170,9 @@
         self.discovery: Discovery | None = None
         if options.discovers:
             self.discovery = Discovery(own, self.outbox, rng)
+        self.departures: DepartureRecorder | None = None
+        if options.records_departures:
+            self.departures = DepartureRecorder(own.daemon, self.outbox, rng)
         self.incarnations: dict[StreamId, Incarnation] = {}
         self.inbound: set[StreamId] = set()
         self.stopping_since: timedelta | None = None
@@ -376,6 +384,11 @@
         daemon.slots_ready = late or daemon.keyed.has_all_owners
 
 
+def _tick_departures(daemon: Daemon, now: timedelta) -> None:
+    if daemon.departures is not None:
+        daemon.departures.tick(now)
+
+
 def _tick_discovery(daemon: Daemon, now: timedelta) -> None:
     if daemon.discovery is not None and not daemon.stopping:
         daemon.discovery.tick(
@@ -414,6 +427,7 @@
             'keyed-tick': lambda daemon, now: daemon.keyed.tick(now),
             'paths-tick': _tick_paths,
             'slots-tick': _tick_slots,
+            'departures-tick': _tick_departures,
             'discovery-tick': _tick_discovery,
             'seeds-tick': _tick_seeds,
             'stop-tick': _tick_stop,
@@ -525,7 +539,19 @@
 
 @handle.register
 def _announced(event: Announced, daemon: Daemon, now: timedelta) -> None:
-    daemon.egress.announce(event, now)
+    departures = daemon.departures
+    boot = 0
+    if event.departs:
+        boot = daemon.egress.local_upstreams.departing_boot(event)
+    if departures is None or departures.admits(event, now):
+        daemon.egress.announce(event, now)
+    if event.announcement is None:
+        return
+    if departures is None or not boot:
+        daemon.outbox.emit(Acknowledge(event.announcement, accepted=True))
+        return
+    departure = Departure(event.upstream, boot)
+    departures.departed(departure, event.announcement, now)
 
 
 @handle.register(LogRead)
@@ -543,6 +569,20 @@
             daemon.discovery.log_event(event, live, now)
     with contain('keyed-log'):
         daemon.keyed.log_event(event, now)
+    if daemon.departures is not None:
+        with contain('departures-log'):
+            daemon.departures.log_event(event, now)
+            _recall_departures(daemon, daemon.departures, now)
+
+
+def _recall_departures(
+    daemon: Daemon, departures: DepartureRecorder, now: timedelta
+) -> None:
+    """Apply the departures of earlier processes, then what they held back."""
+    for departure in departures.take_recalled():
+        end_boot(daemon, departure.upstream, departure.boot, now)
+    for event in departures.take_released():
+        daemon.egress.announce(event, now)
 
 
 @handle.register
--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -18,6 +18,7 @@
 from .clocks import Clock, SystemClock
 from .connections import UpstreamCalls
 from .effects import (
+    Acknowledge,
     AbortCall,
     AppendLog,
     CallUpstream,
@@ -192,6 +193,7 @@
         self._failed_steps = 0
         self._failures_logged_at: dict[str, timedelta] = {}
         self._log: LogBackend | None = None
+        self._acknowledge: Callable[[Acknowledge], None] | None = None
         self._listener = self._build_listener()
         self._upstream_calls = self._build_calls()
         self._hub = StreamHub(
@@ -199,7 +201,9 @@
             self.submit,
             self._build_hello,
             Counters(
-                self._stream_failed, self._count_sent, self._count_received
+                self._stream_failed,
+                partial(self.metrics.count, 'stream_sent_bytes_total'),
+                partial(self.metrics.count, 'stream_received_bytes_total'),
             ),
             self._handler.hybrid_clock,
             certificates,
@@ -329,12 +333,6 @@
     def _count_cutoff(self, why: Cutoff) -> None:
         self.metrics.count('caller_cutoffs_total', reason=why.value)
 
-    def _count_sent(self, size_bytes: int) -> None:
-        self.metrics.count('stream_sent_bytes_total', size_bytes)
-
-    def _count_received(self, size_bytes: int) -> None:
-        self.metrics.count('stream_received_bytes_total', size_bytes)
-
     @singledispatchmethod
     def _carry_out(self, effect: Effect) -> None:
         raise TypeError(f'not an effect: {type(effect).__name__}')
@@ -386,6 +384,11 @@
         if self._log is not None:
             self._log.read(effect)
 
+    @_carry_out.register
+    def _acknowledge_announcement(self, effect: Acknowledge) -> None:
+        if self._acknowledge is not None:
+            self._acknowledge(effect)
+
     @_carry_out.register
     def _record(self, effect: Record) -> None:
         if effect.counter:
--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -272,18 +272,22 @@
         if len(self._ended_boots) > ENDED_LIMIT:
             self._ended_boots.pop(next(iter(self._ended_boots)))
 
+    def departing_boot(self, event: Announced) -> int:
+        """Return the newest boot that a departure ends; 0 if unknown."""
+        known = self.by_id.get(event.upstream)
+        if known is None:
+            return event.boot
+        return known.boot if event.boot_limit else event.boot or known.boot
+
     def _end_boot(self, event: Announced) -> bool:
         """Apply a last announcement; return whether its upstream is listed.
 
         It is listed as draining, so that peers know of it, unless a later
         process has its address.
         """
-        known = self.by_id.get(event.upstream)
-        if known is not None:
-            boot = known.boot if event.boot_limit else event.boot or known.boot
-            self.remember_ended(event.upstream, boot)
+        self.remember_ended(event.upstream, self.departing_boot(event))
+        if event.upstream in self.by_id:
             return True
-        self.remember_ended(event.upstream, event.boot)
         if not event.address or event.boot < self._boots.get(event.address, 0):
             return False
         return not any(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,11 +10,13 @@
 
 import msgspec
 import pytest
+from twisted.internet.defer import Deferred
 
 from greengagemux import approvals, discoveries, headers
 from greengagemux.connections import ResponseOwner
 from greengagemux.clocks import ZERO, ManualClock, ms
 from greengagemux.effects import (
+    Acknowledge,
     AppendLog,
     CallUpstream,
     OpenStream,
@@ -328,6 +330,9 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self.events: list[Announced] = []
         self.takes_effect = True
+        #: Whether announcements are responded to, as the reducer does.
+        self.acknowledges = True
+        self.accepts = True
         self._endpoint = Announcements(settings, self._submit, ManualClock())
 
     def put(self, **changed: object) -> int:
@@ -343,15 +348,33 @@
             **changed,
         }
         body = json.dumps(fields).encode()
-        return self._endpoint(b'PUT', b'/api/instances/i-1', body)[0]
+        return self._status(b'PUT', body)
 
     def delete(self, body: bytes = b'') -> int:
         """Announce that the upstream leaves and return the status."""
-        return self._endpoint(b'DELETE', b'/api/instances/i-1', body)[0]
+        return self._status(b'DELETE', body)
+
+    def acknowledge(self) -> None:
+        """Respond to the newest announcement."""
+        announcement = self.events[-1].announcement
+        assert announcement is not None
+        effect = Acknowledge(announcement, accepted=self.accepts)
+        self._endpoint.acknowledge(effect)
+
+    def _status(self, method: bytes, body: bytes) -> int:
+        """Return the status of the response; 0 while there is none."""
+        reply = self._endpoint(method, b'/api/instances/i-1', body)
+        if not isinstance(reply, Deferred):
+            return reply[0]
+        found: list[int] = []
+        reply.addCallback(lambda response: found.append(response[0]))
+        return found[0] if found else 0
 
     def _submit(self, event: Event) -> bool:
         assert isinstance(event, Announced)
         self.events.append(event)
+        if self.acknowledges:
+            self.acknowledge()
         return self.takes_effect
 
 
@@ -427,6 +450,18 @@
     announcer.takes_effect = False
     assert announcer.put(phase='draining') == 500
     assert announcer.delete() == 500
+    announcer.takes_effect = True
+    announcer.accepts = False
+    assert announcer.delete() == 503
+
+
+def test_announcement_is_responded_to_once(tmp_path: Path) -> None:
+    """The response may come later, or after the connection has closed."""
+    announcer = _Announcer(_settings(tmp_path))
+    announcer.acknowledges = False
+    assert announcer.put() == 0
+    announcer.acknowledge()
+    announcer.acknowledge()
 
 
 def test_readiness() -> None:
