Remember a drained boot after its upstream was removed

An upstream that had said that it drains, and was then removed because its connection was refused or its lease had ended, was used again after a late check-in of the same boot: the acknowledged drain was kept in the entry of the upstream, and went with it. The boot is now remembered as ended when its entry is removed.

--- a/greengagemux/upstreams.py
+++ b/greengagemux/upstreams.py
@@ -342,6 +342,8 @@
         if not self.is_current(upstream):
             return
         self.by_id.pop(upstream.upstream)
+        if upstream.leaving and upstream.boot:
+            self.remember_ended(upstream.upstream, upstream.boot)
         self._health_tracker.remove(upstream.upstream)
         self._outbox.emit(DropConnections(upstream.address))
         self.changed = True
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -123,6 +123,16 @@
     assert state is UpstreamState.draining
 
 
+def test_drain_of_a_boot_outlasts_its_removal() -> None:
+    """Guards against a late check-in after the process has ended."""
+    harness = _EgressHarness()
+    harness.announce(UpstreamState.draining, sequence=2)
+    upstreams = harness.egress.local_upstreams
+    upstreams.remove(upstreams.by_id[UPSTREAM])
+    harness.announce(UpstreamState.serving, sequence=3)
+    assert UPSTREAM not in harness.egress.upstreams
+
+
 def test_ended_boots_are_limited() -> None:
     """Guards against memory that grows with each start of an upstream."""
     harness = _Harness()
