End a process only once its output has been received

Cause: a request counted as done when its answer had been handed to the transport. The process ended 0.1 to 0.3 s after the last one, and what was still buffered in it was gone.

The end of a process is now a package of its own. It waits while a caller or a peer has output that its host has not acknowledged, in the transport or in the kernel, at most until the stop limit and 0.3 s. Without such output it ends as soon as before, also if callers keep their connections open. A caller that never reads is left behind when that time is over.

--- a/greengagemux/effects.py
+++ b/greengagemux/effects.py
@@ -195,7 +195,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Exit:
-    """End the process; all work is finished."""
+    """End the process; all work is finished.
+
+    Output that callers and peers have not received may take ``limit`` more.
+    """
+
+    limit: timedelta = timedelta()
 
 
 Effect = (
--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -28,6 +28,7 @@
 from .memory.requests import RequestBytes
 from .outcomes import Outcome, Reason
 from .requests import refusal
+from .sockets import unsent_bytes
 
 logger = logging.getLogger(__name__)
 
@@ -732,6 +733,11 @@
         """Largest request body that is accepted; routes set lower limits."""
         return min(BODY_LIMIT_BYTES, self._limits.body_bytes)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a caller may not have received all of its responses."""
+        return any(unsent_bytes(each.transport) for each in self._channels)
+
     @property
     def connection_limit(self) -> int:
         """Most caller connections."""
--- a/greengagemux/reducers.py
+++ b/greengagemux/reducers.py
@@ -651,4 +651,5 @@
     if idle or waited >= daemon.options.stop_limit:
         daemon.ingress.stop(now)
         daemon.outbox.emit(Record('stopped', {'idle': idle, **busy}))
-        daemon.outbox.emit(Exit())
+        left = daemon.options.stop_limit - waited
+        daemon.outbox.emit(Exit(max(left, ZERO)))
--- a/greengagemux/runtimes.py
+++ b/greengagemux/runtimes.py
@@ -49,6 +49,7 @@
 from .metrics import Metrics
 from .outcomes import Failure
 from .reducers import TICK, Daemon, reduce
+from .shutdown.sequence import Shutdown
 from .streams import Counters, StreamHub
 
 if TYPE_CHECKING:
@@ -71,11 +72,6 @@
 #: would wake an idle process 50 times a second, which takes 0.5% of a core.
 FLUSH_LINES_PER_TICK: Final = 60
 DEFAULT_LIMITS: Final = host_limits()
-#: Time for the last responses to be sent before the reactor stops.
-EXIT_DELAY_S: Final = 0.1
-#: Most time for peers to receive the last messages and end their streams. With
-#: the stop limit it must stay within the time before the process is killed.
-EXIT_LIMIT_S: Final = 0.3
 
 
 class Timer:
@@ -210,6 +206,9 @@
             limits,
             self._requests,
         )
+        self._shutdown = Shutdown(
+            self._reactor, self._listener, self._hub, self._contain
+        )
         self._turn_timer = self.metrics.timer('reducer_turn_us')
 
     def start(self) -> None:
@@ -422,29 +421,14 @@
 
     @_carry_out.register
     def _exit(self, effect: Exit) -> None:
-        # Responses written in this turn have not been sent yet.
-        due_s = self._reactor.seconds() + EXIT_LIMIT_S
-        self._reactor.callLater(EXIT_DELAY_S, self._stop_reactor, due_s)
-        with self._contain('callers-closed'):
-            self._listener.disconnect_all()
+        self._shutdown.begin(effect.limit)
         for timer in self._timers:
             timer.stop()
         for port in self._ports:
             with self._contain('port-closed'):
                 port.stopListening()
-        with self._contain('streams-ended'):
-            self._hub.stop()
         self._handler.flush()
 
-    def _stop_reactor(self, due_s: float) -> None:
-        """Stop once all streams have ended, at the latest at ``due_s``."""
-        if self._hub.has_streams and self._reactor.seconds() < due_s:
-            self._reactor.callLater(EXIT_DELAY_S, self._stop_reactor, due_s)
-            return
-        with self._contain('streams-closed'):
-            self._hub.close_all()
-        self._reactor.stop()
-
 
 def _levels(
     limits: HostLimits,
--- /dev/null
+++ b/greengagemux/shutdown/__init__.py
@@ -0,0 +1,1 @@
+"""End of a process, after its output has reached the other hosts."""
--- a/greengagemux/sockets.py
+++ b/greengagemux/sockets.py
@@ -1,6 +1,9 @@
-"""Keep-alive options of TCP connections."""
+"""Keep-alive options and unsent output of TCP connections."""
 
 import socket
+import sys
+from fcntl import ioctl
+from termios import TIOCOUTQ
 from typing import Any, Final
 
 #: Idle time before the first keep-alive probe, and the interval between
@@ -10,6 +13,9 @@
 #: Sent bytes that stay unacknowledged for this long end a connection.
 UNACKNOWLEDGED_LIMIT_MS: Final = 3000
 
+#: Size of the integer that ``TIOCOUTQ`` returns.
+_INT_BYTES: Final = 4
+
 
 def enable_keep_alive(transport: Any) -> None:
     """Let the kernel end a connection whose other end does not respond.
@@ -28,3 +34,23 @@
     )
     for option, setting in options:
         handle.setsockopt(socket.IPPROTO_TCP, option, setting)
+
+
+def unsent_bytes(transport: Any) -> int:
+    """Return how many written bytes the host at the other end may not have.
+
+    They wait in the transport, or in the kernel for an acknowledgement.
+    """
+    # TLS wraps the transport of the connection.
+    connection = getattr(transport, 'transport', transport)
+    buffered = getattr(connection, 'dataBuffer', b'')
+    waiting_bytes = len(buffered) - getattr(connection, 'offset', 0)
+    waiting_bytes += getattr(connection, '_tempDataLen', 0)
+    handle = getattr(connection, 'getHandle', lambda: None)()
+    if not isinstance(handle, socket.socket):
+        return waiting_bytes
+    try:
+        queued = ioctl(handle, TIOCOUTQ, bytes(_INT_BYTES))
+    except OSError:
+        return waiting_bytes
+    return waiting_bytes + int.from_bytes(queued, sys.byteorder)
--- a/greengagemux/streams.py
+++ b/greengagemux/streams.py
@@ -47,7 +47,7 @@
     Refusal,
 )
 from .outcomes import Failure, FailureError, Outcome, Reason, Step
-from .sockets import enable_keep_alive
+from .sockets import enable_keep_alive, unsent_bytes
 
 if TYPE_CHECKING:
     from .certificates import Certificates
@@ -284,6 +284,12 @@
         self._finishing = True
         self._write_fragment()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether the peer may not have received all messages."""
+        pending = bool(self._writer.pending)
+        return pending or unsent_bytes(self.transport) > 0
+
     def pauseProducing(self) -> None:
         """Stop writing fragments until the peer has read more."""
         self._paused = True
@@ -587,6 +593,11 @@
         """Whether any stream is open."""
         return bool(self._streams)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a peer may not have received all messages."""
+        return any(each.has_unsent for each in self._streams.values())
+
     def stop(self) -> None:
         """Open and accept no more streams; end each once its output is sent.
 
--- a/greengagemux_standins/platformupstreams.py
+++ b/greengagemux_standins/platformupstreams.py
@@ -61,13 +61,15 @@
     """What a request costs: its service time, and how it is answered.
 
     With ``breaks_off`` the connection is reset instead of a response, and with
-    ``refuses`` the request is refused without a run.
+    ``refuses`` the request is refused without a run. ``padding_bytes`` follow
+    the path in the body of the response.
     """
 
     service_s: float = 0
     breaks_off: bool = False
     refuses: bool = False
     flaw: Flaw = Flaw.none
+    padding_bytes: int = 0
 
 
 Draw = Callable[[], Work]
@@ -258,10 +260,11 @@
             run.broken_off = True
             servers.abort(channel)
             return
+        body = request.uri + bytes(work.padding_bytes)
         response = _encoded(
             f'200 OK\r\nRequest-Id: {run.request}\r\n'
             f'Response-Seal: {_SEAL.decode()}',
-            request.uri,
+            body,
         )
         if work.flaw is Flaw.cuts_head:
             run.broken_off = True
@@ -275,7 +278,7 @@
         if earlier is not None:
             channel.transport.write(earlier)
         self._earlier[Flaw.repeats_response][channel] = response
-        servers.reply(request, servers.OK, request.uri)
+        servers.reply(request, servers.OK, body)
         run.finished_s = self._network.seconds()
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -73,7 +73,7 @@
 from greengagemux.requests import refusal
 from greengagemux.routes import RouteTable
 from greengagemux.splits import Splits
-from greengagemux.runtimes import EXIT_LIMIT_S
+from greengagemux.shutdown.sequence import EXIT_LIMIT_S
 
 LINES = """\
 node_name=sidecar-a-1
--- a/tests/test_runtimes.py
+++ b/tests/test_runtimes.py
@@ -23,6 +23,7 @@
 from greengagemux.messages import MemberRecord
 from greengagemux.reducers import Daemon, DaemonOptions
 from greengagemux.rollouts import Rollout
+from greengagemux.shutdown.sequence import CHECK_INTERVAL_S
 
 
 class _Log:
@@ -89,7 +90,21 @@
     monkeypatch.setattr(getattr(runtime, part), method, _broken)
     monkeypatch.setattr(runtimes, 'reduce', lambda *_event: [Exit()])
     runtime.submit(Advance())
-    memory_reactor.advance(runtimes.EXIT_DELAY_S)
+    memory_reactor.advance(CHECK_INTERVAL_S)
+    assert memory_reactor.hasStopped
+
+
+def test_process_ends_although_its_output_cannot_be_checked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that stays for good after its stop."""
+    memory_reactor = MemoryReactorClock()
+    runtime = _runtime(memory_reactor)
+    broken = property(lambda _listener: _broken())
+    monkeypatch.setattr(type(runtime._listener), 'has_unsent', broken)
+    monkeypatch.setattr(runtimes, 'reduce', lambda *_event: [Exit()])
+    runtime.submit(Advance())
+    memory_reactor.advance(CHECK_INTERVAL_S)
     assert memory_reactor.hasStopped
 
 
