Count the linger time from the receipt of the last response

A connection that the daemon closes was read for 2 s more, counted from the moment at which the last response was handed to the transport. A caller that needed longer to read, and sent its next request meanwhile, had its connection reset and lost the rest of a response. A refusal behind a response that was still being read aborted the connection after the same 2 s.

An idle connection whose last response is not delivered is half closed, so that input that crosses the close does not reset it.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -40,10 +40,13 @@
 READ_LIMIT: Final = timedelta(seconds=10)
 #: At 5.5 Mbit/s, the slowest link of a host, this takes 1.5 s.
 READ_STEP_BYTES: Final = 1024 * 1024
-#: Input is read and discarded for this long after the last response, unless the
-#: caller closes the connection. Closing it with unread input would reset it, and
-#: the caller might lose the response.
+#: Input is read and discarded for this long after the caller has received the
+#: last response, unless it closes the connection. Closing it with unread input
+#: would reset it, and the caller might lose the response.
 LINGER_S: Final = 2.0
+#: A caller that has not received all of its output this long after the end of
+#: the connection has begun is cut off.
+LINGER_LIMIT: Final = IDLE_LIMIT
 #: A connection whose caller pipelines requests and does not read is closed
 #: when its unsent responses exceed this.
 UNREAD_LIMIT_BYTES: Final = 4 * 1024 * 1024
@@ -469,7 +472,10 @@
         if self.requests:
             self._log_exchanges('caller-connection-closed', self.requests)
         self._input_discarded = True
-        self.loseConnection()  # type: ignore[no-untyped-call]
+        if unsent_bytes(self.transport):
+            self._half_close()
+        else:
+            self.loseConnection()  # type: ignore[no-untyped-call]
 
     def _half_close(self) -> None:
         """Send all output, then the end of the stream; discard input."""
@@ -482,10 +488,25 @@
         self.transport.unregisterProducer()
         self.transport.resumeProducing()
         self.transport.loseWriteConnection()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close the connection once its caller has had time to read."""
+        cut_off_at = self.listener.clock.monotonic() + LINGER_LIMIT
         self._linger_timer = self.listener.reactor.callLater(
-            LINGER_S, self.loseConnection
+            LINGER_S, self._end_linger, cut_off_at
         )
 
+    def _end_linger(self, cut_off_at: timedelta) -> None:
+        if unsent_bytes(self.transport) == 0:
+            self.loseConnection()  # type: ignore[no-untyped-call]
+        elif self.listener.clock.monotonic() >= cut_off_at:
+            self.cut_off(Cutoff.unread)
+        else:
+            self._linger_timer = self.listener.reactor.callLater(
+                LINGER_S, self._end_linger, cut_off_at
+            )
+
     def cut_off(self, why: Cutoff) -> None:
         """Abort the connection at once and count it."""
         self._discard_input()
@@ -515,9 +536,7 @@
         head.append(b'Connection: close')
         head += [b'', response.body]
         self.transport.write(b'\r\n'.join(head))
-        self._linger_timer = self.listener.reactor.callLater(
-            LINGER_S, self.transport.abortConnection
-        )
+        self._linger()
 
     def give_up(self) -> None:
         """Cut off a caller that sends much behind a request that runs."""
@@ -723,6 +742,11 @@
             self.end_idle_limit(idle)
             idle.timeoutConnection()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a caller may not have received all of its responses."""
+        return any(unsent_bytes(each.transport) for each in self._channels)
+
     @property
     def connections(self) -> int:
         """Number of open caller connections."""
@@ -733,11 +757,6 @@
         """Largest request body that is accepted; routes set lower limits."""
         return min(BODY_LIMIT_BYTES, self._limits.body_bytes)
 
-    @property
-    def has_unsent(self) -> bool:
-        """Whether a caller may not have received all of its responses."""
-        return any(unsent_bytes(each.transport) for each in self._channels)
-
     @property
     def connection_limit(self) -> int:
         """Most caller connections."""
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -555,3 +555,76 @@
         last = wire.rpartition(b'Connection: close')[2]
         assert last.count(b'<') == 1
         assert connection.transport.half_closed
+
+
+def _slow_client(edge: _Edge) -> Client:
+    """Return a client whose kernel holds little that it has not read."""
+    plain = socket.socket()
+    plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    plain.connect(('127.0.0.1', edge.port.getHost().port))
+    return Client(plain)
+
+
+#: More than the kernel holds for one connection.
+_LARGE = b'x' * (listeners.UNREAD_LIMIT_BYTES - 1000)
+
+
+def _linger() -> None:
+    """Let the linger time pass several times."""
+    until_s = time.monotonic() + 5 * listeners.LINGER_S
+    run_reactor_until(lambda: time.monotonic() > until_s)
+
+
+def test_connection_that_is_used_again_does_not_lose_its_response(
+    edge: _Edge,
+) -> None:
+    """Guards against a reset by input that was not read before the close.
+
+    The caller sends its next request while it still reads.
+    """
+    caller = _slow_client(edge).send(_GET)
+    edge.answer(body=_LARGE)
+    turn(5)
+    edge.listener.release(accept=False)
+    caller.send(_GET)
+    _linger()
+    caller.send(_GET)
+    assert caller.read_all().endswith(_LARGE)
+    assert len(edge.requests) == 1
+
+
+def test_refusal_does_not_cut_off_an_earlier_response(edge: _Edge) -> None:
+    """Guards against a time limit that starts before the caller has read."""
+    caller = _slow_client(edge).send(_GET)
+    edge.answer(body=_LARGE)
+    turn(5)
+    caller.send(b'GET / HTTP/2.0\r\n\r\n')
+    _linger()
+    received = caller.read_all()
+    assert received.count(_LARGE) == 1
+    assert received.count(b'HTTP/1.1 400 ') == 1
+
+
+def test_caller_that_never_reads_the_last_response(edge: _Edge) -> None:
+    """Its connection must not stay for good after it was closed."""
+    caller = _slow_client(edge).send(_GET)
+    edge.answer(body=_LARGE)
+    edge.listener.release(accept=False)
+    _linger()
+    assert edge.listener.connections == 1
+    assert edge.listener.has_unsent
+    edge.clock.advance(listeners.LINGER_LIMIT)
+    run_reactor_until(lambda: not edge.listener.connections)
+    assert edge.cutoffs == {'unread': 1}
+    caller.socket.close()
+
+
+def test_caller_that_ignores_the_end_is_closed(edge: _Edge) -> None:
+    """A connection whose caller has everything is not kept for it."""
+    edge.listener.release(accept=True)
+    caller = Client(edge.port).send(_GET)
+    edge.answer()
+    caller.expect(b'answer to /stock/1')
+    run_reactor_until(lambda: not edge.listener.has_unsent)
+    run_reactor_until(lambda: not edge.listener.connections)
+    caller.socket.close()
