Log the end of a process with what it waited for

The record `exit` holds the time from the end of all work to the end of the process, and whether callers or peers had output left.

--- a/greengagemux/shutdown/sequence.py
+++ b/greengagemux/shutdown/sequence.py
@@ -5,20 +5,25 @@
 the former with it, and resets a connection that has unread input.
 """
 
+import logging
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final
 
 from ..effects import Containment
 from ..listeners import CallerListener
+from ..logs import log_event
 from ..streams import StreamHub
 
+logger = logging.getLogger(__name__)
+
 #: Interval at which the output is checked. The last responses are written in
 #: the turn in which the shutdown begins.
 CHECK_INTERVAL_S: Final = 0.1
 #: Most time for peers to end their streams after the last output. With the
 #: stop limit it must stay within the time before the process is killed.
 EXIT_LIMIT_S: Final = 0.3
+_MS_PER_SECOND: Final = 1000
 
 
 class Shutdown:
@@ -62,10 +67,22 @@
         if waits:
             self._reactor.callLater(CHECK_INTERVAL_S, self._check)
             return
+        with self._contain('exit-logged'):
+            self._log_exit()
         with self._contain('streams-closed'):
             self._hub.close_all()
         self._reactor.stop()
 
+    def _log_exit(self) -> None:
+        waited_s = self._reactor.seconds() + EXIT_LIMIT_S - self._streams_due_s
+        fields = {
+            'waited_ms': waited_s * _MS_PER_SECOND,
+            'callers_unsent': self._listener.has_unsent,
+            'peers_unsent': self._hub.has_unsent,
+            'peers_open': self._hub.has_streams,
+        }
+        log_event(logger, 'exit', fields)
+
     def _waits(self) -> bool:
         now_s = self._reactor.seconds()
         if now_s >= self._output_due_s:
