Keep one linger timer for each connection

A connection that was refused, and then closed at the end of the process while its caller still read, got a second timer; the first one was left running after the connection. A socket that has just been closed counts as sent.

--- a/greengagemux/listeners.py
+++ b/greengagemux/listeners.py
@@ -492,6 +492,8 @@
 
     def _linger(self) -> None:
         """Close the connection once its caller has had time to read."""
+        if self._linger_timer is not None:
+            return
         cut_off_at = self.listener.clock.monotonic() + LINGER_LIMIT
         self._linger_timer = self.listener.reactor.callLater(
             LINGER_S, self._end_linger, cut_off_at
--- a/greengagemux/sockets.py
+++ b/greengagemux/sockets.py
@@ -51,6 +51,7 @@
         return waiting_bytes
     try:
         queued = ioctl(handle, TIOCOUTQ, bytes(_INT_BYTES))
-    except OSError:
+    except (OSError, ValueError):
+        # A socket that has been closed has no number.
         return waiting_bytes
     return waiting_bytes + int.from_bytes(queued, sys.byteorder)
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -21,6 +21,7 @@
 from greengagemux.clocks import ManualClock
 from greengagemux.effects import Respond
 from greengagemux.events import CallerDisconnected, CallerRequest, Event
+from greengagemux.sockets import unsent_bytes
 
 _GET = b'GET /stock/1 HTTP/1.1\r\nHost: a\r\n\r\n'
 _IDLE_CLIENT = """
@@ -605,6 +606,21 @@
     assert received.count(b'HTTP/1.1 400 ') == 1
 
 
+def test_refused_caller_at_the_end_of_the_process(edge: _Edge) -> None:
+    """Guards against a second timer, which would outlast its connection."""
+    caller = _slow_client(edge).send(_GET)
+    edge.answer(body=_LARGE)
+    turn(5)
+    caller.send(b'GET / HTTP/2.0\r\n\r\n')
+    run_reactor_until(lambda: edge.cutoffs['bad_http'])
+    edge.listener.disconnect_all()
+    received = caller.read_all()
+    assert received.count(_LARGE) == 1
+    run_reactor_until(lambda: not edge.listener.connections)
+    delayed = map(str, reactor.getDelayedCalls())
+    assert sum('linger' in call for call in delayed) == 0
+
+
 def test_caller_that_never_reads_the_last_response(edge: _Edge) -> None:
     """Its connection must not stay for good after it was closed."""
     caller = _slow_client(edge).send(_GET)
@@ -619,6 +635,15 @@
     caller.socket.close()
 
 
+def test_closed_connection_has_no_unsent_output() -> None:
+    """Guards against a stop that fails at a connection that has just ended."""
+    transport = StringTransport()
+    closed = socket.socket()
+    closed.close()
+    transport.getHandle = lambda: closed  # type: ignore[attr-defined]
+    assert unsent_bytes(transport) == 0
+
+
 def test_caller_that_ignores_the_end_is_closed(edge: _Edge) -> None:
     """A connection whose caller has everything is not kept for it."""
     edge.listener.release(accept=True)
