--- a/greengagemux_standins/platformupstreams.py
+++ b/greengagemux_standins/platformupstreams.py
@@ -17,6 +17,9 @@
 #: Interval of announcements (``heartbeat_ms`` of the platform).
 ANNOUNCE_INTERVAL_S: Final = 1.5
 SLOTS: Final = 3
+#: Size of large responses; seven of them exceed what the kernel holds for one
+#: connection.
+LARGE_BYTES: Final = 540_000
 #: Time from the start of a crashing request to the end of the process.
 CRASH_DELAY_S: Final = 0.05
 #: Time until a crashed process runs again, under another id.
@@ -61,15 +64,13 @@
     """What a request costs: its service time, and how it is answered.
 
     With ``breaks_off`` the connection is reset instead of a response, and with
-    ``refuses`` the request is refused without a run. ``padding_bytes`` follow
-    the path in the body of the response.
+    ``refuses`` the request is refused without a run.
     """
 
     service_s: float = 0
     breaks_off: bool = False
     refuses: bool = False
     flaw: Flaw = Flaw.none
-    padding_bytes: int = 0
 
 
 Draw = Callable[[], Work]
@@ -77,7 +78,10 @@
 
 
 class PlatformUpstream:
-    """Answers each request with its path; refuses paths with ``full``."""
+    """Answers each request with its path; refuses paths with ``full``.
+
+    After a path with ``large`` the body is padded to ``LARGE_BYTES``.
+    """
 
     def __init__(
         self,
@@ -260,7 +264,7 @@
             run.broken_off = True
             servers.abort(channel)
             return
-        body = request.uri + bytes(work.padding_bytes)
+        body = response_body(request.uri.decode())
         response = _encoded(
             f'200 OK\r\nRequest-Id: {run.request}\r\n'
             f'Response-Seal: {_SEAL.decode()}',
@@ -282,6 +286,12 @@
         run.finished_s = self._network.seconds()
 
 
+def response_body(target: str) -> bytes:
+    """Return the body of the response to a request for a path."""
+    size_bytes = LARGE_BYTES if 'large' in target else 0
+    return target.encode().ljust(size_bytes, b'.')
+
+
 def _encoded(head: str, body: bytes) -> bytes:
     return (
         f'HTTP/1.1 {head}\r\nContent-Length: {len(body)}\r\n\r\n'.encode()
--- a/greengagemux_standins/stopcallers.py
+++ b/greengagemux_standins/stopcallers.py
@@ -6,6 +6,7 @@
 import math
 import random
 import re
+import socket
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 from greengagemux.loads import GRACE_S
 
 from .platformfleets import HOST, READ_PREFIX, WRITE_PREFIX
+from .platformupstreams import response_body
 from .servers import LOOPBACK, OK, UNAVAILABLE
 
 #: Time that a caller gives a request.
@@ -35,6 +37,12 @@
 #: Share of pipelined reads of which a part follows while the first ones run.
 _STAGGERED_SHARE: Final = 0.3
 _PIPELINED: Final = range(2, 7)
+#: Share of turns with large responses that are read after a pause.
+_SLOW_SHARE: Final = 0.03
+_SLOW_READS: Final = 7
+_SLOW_S: Final = (0.5, 2)
+#: Receive buffer of a connection; what the kernel holds was not read either.
+_RECEIVE_BYTES: Final = 128 * 1024
 #: Share of pauses that last longer than the notice of a planned stop.
 _LONG_PAUSE_SHARE: Final = 0.03
 _LONG_PAUSE_S: Final = 2.5
@@ -72,12 +80,15 @@
     end: End = End.waiting
     status: int = 0
     ended_s: float = math.inf
+    #: Whether the response has ``LARGE_BYTES``.
+    large: bool = False
 
     @property
     def target(self) -> str:
         """Path of the request; the body of its response."""
         prefix = READ_PREFIX if self.method == 'GET' else WRITE_PREFIX
-        return f'{prefix}{self.request}'
+        size = 'large-' if self.large else ''
+        return f'{prefix}{size}{self.request}'
 
     def encoded(self) -> bytes:
         """Return the request as it is sent."""
@@ -102,7 +113,7 @@
         if answer.status == OK:
             own = (
                 echoed == self.request
-                and answer.body == self.target.encode()
+                and answer.body == response_body(self.target)
                 and bool(answer.header(_RESPONSE_SEAL))
             )
         self.settle(End.answered if own else End.wrong, now_s)
@@ -129,6 +140,18 @@
         for call in calls:
             self._network.callLater(BUDGET_S + GRACE_S, self._give_up, call)
 
+    def connectionMade(self) -> None:
+        """Let the kernel hold little that was not read."""
+        cast('Any', self.transport).getHandle().setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES
+        )
+
+    def read_later(self, pause_s: float) -> None:
+        """Read nothing for a time."""
+        transport = cast('Any', self.transport)
+        transport.pauseProducing()
+        self._network.callLater(pause_s, transport.resumeProducing)
+
     def settled(self) -> Deferred[None]:
         """Return a deferred that fires when no call waits."""
         if not self._waiting:
@@ -242,7 +265,11 @@
 
     async def _turn(self, connection: Connection) -> None:
         """Send one request or several reads, and wait for their ends."""
-        if self._rng.random() >= _PIPELINED_SHARE:
+        if self._rng.random() < _SLOW_SHARE:
+            connection.read_later(self._rng.uniform(*_SLOW_S))
+            reads = [self._call('GET', large=True) for _ in range(_SLOW_READS)]
+            connection.send(reads)
+        elif self._rng.random() >= _PIPELINED_SHARE:
             is_write = self._rng.random() < _WRITE_SHARE / (
                 1 - _PIPELINED_SHARE
             )
@@ -268,13 +295,14 @@
         if connection.usable:
             connection.send([self._call('GET') for _ in range(count - first)])
 
-    def _call(self, method: str) -> Call:
+    def _call(self, method: str, *, large: bool = False) -> Call:
         call = Call(
             f'{self._seed}-{len(self.calls)}',
             self._daemon,
             f'{self._seed}/{self._connections}',
             method,
             self._network.seconds(),
+            large=large,
         )
         self.calls.append(call)
         return call
--- a/tests/test_departures_recorded.py
+++ b/tests/test_departures_recorded.py
@@ -5,14 +5,16 @@
 """
 
 import json
+import time
 from collections.abc import Callable, Iterator
+from datetime import timedelta
 from pathlib import Path
 from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from sockets import turn
+from sockets import run_reactor_until, turn
 from test_platform_daemon import _Daemon
 
 from greengagemux.clocks import ms
@@ -405,3 +407,35 @@
     daemon.store.up = True
     responses = [_leave(daemon) for _ in range(3)]
     assert responses[-1].startswith(b'HTTP/1.1 200 ')
+
+
+@pytest.mark.parametrize('check_ins', [1, 3])
+def test_late_check_ins_during_an_outage_of_the_store(
+    start: StartDaemon, check_ins: int
+) -> None:
+    """Guards against a process that starts while the store is down.
+
+    It learns of the departure once the store is back, also if it took the
+    upstream for one that goes on.
+    """
+    first = start()
+    first.wait_ready()
+    late = [first.upstream.announcement().decode() for _ in range(check_ins)]
+    assert _leave(first).startswith(b'HTTP/1.1 200 ')
+    first.process.kill()
+    first.process.wait()
+    first.store.up = False
+    second = start()
+    for wire in late:
+        assert b' 200 ' in second.ask('control', wire)
+        _wait(CONFIRM_AFTER)
+    second.store.up = True
+    second.wait_ready()
+    run_reactor_until(lambda: 'departures-read' in second.log())
+    assert b' 503 ' in second.request('GET', '/list/1')
+    assert not second.upstream.received
+
+
+def _wait(duration: timedelta) -> None:
+    until_s = time.monotonic() + duration.total_seconds()
+    run_reactor_until(lambda: time.monotonic() >= until_s)
--- a/tests/test_undelivered.py
+++ b/tests/test_undelivered.py
@@ -7,15 +7,14 @@
 from pathlib import Path
 
 import pytest
-from sockets import Client, reactor, run_reactor_until, turn
+from sockets import Client, run_reactor_until, turn
 from test_platform_daemon import _Daemon
 
 from greengagemux_standins.platformfleets import GRACE_S
-from greengagemux_standins.platformupstreams import PlatformUpstream, Work
+from greengagemux_standins.platformupstreams import LARGE_BYTES
 
-#: Larger than what the kernel holds for one connection.
+#: Their responses exceed what the kernel holds for one connection.
 REQUESTS = 7
-BODY_BYTES = 540_000
 DEADLINE_MS = 15_000
 #: When a caller starts to read, after SIGTERM; idle daemons end before.
 READS_AFTER_S = 3.5
@@ -34,7 +33,7 @@
 
     def send(self, tag: str) -> None:
         self.client.send(
-            f'GET /list/{tag} HTTP/1.1\r\nHost: shop.example\r\n'
+            f'GET /list/large-{tag} HTTP/1.1\r\nHost: shop.example\r\n'
             f'Request-Id: {tag}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\r\n'.encode()
         )
 
@@ -55,10 +54,7 @@
 
 @pytest.fixture(name='daemon')
 def _daemon(tmp_path: Path) -> Iterator[_Daemon]:
-    upstream = PlatformUpstream(
-        reactor, 'i-1', lambda: Work(padding_bytes=BODY_BYTES)
-    )
-    instance = _Daemon(tmp_path, upstream=upstream)
+    instance = _Daemon(tmp_path)
     instance.wait_ready()
     instance.announce('ready')
     yield instance
@@ -114,11 +110,11 @@
         socket.create_connection(('127.0.0.1', daemon.ports['outbound']))
     )
     caller.send(
-        b'GET /list/1 HTTP/1.1\r\nHost: shop.example\r\n'
+        b'GET /list/large HTTP/1.1\r\nHost: shop.example\r\n'
         b'Request-Id: a\r\nDeadline-Ms: 900\r\n\r\n'
     )
     run_reactor_until(
-        lambda: caller.read() or len(caller.received) > BODY_BYTES
+        lambda: caller.read() or len(caller.received) > LARGE_BYTES
     )
     daemon.process.send_signal(signal.SIGTERM)
     stopped_s = time.monotonic()
