--- a/review/support-3/stand_ins.py
+++ b/review/support-3/stand_ins.py
@@ -565,14 +565,13 @@
         await asyncio.sleep(0.1)
 
 
-def run_case(case, folder):
+def run_case(case, folder, trouble):
     """Run a case and exit: 1 if the rule was broken, 0 if not, 2 otherwise.
 
-    ``case`` gets the record, a temporary folder and whether the disruption
-    is wanted; it returns the breaches as texts.
+    ``case`` gets the record, a temporary folder and ``trouble``, whether the
+    disruption is wanted; it returns the breaches as texts.
     """
     record = Record()
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     record.add('case', f'TROUBLE={int(trouble)}')
     code = 2
     with tempfile.TemporaryDirectory() as scratch:
